Add the whole request path as separate processes

One request goes from a caller through the balancer stand-in and any of several entry processes to an instance and returns whole. The frame for the other parts is in place: strict YAML settings, supervisor tree, error table, numbered events, metrics, store interface with an "unknown" result, resource API, command line, single-file binary.

Found while building, each with a check: - blacksheep's StreamedContent accepts only an async generator function; a lambda around one failed every response above 64 KB with status 500. The load now counts internal errors, and any of them fails the run. - The balancer stand-in accepted callers before its first readiness probe: 26 of 694 requests lost their connection.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Every target works from a fresh clone with Python 3.11, pip and make only.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+export PYTHONPATH := src:.
+export PYTHONDONTWRITEBYTECODE := 1
+
+.PHONY: env demo test format dist bench capacity clean
+
+env: $(VENV)/.installed
+
+$(VENV)/.installed: requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes -r requirements-dev.txt
+	touch $@
+
+demo: env
+	$(BIN)/python -m standins.demo
+
+test: env dist
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/pytest
+
+format: env
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+dist: dist/ebonyhub
+
+dist/ebonyhub: requirements.txt $(wildcard src/ebonyhub/*.py) | env
+	rm -rf build/site && mkdir -p build/site dist
+	$(BIN)/pip install --quiet --require-hashes --target build/site -r requirements.txt
+	cp -r src/ebonyhub build/site/
+	$(BIN)/shiv --site-packages build/site --entry-point ebonyhub.cli:main \
+	  --python '/usr/bin/env python3.11' --output-file $@
+
+bench: env
+	$(BIN)/python -m bench.relay
+
+clean:
+	rm -rf $(VENV) build dist
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; speed is never checked in a test."""
--- /dev/null
+++ b/src/ebonyhub/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the command line with ``python -m ebonyhub``."""
+
+import sys
+
+from .cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/src/ebonyhub/app.py
@@ -0,0 +1,132 @@
+"""Composition root: the only place that wires the parts of an entry process."""
+
+import asyncio
+import random
+import signal
+
+from prometheus_client import CollectorRegistry
+
+from .admin_api import AdminState, build_admin_api
+from .caller_api import CallerApi
+from .clock import SystemClock
+from .config_store import ConfigWriter, DocumentWatcher, configuration_of
+from .documents import CONFIG, Document, DocumentHolder
+from .events import Event, log_event
+from .ids import EntryId
+from .metrics import Metrics
+from .relay import Relay
+from .servers import build_server, run_server
+from .settings import EntrySettings
+from .store import HttpStore
+from .supervisor import Supervisor
+from .vm_list import VmList, VmListReader
+
+
+class EntryProcess:
+    """One entry process with all its tasks."""
+
+    def __init__(self, settings: EntrySettings, seed: int | None = None) -> None:
+        self.settings = settings
+        self.clock = SystemClock()
+        self.rng = random.Random(seed)
+        self.metrics = Metrics(CollectorRegistry())
+        self.store = HttpStore(settings.store, self.metrics)
+        self.config = DocumentHolder(CONFIG)
+        entries = [settings.entry, *(EntryId(p.entry_id) for p in settings.peers)]
+        self.relay = Relay(
+            settings.entry,
+            sorted(entries),
+            settings.limits,
+            self.metrics,
+            self.clock,
+            self.rng,
+        )
+        self.writer = ConfigWriter(
+            self.store, settings.entry, self.clock, self.rng, self.adopt_config
+        )
+        self.watcher = DocumentWatcher(
+            self.store, self.config, self.rng, self.adopt_config
+        )
+        self.vm_reader = VmListReader(settings.vm_list, self.rng, self.adopt_vm_list)
+        self.admin_state = AdminState(settings.admin_tokens, self.metrics)
+        self.admin_state.is_ready = self.is_ready
+        self.caller_server = build_server(
+            CallerApi(self.relay), settings.caller_listener
+        )
+        self.admin_server = build_server(
+            build_admin_api(self.admin_state, self.writer), settings.admin_listener
+        )
+        self.stopping = False
+        self.announced_ready = False
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send callers to this entry."""
+        return not self.stopping and self.relay.declared is not None
+
+    def adopt_config(self, document: Document) -> None:
+        """Put a newer configuration into effect."""
+        decoded = configuration_of(document)
+        if decoded.is_error():
+            log_event(Event.DOCUMENT_REJECTED, name=CONFIG, error=decoded.error)
+            return
+        if not self.config.offer(document):
+            return
+        self.relay.configure(declared=decoded.ok.declared)
+        self.admin_state.update(decoded.ok)
+        self.metrics.generation.labels(CONFIG).set(document.generation)
+        log_event(Event.DOCUMENT_APPLIED, name=CONFIG, generation=document.generation)
+        if not self.announced_ready:
+            self.announced_ready = True
+            log_event(Event.ENTRY_READY, entry=self.settings.entry_id)
+
+    def adopt_vm_list(self, vm_list: VmList) -> None:
+        """Use a newer reading of the VM list."""
+        if self.relay.vm_list is None or self.relay.vm_list != vm_list:
+            self.relay.configure(vm_list=vm_list)
+
+    async def run(self) -> None:
+        """Run until SIGTERM or SIGINT, then shut down gracefully."""
+        log_event(Event.ENTRY_STARTED, entry=self.settings.entry_id)
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        platform = Supervisor("platform", self.clock, self.rng)
+        platform.add("config-watcher", self.watcher.run)
+        platform.add("vm-list-reader", self.vm_reader.run)
+        root = Supervisor("root", self.clock, self.rng)
+        root.add("caller-server", lambda: run_server(self.caller_server))
+        root.add("admin-server", lambda: run_server(self.admin_server))
+        root.add("platform", platform.run)
+        tree = asyncio.create_task(root.run(), name="root")
+        stopped = asyncio.create_task(stop.wait(), name="stop-signal")
+        await asyncio.wait({tree, stopped}, return_when=asyncio.FIRST_COMPLETED)
+        if tree.done():
+            stopped.cancel()
+            await tree
+            return
+        await self.shut_down()
+        tree.cancel()
+        await asyncio.gather(tree, return_exceptions=True)
+        log_event(Event.SHUTDOWN_DONE, entry=self.settings.entry_id)
+
+    async def shut_down(self) -> None:
+        """Stop without cutting off a request in flight."""
+        self.stopping = True
+        log_event(Event.SHUTDOWN_BEGUN, in_flight=self.relay.in_flight)
+        # The balancer needs time to see that /readyz fails.
+        await asyncio.sleep(self.settings.shutdown.balancer_grace_seconds)
+        self.caller_server.should_exit = True
+        limit = self.settings.shutdown.drain_seconds
+        end = self.clock.monotonic() + limit
+        while self.relay.in_flight > 0 and self.clock.monotonic() < end:
+            await asyncio.sleep(0.05)
+        # Lets the server flush the last answers and close its connections.
+        while self.caller_server.server_state.tasks and self.clock.monotonic() < end:
+            await asyncio.sleep(0.05)
+        self.admin_server.should_exit = True
+
+
+async def serve(settings: EntrySettings) -> None:
+    """Run one entry process."""
+    await EntryProcess(settings).run()
--- /dev/null
+++ b/src/ebonyhub/caller_api.py
@@ -0,0 +1,23 @@
+"""HTTP application for callers."""
+
+from blacksheep import Application, Request, Response, Router
+
+from .errors import ErrorKind, Refusal
+from .events import Event, log_event
+from .relay import Relay
+
+
+class CallerApi(Application):
+    """Passes each caller request to the relay."""
+
+    def __init__(self, relay: Relay) -> None:
+        super().__init__(router=Router())
+        self.relay = relay
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request; the router of the base class is not used."""
+        try:
+            return await self.relay.handle(request)
+        except Exception as error:
+            log_event(Event.REQUEST_FAILED, error=repr(error))
+            return self.relay.refuse(Refusal(ErrorKind.INTERNAL))
--- /dev/null
+++ b/src/ebonyhub/config_store.py
@@ -0,0 +1,255 @@
+"""Reads and writes the declared configuration in the store."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from .clock import Clock
+from .documents import (
+    CONFIG,
+    Document,
+    DocumentHolder,
+    decode_document,
+    encode_document,
+    store_key,
+)
+from .events import Event, log_event
+from .ids import ChangeId, EntryId, Generation, StoreVersion
+from .resources import Declared, declared_from_builtins
+from .store import ABSENT, Store, StoreError
+
+MAX_WRITE_ATTEMPTS = 8
+FIRST_RETRY_SECONDS = 0.02
+# Audit records kept inside the document; older ones are dropped.
+AUDIT_LENGTH = 200
+
+
+class ChangeError(Enum):
+    """Why a configuration change was not accepted."""
+
+    INVALID = "invalid"
+    CONFLICT = "conflict"
+    NOT_FOUND = "not_found"
+    UNAVAILABLE = "unavailable"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class Rejection:
+    """A refused change with the reasons, one line each."""
+
+    kind: ChangeError
+    reasons: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class Change:
+    """An edit of the configuration and who makes it."""
+
+    change_id: ChangeId
+    operator: str
+    summary: str
+    # Receives the current configuration and the generation of the result.
+    edit: Callable[[Declared, Generation], Result[Declared, Rejection]]
+
+
+class AuditRecord(msgspec.Struct, frozen=True):
+    """Who changed what and when (wall-clock seconds)."""
+
+    generation: int
+    change_id: str
+    operator: str
+    at_wall_seconds: float
+    summary: str
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """A decoded configuration document."""
+
+    generation: Generation
+    declared: Declared
+    audit: tuple[AuditRecord, ...]
+
+    def generation_of(self, change_id: ChangeId) -> Generation | None:
+        """Return the generation that a change made, if it is on record."""
+        for record in self.audit:
+            if record.change_id == change_id:
+                return Generation(record.generation)
+        return None
+
+
+EMPTY = Configuration(Generation(0), Declared(), ())
+
+
+def configuration_of(document: Document) -> Result[Configuration, str]:
+    """Decode the body of a configuration document."""
+    try:
+        body: dict[str, Any] = msgspec.convert(document.body, dict[str, Any])
+        declared = declared_from_builtins(body.get("resources", []))
+        audit = msgspec.convert(body.get("audit", []), tuple[AuditRecord, ...])
+    except msgspec.ValidationError as error:
+        return Error(str(error))
+    return Ok(Configuration(document.generation, declared, audit))
+
+
+def document_of(
+    configuration: Configuration, change_id: ChangeId, writer: EntryId
+) -> Document:
+    """Encode a configuration as a document."""
+    body = {
+        "resources": configuration.declared.to_builtins(),
+        "audit": msgspec.to_builtins(configuration.audit),
+    }
+    return Document(configuration.generation, change_id, writer, body)
+
+
+class ConfigWriter:
+    """Accepts changes by compare-and-swap on the configuration document."""
+
+    def __init__(
+        self,
+        store: Store,
+        entry: EntryId,
+        clock: Clock,
+        rng: random.Random,
+        deliver: Callable[[Document], None],
+    ) -> None:
+        self.store = store
+        self.entry = entry
+        self.clock = clock
+        self.rng = rng
+        self.deliver = deliver
+
+    async def read(self) -> Result[tuple[StoreVersion, Configuration], Rejection]:
+        """Read the current configuration from the store."""
+        result = await self.store.get(store_key(CONFIG))
+        if result.is_error():
+            if result.error is StoreError.NOT_FOUND:
+                return Ok((ABSENT, EMPTY))
+            return Error(Rejection(ChangeError.UNAVAILABLE, ("store unreachable",)))
+        decoded = decode_document(result.ok.value).bind(configuration_of)
+        if decoded.is_error():
+            return Error(Rejection(ChangeError.UNAVAILABLE, (decoded.error,)))
+        return Ok((result.ok.version, decoded.ok))
+
+    async def apply(self, change: Change) -> Result[Generation, Rejection]:
+        """Make one change; a repeat with the same change id has no second effect."""
+        maybe_written = False
+        for attempt in range(MAX_WRITE_ATTEMPTS):
+            if attempt > 0:
+                ceiling = FIRST_RETRY_SECONDS * 2**attempt
+                await asyncio.sleep(self.rng.uniform(ceiling / 2, ceiling))
+            outcome = await self.attempt(change)
+            if outcome.is_ok() or outcome.error.kind in (
+                ChangeError.INVALID,
+                ChangeError.NOT_FOUND,
+            ):
+                return outcome
+            if outcome.error.kind is ChangeError.UNKNOWN:
+                maybe_written = True
+            last = outcome.error
+        if maybe_written:
+            return Error(Rejection(ChangeError.UNKNOWN, last.reasons))
+        return Error(last)
+
+    async def attempt(self, change: Change) -> Result[Generation, Rejection]:
+        """Read, edit and write once."""
+        read = await self.read()
+        if read.is_error():
+            return Error(read.error)
+        version, current = read.ok
+        done = current.generation_of(change.change_id)
+        if done is not None:
+            return Ok(done)
+        generation = Generation(current.generation + 1)
+        edited = change.edit(current.declared, generation)
+        if edited.is_error():
+            return Error(edited.error)
+        problems = edited.ok.problems()
+        if problems:
+            return Error(Rejection(ChangeError.INVALID, tuple(problems)))
+        record = AuditRecord(
+            generation,
+            change.change_id,
+            change.operator,
+            self.clock.wall(),
+            change.summary,
+        )
+        audit = (*current.audit, record)[-AUDIT_LENGTH:]
+        document = document_of(
+            Configuration(generation, edited.ok, audit), change.change_id, self.entry
+        )
+        return await self.write(version, document)
+
+    async def write(
+        self, version: StoreVersion, document: Document
+    ) -> Result[Generation, Rejection]:
+        """Write one generation."""
+        written = await self.store.compare_and_swap(
+            store_key(CONFIG), version, encode_document(document)
+        )
+        if written.is_ok():
+            self.deliver(document)
+            return Ok(document.generation)
+        kinds = {
+            StoreError.CONFLICT: ChangeError.CONFLICT,
+            StoreError.UNKNOWN: ChangeError.UNKNOWN,
+        }
+        kind = kinds.get(written.error, ChangeError.UNAVAILABLE)
+        return Error(Rejection(kind, (f"store: {written.error.value}",)))
+
+
+class DocumentWatcher:
+    """Task that follows one document in the store."""
+
+    def __init__(
+        self,
+        store: Store,
+        holder: DocumentHolder,
+        rng: random.Random,
+        deliver: Callable[[Document], None],
+    ) -> None:
+        self.store = store
+        self.holder = holder
+        self.rng = rng
+        self.deliver = deliver
+        self.version = ABSENT
+        # True once the store has answered since the start.
+        self.synchronized = False
+
+    async def run(self) -> None:
+        """Watch for ever; after an error, wait with jitter and back-off."""
+        failures = 0
+        while True:
+            result = await self.store.watch(store_key(self.holder.name), self.version)
+            if result.is_error() and result.error is not StoreError.NOT_FOUND:
+                failures += 1
+                if failures == 1:
+                    log_event(Event.STORE_UNREACHABLE, error=result.error.value)
+                delay = min(0.1 * 2**failures, 5.0)
+                await asyncio.sleep(self.rng.uniform(delay / 2, delay))
+                continue
+            if failures:
+                log_event(Event.STORE_RECOVERED, failures=failures)
+            failures = 0
+            self.synchronized = True
+            if result.is_ok() and result.ok is not None:
+                self.version = result.ok.version
+                self.accept(result.ok.value)
+
+    def accept(self, value: bytes) -> None:
+        """Decode a stored value and pass it on if it is newer."""
+        decoded = decode_document(value)
+        if decoded.is_error():
+            log_event(
+                Event.DOCUMENT_REJECTED, name=self.holder.name, error=decoded.error
+            )
+            return
+        self.deliver(decoded.ok)
--- /dev/null
+++ b/src/ebonyhub/errors.py
@@ -0,0 +1,113 @@
+"""Closed list of error kinds and the answer that each of them produces."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+
+class Outcome(Enum):
+    """What the caller may conclude about a request that got no backend answer."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(Enum):
+    """Every reason for which an entry process answers in place of a backend server."""
+
+    UNKNOWN_ROUTE = "unknown_route"
+    INVALID_REQUEST = "invalid_request"
+    HEADER_TOO_LARGE = "header_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_EXPIRED_IN_QUEUE = "deadline_expired_in_queue"
+    NO_HEALTHY_INSTANCE = "no_healthy_instance"
+    CONNECT_FAILED = "connect_failed"
+    CONNECTION_LIMIT = "connection_limit"
+    BACKEND_REFUSED = "backend_refused"
+    BACKEND_TIMEOUT = "backend_timeout"
+    BACKEND_CLOSED = "backend_closed"
+    BACKEND_TRUNCATED = "backend_truncated"
+    BACKEND_MALFORMED = "backend_malformed"
+    BACKEND_UNFRAMED = "backend_unframed"
+    BACKEND_SURPLUS = "backend_surplus"
+    CALLER_ABORTED = "caller_aborted"
+    KEY_INVALID = "key_invalid"
+    KEY_OWNERS_UNAVAILABLE = "key_owners_unavailable"
+    KEY_IN_PROGRESS = "key_in_progress"
+    KEY_OUTCOME_LOST = "key_outcome_lost"
+    KEY_REUSED = "key_reused"
+    CONFIGURATION_MISSING = "configuration_missing"
+    SHUTTING_DOWN = "shutting_down"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True)
+class ErrorAnswer:
+    """HTTP status, outcome and optional Retry-After (seconds) for one error kind."""
+
+    status: int
+    outcome: Outcome
+    retry_after_seconds: int | None = None
+
+
+_NOT_RUN, _UNKNOWN = Outcome.NOT_RUN, Outcome.UNKNOWN
+
+ANSWERS: dict[ErrorKind, ErrorAnswer] = {
+    ErrorKind.UNKNOWN_ROUTE: ErrorAnswer(404, _NOT_RUN),
+    ErrorKind.INVALID_REQUEST: ErrorAnswer(400, _NOT_RUN),
+    ErrorKind.HEADER_TOO_LARGE: ErrorAnswer(431, _NOT_RUN),
+    ErrorKind.BODY_TOO_LARGE: ErrorAnswer(413, _NOT_RUN),
+    ErrorKind.QUEUE_FULL: ErrorAnswer(503, _NOT_RUN, 2),
+    ErrorKind.DEADLINE_UNREACHABLE: ErrorAnswer(503, _NOT_RUN, 2),
+    ErrorKind.DEADLINE_EXPIRED_IN_QUEUE: ErrorAnswer(503, _NOT_RUN, 2),
+    ErrorKind.NO_HEALTHY_INSTANCE: ErrorAnswer(503, _NOT_RUN, 2),
+    ErrorKind.CONNECT_FAILED: ErrorAnswer(503, _NOT_RUN, 1),
+    ErrorKind.CONNECTION_LIMIT: ErrorAnswer(503, _NOT_RUN, 1),
+    ErrorKind.BACKEND_REFUSED: ErrorAnswer(503, _NOT_RUN, 1),
+    ErrorKind.BACKEND_TIMEOUT: ErrorAnswer(504, _UNKNOWN),
+    ErrorKind.BACKEND_CLOSED: ErrorAnswer(502, _UNKNOWN),
+    ErrorKind.BACKEND_TRUNCATED: ErrorAnswer(502, _UNKNOWN),
+    ErrorKind.BACKEND_MALFORMED: ErrorAnswer(502, _UNKNOWN),
+    ErrorKind.BACKEND_UNFRAMED: ErrorAnswer(502, _UNKNOWN),
+    ErrorKind.BACKEND_SURPLUS: ErrorAnswer(502, _UNKNOWN),
+    ErrorKind.CALLER_ABORTED: ErrorAnswer(400, _UNKNOWN),
+    ErrorKind.KEY_INVALID: ErrorAnswer(400, _NOT_RUN),
+    ErrorKind.KEY_OWNERS_UNAVAILABLE: ErrorAnswer(503, _NOT_RUN, 2),
+    ErrorKind.KEY_IN_PROGRESS: ErrorAnswer(409, _UNKNOWN, 2),
+    ErrorKind.KEY_OUTCOME_LOST: ErrorAnswer(409, _UNKNOWN),
+    ErrorKind.KEY_REUSED: ErrorAnswer(422, _NOT_RUN),
+    ErrorKind.CONFIGURATION_MISSING: ErrorAnswer(503, _NOT_RUN, 1),
+    ErrorKind.SHUTTING_DOWN: ErrorAnswer(503, _NOT_RUN, 1),
+    ErrorKind.INTERNAL: ErrorAnswer(500, _UNKNOWN),
+}
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """An error kind together with a sentence that explains this occurrence."""
+
+    kind: ErrorKind
+    detail: str = ""
+    # Set when a byte of the request may have reached a backend server, which
+    # overrides the "not run" of the table.
+    may_have_run: bool = False
+
+    @property
+    def outcome(self) -> Outcome:
+        """Return the outcome that may be claimed to the caller."""
+        if self.may_have_run:
+            return Outcome.UNKNOWN
+        return ANSWERS[self.kind].outcome
+
+    def body(self) -> bytes:
+        """Encode the JSON body of the answer."""
+        return msgspec.json.encode(
+            {
+                "error": self.kind.value,
+                "outcome": self.outcome.value,
+                "detail": self.detail,
+            }
+        )
--- /dev/null
+++ b/src/ebonyhub/vm_list.py
@@ -0,0 +1,76 @@
+"""Reads the platform's lagging list of live and leaving VMs."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+from expression import Error, Ok, Result
+
+from .events import Event, log_event
+from .http_client import request_once
+from .ids import VmId
+from .settings import VmListSettings
+
+
+class VmState(Enum):
+    """State that the platform reports for a VM."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True)
+class VmList:
+    """One reading of the list. It lags behind the fleet."""
+
+    states: dict[VmId, VmState]
+
+    def accepts_work(self, vm: VmId) -> bool:
+        """Return whether new work may be sent to ``vm``.
+
+        A VM that is missing counts as leaving: a late list is read pessimistically.
+        """
+        return self.states.get(vm) is VmState.LIVE
+
+
+async def fetch_vm_list(settings: VmListSettings) -> Result[VmList, str]:
+    """Read the list once."""
+    result = await request_once(settings.address, settings.port, "GET", "/v1/vms")
+    if result.is_error():
+        return Error(result.error.kind.value)
+    if result.ok.status != 200:
+        return Error(f"status {result.ok.status}")
+    try:
+        states = msgspec.json.decode(result.ok.body, type=dict[str, VmState])
+    except msgspec.MsgspecError as error:
+        return Error(str(error))
+    return Ok(VmList({VmId(name): state for name, state in states.items()}))
+
+
+class VmListReader:
+    """Task that polls the list and passes each reading on."""
+
+    def __init__(
+        self,
+        settings: VmListSettings,
+        rng: random.Random,
+        deliver: Callable[[VmList], None],
+    ) -> None:
+        self.settings = settings
+        self.rng = rng
+        self.deliver = deliver
+
+    async def run(self) -> None:
+        """Poll for ever, with jitter so that entries do not poll in step."""
+        reachable = True
+        while True:
+            result = await fetch_vm_list(self.settings)
+            if result.is_ok():
+                self.deliver(result.ok)
+            elif reachable:
+                log_event(Event.VM_LIST_UNREACHABLE, error=result.error)
+            reachable = result.is_ok()
+            await asyncio.sleep(self.settings.poll_seconds * self.rng.uniform(0.8, 1.2))
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; run them with ``make test``."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,44 @@
+"""Shared test settings: fixed Hypothesis seed and the list of known failures."""
+
+from pathlib import Path
+
+import pytest
+from hypothesis import HealthCheck, settings
+
+# derandomize derives the examples from the test itself, so that every run gives the
+# same verdict.
+settings.register_profile(
+    "fixed",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+settings.load_profile("fixed")
+
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def known_red() -> list[str]:
+    """Return the node ids on lines of the form "test: NODE_ID"."""
+    if not KNOWN_RED.exists():
+        return []
+    lines = KNOWN_RED.read_text().splitlines()
+    return [line.removeprefix("test: ") for line in lines if line.startswith("test: ")]
+
+
+def pytest_collection_modifyitems(
+    config: pytest.Config, items: list[pytest.Item]
+) -> None:
+    """Leave out exactly the tests of KNOWN-RED.txt."""
+    listed = set(known_red())
+    skipped = [item for item in items if item.nodeid in listed]
+    if skipped:
+        config.hook.pytest_deselected(items=skipped)
+        items[:] = [item for item in items if item.nodeid not in listed]
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """Print the tests that were left out."""
+    for node in known_red():
+        terminalreporter.write_line(f"KNOWN-RED, not run: {node}")
--- /dev/null
+++ b/tests/test_catalogues.py
@@ -0,0 +1,26 @@
+"""Guards against error kinds without an answer and an outdated event catalogue."""
+
+from pathlib import Path
+
+from ebonyhub.errors import ANSWERS, ErrorKind, Outcome, Refusal
+from ebonyhub.events import Event, render_catalogue
+
+DOCS = Path(__file__).parent.parent / "docs"
+
+
+def test_every_error_kind_has_an_answer():
+    assert set(ANSWERS) == set(ErrorKind)
+
+
+def test_a_written_request_is_never_called_not_run():
+    for kind in ErrorKind:
+        assert Refusal(kind, may_have_run=True).outcome is Outcome.UNKNOWN
+
+
+def test_event_numbers_are_unique():
+    numbers = [event.value.number for event in Event]
+    assert len(numbers) == len(set(numbers)) == len(list(Event))
+
+
+def test_event_catalogue_is_current():
+    assert (DOCS / "events.md").read_text() == render_catalogue()
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,79 @@
+"""Guards against incomplete responses that are taken as whole ones."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from ebonyhub.errors import ErrorKind
+from ebonyhub.http_client import RequestHead, exchange_small, open_connection
+from standins.backend import BackendState, InstanceProtocol
+
+
+async def open_to_backend():
+    state = BackendState(Counter(), 0.0)
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: InstanceProtocol(state, "quotes"), "127.0.0.1", 0
+    )
+    port = server.sockets[0].getsockname()[1]
+    return server, state, (await open_connection("127.0.0.1", port, 5.0)).ok
+
+
+def head_for(behaviour, method=b"GET"):
+    target = f"/quotes/a?do={behaviour}&size=500".encode()
+    return RequestHead(method, target, [(b"Host", b"b"), (b"X-Request-Id", b"r1")])
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "kind"),
+    [
+        ("truncate", ErrorKind.BACKEND_TRUNCATED),
+        ("truncate_chunked", ErrorKind.BACKEND_TRUNCATED),
+        ("surplus", ErrorKind.BACKEND_SURPLUS),
+        ("unframed", ErrorKind.BACKEND_UNFRAMED),
+        ("close", ErrorKind.BACKEND_CLOSED),
+    ],
+)
+async def test_broken_response_is_an_error(behaviour, kind):
+    server, state, connection = await open_to_backend()
+    result = await exchange_small(connection, head_for(behaviour), None)
+    assert result.error.kind is kind
+    assert result.error.bytes_written
+    assert not connection.finish(0.0)
+    assert state.runs["r1"] == 1
+    server.close()
+
+
+@pytest.mark.parametrize("behaviour", ["answer", "chunked"])
+async def test_connection_is_reused_after_a_whole_response(behaviour):
+    server, state, connection = await open_to_backend()
+    for number in range(1, 4):
+        result = await exchange_small(connection, head_for(behaviour), None)
+        assert result.ok.status == 200
+        assert connection.finish(0.0)
+        assert state.runs["r1"] == number
+    connection.close()
+    server.close()
+
+
+async def test_abandoned_response_makes_the_connection_unusable():
+    server, _, connection = await open_to_backend()
+    await connection.send(head_for("silent"), None)
+    assert not connection.finish(0.0)
+    assert not connection.usable
+    server.close()
+
+
+async def test_head_response_has_no_body():
+    server, _, connection = await open_to_backend()
+    result = await exchange_small(connection, head_for("answer", b"HEAD"), None)
+    assert (result.ok.status, result.ok.body) == (200, b"")
+    connection.close()
+    server.close()
+
+
+async def test_refused_connection_proves_that_nothing_was_written():
+    result = await open_connection("127.0.0.1", 1, 5.0)
+    assert result.error.kind is ErrorKind.CONNECT_FAILED
+    assert not result.error.bytes_written
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,101 @@
+"""The whole path with the shipped binary and separate processes.
+
+Guards against parts that work alone and not together.
+"""
+
+import asyncio
+import itertools
+import random
+import signal
+
+import pytest
+
+from standins.cluster import ROOT, Cluster
+from standins.load import Caller, LoadReport
+
+# One sequence for all tests, since the backend servers outlive each of them.
+REQUEST_IDS = itertools.count(1)
+BINARY = ROOT / "dist" / "ebonyhub"
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory):
+    assert BINARY.exists(), "run make dist first"
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setenv("SHIV_ROOT", str(tmp_path_factory.mktemp("shiv")))
+        program = [str(ROOT / ".venv/bin/python"), str(BINARY)]
+        with Cluster(ROOT / "examples/kilimani.yaml", 3, program) as running:
+            running.apply_example()
+            yield running
+
+
+def run_callers(cluster, seconds, during=None):
+    report = LoadReport()
+    services = sorted(cluster.declared.of_kind("Service"))
+
+    async def run():
+        async with asyncio.TaskGroup() as group:
+            for seed in range(20):
+                caller = Caller(
+                    cluster.balancer, services, report, random.Random(seed), REQUEST_IDS
+                )
+                group.create_task(caller.run(seconds, 0.05))
+            if during is not None:
+                await asyncio.sleep(seconds / 2)
+                during()
+
+    asyncio.run(run())
+    return report
+
+
+def check_oracle(cluster, report):
+    services = cluster.declared.of_kind("Service")
+    broken = report.check({name: cluster.backend_runs(name) for name in services})
+    assert not any(broken.values()), broken
+
+
+def test_requests_are_answered_whole(cluster):
+    report = run_callers(cluster, 2.0)
+    assert report.counts["answered"] == len(report.sent) > 0
+    check_oracle(cluster, report)
+
+
+def test_command_line_lists_what_was_applied(cluster):
+    listed = cluster.run_cli("get", "Vm", "-o", "json")
+    assert listed.returncode == 0, listed.stderr
+    assert listed.stdout.count('"kind": "Vm"') == 30
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code"),
+    [
+        (["get", "Service", "none"], 4),
+        (["get", "Service", "--server", "127.0.0.1:1"], 6),
+        (["apply", "-f", "none.yaml"], 2),
+        (["unknown-command"], 2),
+        (["version"], 0),
+    ],
+)
+def test_exit_codes(cluster, arguments, code):
+    assert cluster.run_cli(*arguments).returncode == code
+
+
+def test_planned_stop_cuts_off_no_request(cluster):
+    report = run_callers(cluster, 4.0, lambda: cluster.kill("entry-3", signal.SIGTERM))
+    assert report.counts["answered"] == len(report.sent)
+    assert cluster.processes["entry-3"].wait(timeout=30) == 0
+    check_oracle(cluster, report)
+
+
+def test_killed_entry_breaks_no_promise(cluster):
+    report = run_callers(cluster, 3.0, lambda: cluster.kill("entry-2"))
+    assert report.counts["answered"] > 0
+    check_oracle(cluster, report)
+
+
+def test_store_outage_does_not_stop_requests(cluster):
+    cluster.set_store_fault("down")
+    report = run_callers(cluster, 2.0)
+    cluster.set_store_fault("none")
+    assert report.counts["answered"] == len(report.sent)
+    check_oracle(cluster, report)
