--- a/src/ebonyhub/cli.py
+++ b/src/ebonyhub/cli.py
@@ -17,7 +17,9 @@
 
 from . import __version__
 from .app import serve
+from .entry.process import serve_on_platform
 from .http_client import Header, SmallResponse, request_once
+from .platform.settings import load_node_settings, settings_path
 from .resources import parse_resources
 from .settings import load_settings
 
@@ -134,6 +136,20 @@
     return ExitCode.SUCCESS
 
 
+@command("serve-platform")
+def run_serve_platform(args: argparse.Namespace) -> ExitCode:
+    """Run an entry process with the settings that the platform provides."""
+    loaded = load_node_settings(settings_path())
+    if loaded.is_error():
+        raise CommandError(ExitCode.USAGE, loaded.error)
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    logging.get_absl_handler().python_handler.stream = sys.stdout
+    gc.freeze()
+    asyncio.run(serve_on_platform(loaded.ok))
+    return ExitCode.SUCCESS
+
+
 @command("check-settings")
 def run_check_settings(args: argparse.Namespace) -> ExitCode:
     """Check settings and resource files without starting anything."""
@@ -252,6 +268,7 @@
     serving.add_argument("--settings", required=True, metavar="FILE")
     checking = commands.add_parser("check-settings", help="check files")
     checking.add_argument("files", nargs="+", metavar="FILE")
+    commands.add_parser("serve-platform", help="run an entry process on the platform")
     commands.add_parser("version", help="print the version")
     remote = Parser(add_help=False)
     default = os.environ.get("EBONYHUB_SERVER", "127.0.0.1:9080")
--- /dev/null
+++ b/src/ebonyhub/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""What the entry processes share: the store, leadership, the mirror and peers."""
--- /dev/null
+++ b/src/ebonyhub/cluster/peers.py
@@ -0,0 +1,229 @@
+"""Streams between entries: msgpack arrays over TCP.
+
+An entry keeps one stream to the leader. It tells the leader what it has stored, passes
+on calls that it can not carry out itself, and receives every record that the leader
+stores. The first array on a stream is ``[PROTOCOL_VERSION, cluster entry id]``.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from enum import IntEnum
+from typing import Any
+
+import msgpack
+from expression import Error, Ok, Result
+
+from ..events import Event, log_event
+from ..ids import EntryId
+
+PROTOCOL_VERSION = 1
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+CONNECT_TIMEOUT_SECONDS = 0.5
+# Seconds. A passed-on call takes one or two calls to the store.
+CALL_TIMEOUT_SECONDS = 1.5
+# A stream without a message for this many seconds has gone silent.
+SILENCE_SECONDS = 2.0
+PING_SECONDS = 0.6
+# Bytes waiting for a peer that does not read, after which the stream is closed.
+MAX_UNSENT_BYTES = 8 * 1024 * 1024
+
+
+class Kind(IntEnum):
+    """First element of a message."""
+
+    PING = 0
+    # [kind, [[key, revision, value], ...]]: records that were stored.
+    RECORDS = 1
+    # [kind, sequence, method, argument]
+    CALL = 2
+    # [kind, sequence, status, payload]
+    REPLY = 3
+
+
+class PeerFailure(IntEnum):
+    """Why a call to a peer gave no answer."""
+
+    # Nothing was sent.
+    NOT_SENT = 0
+    # The call may have been carried out.
+    UNKNOWN = 1
+
+
+Record = tuple[str, int, bytes]
+RecordHandler = Callable[[list[Record]], None]
+CallHandler = Callable[[str, Any], Awaitable[tuple[int, Any]]]
+
+
+class Stream:
+    """One connection between two entries."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+        self.sequence = 0
+        self.replies: dict[int, asyncio.Future[tuple[int, Any]]] = {}
+        self.background: set[asyncio.Task[None]] = set()
+
+    def send(self, message: list[Any]) -> bool:
+        """Queue a message; a peer that does not read loses the stream."""
+        return self.send_packed(msgpack.packb(message))
+
+    def send_packed(self, packed: bytes) -> bool:
+        """Queue an encoded message."""
+        if self.writer.is_closing():
+            return False
+        if self.writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.close()
+            return False
+        self.writer.write(packed)
+        return True
+
+    async def run(self, on_records: RecordHandler, on_call: CallHandler | None) -> None:
+        """Handle messages until the stream ends or goes silent."""
+        pings = asyncio.create_task(self._send_pings())
+        try:
+            while True:
+                async with asyncio.timeout(SILENCE_SECONDS):
+                    data = await self.reader.read(65536)
+                if not data:
+                    return
+                self.unpacker.feed(data)
+                for message in self.unpacker:
+                    self._handle(message, on_records, on_call)
+        except (OSError, TimeoutError, msgpack.UnpackException, ValueError) as error:
+            log_event(Event.PEER_STREAM_FAILED, error=repr(error))
+        finally:
+            pings.cancel()
+            self.close()
+
+    async def _send_pings(self) -> None:
+        while self.send([Kind.PING]):
+            await asyncio.sleep(PING_SECONDS)
+
+    def _handle(
+        self,
+        message: list[Any],
+        on_records: RecordHandler,
+        on_call: CallHandler | None,
+    ) -> None:
+        kind = message[0]
+        if kind == Kind.RECORDS:
+            on_records([(row[0], row[1], row[2]) for row in message[1]])
+        elif kind == Kind.CALL and on_call is not None:
+            task = asyncio.create_task(self._answer(on_call, message))
+            self.background.add(task)
+            task.add_done_callback(self.background.discard)
+        elif kind == Kind.REPLY:
+            future = self.replies.pop(message[1], None)
+            if future is not None and not future.done():
+                future.set_result((message[2], message[3]))
+
+    async def _answer(self, on_call: CallHandler, message: list[Any]) -> None:
+        _, sequence, method, argument = message
+        status, payload = await on_call(method, argument)
+        self.send([Kind.REPLY, sequence, status, payload])
+
+    async def call(
+        self, method: str, argument: Any
+    ) -> Result[tuple[int, Any], PeerFailure]:
+        """Pass on a call and wait for its answer."""
+        self.sequence += 1
+        sequence = self.sequence
+        future: asyncio.Future[tuple[int, Any]]
+        future = asyncio.get_running_loop().create_future()
+        self.replies[sequence] = future
+        if not self.send([Kind.CALL, sequence, method, argument]):
+            self.replies.pop(sequence, None)
+            return Error(PeerFailure.NOT_SENT)
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
+                return Ok(await future)
+        except TimeoutError:
+            return Error(PeerFailure.UNKNOWN)
+        except ConnectionError:
+            return Error(PeerFailure.UNKNOWN)
+        finally:
+            self.replies.pop(sequence, None)
+
+    def close(self) -> None:
+        """Drop the connection; open calls end with an unknown outcome."""
+        with suppress(OSError):
+            self.writer.transport.abort()
+        for future in self.replies.values():
+            if not future.done():
+                future.set_exception(ConnectionError("stream closed"))
+        self.replies.clear()
+
+
+async def connect(address: str, port: int, entry: EntryId) -> Result[Stream, OSError]:
+    """Open a stream to another entry."""
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            reader, writer = await asyncio.open_connection(address, port)
+    except OSError as error:
+        return Error(error)
+    stream = Stream(reader, writer)
+    stream.send([PROTOCOL_VERSION, entry])
+    return Ok(stream)
+
+
+class PeerServer:
+    """Accepts streams of other entries and sends them what this entry stores."""
+
+    def __init__(
+        self, ip: str, port: int, on_records: RecordHandler, on_call: CallHandler
+    ) -> None:
+        self.ip = ip
+        self.port = port
+        self.on_records = on_records
+        self.on_call = on_call
+        self.streams: set[Stream] = set()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        server = await asyncio.start_server(self._accept, self.ip, self.port)
+        async with server:
+            await server.serve_forever()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        stream = Stream(reader, writer)
+        try:
+            async with asyncio.timeout(SILENCE_SECONDS):
+                greeting = await self._read_greeting(stream)
+        except (OSError, TimeoutError, ValueError, msgpack.UnpackException) as error:
+            log_event(Event.PEER_STREAM_FAILED, error=repr(error))
+            stream.close()
+            return
+        if greeting[0] != PROTOCOL_VERSION:
+            log_event(Event.PEER_STREAM_FAILED, error=f"protocol {greeting[0]}")
+            stream.close()
+            return
+        self.streams.add(stream)
+        try:
+            await stream.run(self.on_records, self.on_call)
+        finally:
+            self.streams.discard(stream)
+
+    async def _read_greeting(self, stream: Stream) -> list[Any]:
+        while True:
+            data = await stream.reader.read(4096)
+            if not data:
+                raise ConnectionResetError("closed before its greeting")
+            stream.unpacker.feed(data)
+            for message in stream.unpacker:
+                greeting: list[Any] = message
+                return greeting
+
+    def broadcast(self, records: list[Record]) -> None:
+        """Send stored records to every connected entry."""
+        if not self.streams:
+            return
+        packed = msgpack.packb([Kind.RECORDS, records])
+        for stream in list(self.streams):
+            stream.send_packed(packed)
--- /dev/null
+++ b/src/ebonyhub/cluster/watches.py
@@ -0,0 +1,81 @@
+"""Follows a prefix of the store."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from ..clock import Clock
+from ..events import Event, log_event
+from ..ids import ROOT_REVISION, Revision
+from .metadata_store import Batch, MetadataStore, StoreFailure
+
+RETRY_SECONDS = 0.2
+
+BatchHandler = Callable[[Batch, bool], None]
+
+
+class PrefixWatch:
+    """Lists a prefix once and then follows its changes.
+
+    ``pause_seconds`` between calls bounds what the watch costs, since every call that
+    returns is priced. ``wait_seconds`` bounds how long a connection that has gone silent
+    hides a change.
+    """
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        prefix: str,
+        clock: Clock,
+        on_batch: BatchHandler,
+        wait_seconds: float,
+        pause_seconds: float = 0.0,
+    ) -> None:
+        self.store = store
+        self.prefix = prefix
+        self.clock = clock
+        self.on_batch = on_batch
+        self.wait_seconds = wait_seconds
+        self.pause_seconds = pause_seconds
+        self.revision = ROOT_REVISION
+        self.listed = False
+        self.fresh_at = float("-inf")
+        self.reachable = True
+        self.before_call: Callable[[], Awaitable[None]] | None = None
+
+    async def run(self) -> None:
+        """Follow the prefix until cancelled."""
+        while True:
+            if not await self.step():
+                await asyncio.sleep(RETRY_SECONDS)
+            elif self.pause_seconds:
+                await asyncio.sleep(self.pause_seconds)
+
+    async def step(self) -> bool:
+        """Make one call; return whether it succeeded."""
+        sent_at = self.clock.monotonic()
+        if not self.listed:
+            result = await self.store.list(self.prefix)
+        else:
+            result = await self.store.watch(
+                self.prefix, self.revision, self.wait_seconds
+            )
+        if result.is_error():
+            if result.error is StoreFailure.COMPACTED:
+                log_event(Event.HISTORY_DROPPED, prefix=self.prefix, at=self.revision)
+                self.listed = False
+                return True
+            if self.reachable:
+                self.reachable = False
+                log_event(
+                    Event.STORE_UNREACHABLE, operation="watch", prefix=self.prefix,
+                    reason=result.error.value,
+                )  # fmt: skip
+            return False
+        if not self.reachable:
+            self.reachable = True
+            log_event(Event.STORE_RECOVERED, operation="watch", prefix=self.prefix)
+        self.fresh_at = sent_at
+        full, self.listed = not self.listed, True
+        self.revision = Revision(max(self.revision, result.ok.revision))
+        self.on_batch(result.ok, full)
+        return True
--- /dev/null
+++ b/src/ebonyhub/entry/job_service.py
@@ -0,0 +1,227 @@
+"""What callers ask for: submit, read and cancel jobs, and count a queue's jobs.
+
+A submission is accepted once its record is stored. An entry that the store turns away
+passes the call to a peer.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from expression import Result
+
+from ..clock import Clock
+from ..cluster.metadata_store import (
+    ABSENT,
+    Item,
+    MetadataStore,
+    StoreFailure,
+    Transaction,
+    Write,
+)
+from ..cluster.mirror import JobMirror
+from ..cluster.peers import PeerFailure
+from ..configuration import Queue
+from ..errors import ErrorKind
+from ..events import Event, log_event
+from ..ids import JobId, QueueName, Revision
+from ..jobs.model import AcceptedJob, JobSpec
+from ..jobs.records import JobState, accepted_key, cancelled_key
+from ..metrics import Metrics
+
+# Seconds for which a failed call to the store sends callers' calls to peers first.
+DISTRUST_SECONDS = 1.0
+# Seconds without news from the watch and the leader after which reads ask a peer.
+STALE_SECONDS = 2.5
+
+PeerCall = Callable[[str, Any], Awaitable[Result[tuple[int, Any], PeerFailure]]]
+
+
+@dataclass(frozen=True, slots=True)
+class JobAnswer:
+    """Answer to a caller: a state, or the reason why there is none."""
+
+    state: JobState | None = None
+    error: ErrorKind | None = None
+
+
+ACCEPTED = JobAnswer(JobState.QUEUED)
+NOT_FOUND = JobAnswer(error=ErrorKind.UNKNOWN_JOB)
+NOT_STORED = JobAnswer(error=ErrorKind.STORE_UNAVAILABLE)
+OUTCOME_UNKNOWN = JobAnswer(error=ErrorKind.STORE_OUTCOME_UNKNOWN)
+
+
+class JobService:
+    """Carries out callers' calls with the store, the mirror and peers."""
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        mirror: JobMirror,
+        clock: Clock,
+        metrics: Metrics,
+        call_peer: PeerCall,
+        on_stored: Callable[[list[Item]], None],
+    ) -> None:
+        self.store = store
+        self.mirror = mirror
+        self.clock = clock
+        self.metrics = metrics
+        self.call_peer = call_peer
+        self.on_stored = on_stored
+        self.distrusted_until = float("-inf")
+        self.fresh_at = float("-inf")
+
+    # Submissions
+
+    async def submit(self, queue: Queue, job_id: JobId, spec: JobSpec) -> JobAnswer:
+        """Accept a job; a repeat of a submission is answered as the first one."""
+        if self._known(job_id):
+            return ACCEPTED
+        accepted = AcceptedJob(
+            job_id, queue.name, queue.service, queue.max_attempts,
+            int(self.clock.wall() * 1000), spec,
+        )  # fmt: skip
+        value = msgspec.msgpack.encode(accepted)
+        if not self.store_is_distrusted():
+            answer = await self.store_submission(job_id, value)
+            if answer is not NOT_STORED:
+                return answer
+        return await self._pass_on("submit", [job_id, value], job_id)
+
+    async def store_submission(self, job_id: JobId, value: bytes) -> JobAnswer:
+        """Store an accepted job; a commit without an answer is made once more."""
+        return await self._store_once(accepted_key(job_id), value)
+
+    async def _store_once(self, key: str, value: bytes) -> JobAnswer:
+        unknown = False
+        for _ in range(2):
+            result = await self.store.commit(
+                Transaction({key: ABSENT}, (Write(key, value),))
+            )
+            if result.is_ok():
+                self._adopt(key, value, result.ok)
+                return ACCEPTED
+            failure = result.error
+            if failure.kind is StoreFailure.CONFLICT:
+                item = failure.current.get(key)
+                stored = item.value if item is not None else None
+                revision = item.revision if item is not None else Revision(1)
+                self._adopt(key, stored or value, revision)
+                return ACCEPTED
+            unknown = unknown or failure.kind is StoreFailure.UNKNOWN
+            self.distrusted_until = self.clock.monotonic() + DISTRUST_SECONDS
+            if failure.kind is not StoreFailure.UNKNOWN:
+                break
+        return OUTCOME_UNKNOWN if unknown else NOT_STORED
+
+    def _adopt(self, key: str, value: bytes, revision: Revision) -> None:
+        self.on_stored([Item(key, value, revision)])
+
+    async def _pass_on(self, method: str, argument: Any, job_id: JobId) -> JobAnswer:
+        """Let a peer carry out a call that the store refused here."""
+        result = await self.call_peer(method, argument)
+        if result.is_error():
+            log_event(
+                Event.CALL_PASSED_ON, method=method, job=job_id,
+                outcome=result.error.name.lower(),
+            )  # fmt: skip
+            not_sent = result.error is PeerFailure.NOT_SENT
+            return NOT_STORED if not_sent else OUTCOME_UNKNOWN
+        status, payload = result.ok
+        log_event(Event.CALL_PASSED_ON, method=method, job=job_id, outcome=status)
+        return decode_peer_answer(status, payload)
+
+    # Reads
+
+    async def read(self, job_id: JobId) -> JobAnswer:
+        """Return the state of a job."""
+        stale = self.clock.monotonic() - self.fresh_at > STALE_SECONDS
+        mirrored = self.mirror.jobs.get(job_id)
+        if mirrored is not None and mirrored.accepted is not None:
+            if not stale or mirrored.shown_state.final:
+                return JobAnswer(mirrored.shown_state)
+            answer = await self._pass_on("read", [job_id], job_id)
+            if answer.state is not None:
+                return answer
+            return JobAnswer(mirrored.shown_state)
+        if not self.store_is_distrusted():
+            answer = await self.read_store(job_id)
+            if answer is not NOT_STORED:
+                return answer
+        return await self._pass_on("read", [job_id], job_id)
+
+    async def read_store(self, job_id: JobId) -> JobAnswer:
+        """Look for a job that the mirror does not know."""
+        key = accepted_key(job_id)
+        found = await self.store.get(key)
+        if found.is_error():
+            self.distrusted_until = self.clock.monotonic() + DISTRUST_SECONDS
+            return NOT_STORED
+        if found.ok is None:
+            return NOT_FOUND
+        self.on_stored([found.ok])
+        mirrored = self.mirror.jobs[job_id]
+        return JobAnswer(mirrored.shown_state)
+
+    def waiting(self, queue: QueueName) -> int:
+        """Return the number of accepted jobs for which nothing has started."""
+        return self.mirror.waiting.get(queue, 0)
+
+    # Cancels
+
+    async def cancel(self, job_id: JobId) -> JobAnswer:
+        """Cancel a job; a job that has ended stays as it is."""
+        answer = await self.read(job_id)
+        if answer.state is None or answer.state.final:
+            return answer
+        if not self.store_is_distrusted():
+            stored = await self.store_cancel(job_id)
+            if stored is not NOT_STORED:
+                return stored
+        return await self._pass_on("cancel", [job_id], job_id)
+
+    async def store_cancel(self, job_id: JobId) -> JobAnswer:
+        """Store the cancel of a job."""
+        return await self._store_once(cancelled_key(job_id), b"\x01")
+
+    # Calls of peers
+
+    async def answer_peer(self, method: str, argument: Any) -> tuple[int, Any]:
+        """Carry out a call that a peer passed on, with this entry's own means."""
+        job_id = JobId(argument[0])
+        if method == "submit":
+            if self._known(job_id):
+                return encode_peer_answer(ACCEPTED)
+            return encode_peer_answer(await self.store_submission(job_id, argument[1]))
+        if method == "cancel":
+            return encode_peer_answer(await self.store_cancel(job_id))
+        mirrored = self.mirror.jobs.get(job_id)
+        if mirrored is not None and mirrored.accepted is not None:
+            return encode_peer_answer(JobAnswer(mirrored.shown_state))
+        return encode_peer_answer(await self.read_store(job_id))
+
+    # Beliefs
+
+    def store_is_distrusted(self) -> bool:
+        """Return whether the store failed a call of this entry a moment ago."""
+        return self.clock.monotonic() < self.distrusted_until
+
+    def _known(self, job_id: JobId) -> bool:
+        mirrored = self.mirror.jobs.get(job_id)
+        return mirrored is not None and mirrored.accepted is not None
+
+
+def encode_peer_answer(answer: JobAnswer) -> tuple[int, Any]:
+    """Return status and payload of a reply to a peer."""
+    if answer.error is not None:
+        return 1, answer.error.value
+    return 0, int(answer.state or 0)
+
+
+def decode_peer_answer(status: int, payload: Any) -> JobAnswer:
+    """Return the answer that a peer gave."""
+    if status == 1:
+        return JobAnswer(error=ErrorKind(payload))
+    return JobAnswer(JobState(payload))
--- /dev/null
+++ b/src/ebonyhub/entry/process.py
@@ -0,0 +1,421 @@
+"""Composition root of an entry process on the platform."""
+
+import asyncio
+import random
+import signal
+from typing import Any
+
+from expression import Error, Result
+from prometheus_client import CollectorRegistry
+
+from ..clock import SystemClock
+from ..cluster.leadership import (
+    LEADER_KEY,
+    Elections,
+    Leader,
+    LeaderRecord,
+    Term,
+    decode_leader,
+)
+from ..cluster.metadata_store import ABSENT, Batch, Item, StoreFailure
+from ..cluster.mirror import JobMirror
+from ..cluster.peers import PeerFailure, PeerServer, Record, Stream, connect
+from ..cluster.watches import PrefixWatch
+from ..configuration import Configuration
+from ..events import Event, log_event
+from ..ids import JobId, Revision
+from ..jobs.records import JOBS
+from ..metrics import Metrics
+from ..node_settings import NodeSettings
+from ..platform.cloud import AdvisorClient
+from ..platform.config import CONFIG_KEY, OPERATOR_PREFIX, decode_configuration
+from ..platform.store import PlatformStore
+from ..scheduling.controller import Controller
+from ..servers import build_server, run_server
+from ..settings import Listener
+from ..supervisor import Supervisor
+from .job_api import JobApi, ReadyApi
+from .job_service import JobService
+
+CLUSTER_PREFIX = "eb/n/"
+# Seconds that watches on configuration and leader wait; a silent connection hides a
+# change for this long and the call's own time limit.
+WATCH_SECONDS = 0.8
+# Seconds between calls of the watch on jobs; the leader's stream is faster.
+JOB_WATCH_PAUSE_SECONDS = 0.5
+JOB_WATCH_SECONDS = 1.0
+# Seconds between attempts to become leader or to reach one.
+ELECTION_RETRY_SECONDS = 0.1
+ELECTION_SPREAD_SECONDS = 0.03
+# Seconds that a stopping entry goes on serving, so that the balancer's checks notice
+# and callers with open connections get their answers.
+STOP_NOTICE_SECONDS = 3.0
+STOP_LIMIT_SECONDS = 1.5
+
+
+class PlatformEntry:
+    """One entry process with all its tasks."""
+
+    def __init__(self, settings: NodeSettings, seed: int | None = None) -> None:
+        self.settings = settings
+        self.clock = SystemClock()
+        self.rng = random.Random(seed)
+        self.metrics = Metrics(CollectorRegistry())
+        self.store = PlatformStore(settings.store_address, self.clock, self.metrics)
+        self.mirror = JobMirror()
+        self.configuration: Configuration | None = None
+        self.leader: Leader | None = None
+        self.controller: Controller | None = None
+        self.term: Term | None = None
+        self.leader_stream: Stream | None = None
+        self.stopping = False
+        started_ms = int(self.clock.wall() * 1000)
+        peer_address = f"{settings.ip}:{settings.peer_port}"
+        self.record = LeaderRecord(settings.entry, peer_address, started_ms)
+        self.elections = Elections(self.store, self.clock, self.record)
+        self.service = JobService(
+            self.store, self.mirror, self.clock, self.metrics,
+            self.call_leader, self.on_own_records,
+        )  # fmt: skip
+        self.peers = PeerServer(
+            settings.ip,
+            settings.peer_port,
+            self.on_peer_records,
+            self.service.answer_peer,
+        )
+        self.advisor = (
+            AdvisorClient(settings.advisor_address, self.clock, self.metrics)
+            if settings.advisor_address
+            else None
+        )
+        self.job_api = JobApi(
+            self.service, lambda: self.configuration, self.clock, self.metrics
+        )
+        self.caller_server = build_server(
+            self.job_api, _listener(settings.caller_address)
+        )
+        self.ready_server = build_server(
+            ReadyApi(self.is_ready), _listener(settings.ready_address)
+        )
+        self.operator_watch = PrefixWatch(
+            self.store,
+            OPERATOR_PREFIX,
+            self.clock,
+            self.on_operator_batch,
+            WATCH_SECONDS,
+        )
+        self.cluster_watch = PrefixWatch(
+            self.store, CLUSTER_PREFIX, self.clock, self.on_cluster_batch, WATCH_SECONDS
+        )
+        self.job_watch = PrefixWatch(
+            self.store, JOBS, self.clock, self.on_job_batch,
+            JOB_WATCH_SECONDS, JOB_WATCH_PAUSE_SECONDS,
+        )  # fmt: skip
+        self.leader_changed = asyncio.Event()
+
+    # Beliefs
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send callers to this entry."""
+        return not self.stopping and self.configuration is not None
+
+    def on_operator_batch(self, batch: Batch, full: bool) -> None:
+        """Take over a newer configuration."""
+        for item in batch.items:
+            if item.key == CONFIG_KEY and item.value is not None:
+                self.adopt_configuration(item.value)
+
+    def adopt_configuration(self, value: bytes) -> None:
+        """Put a configuration into effect unless it is older."""
+        decoded = decode_configuration(value)
+        if decoded.is_error():
+            log_event(Event.DOCUMENT_REJECTED, name=CONFIG_KEY, error=decoded.error)
+            return
+        newest = self.configuration
+        if newest is not None and decoded.ok.version <= newest.version:
+            return
+        self.configuration = decoded.ok
+        log_event(
+            Event.DOCUMENT_APPLIED, name="configuration",
+            generation=decoded.ok.version, queues=len(decoded.ok.queues),
+        )  # fmt: skip
+        if newest is None:
+            log_event(Event.ENTRY_READY, entry=self.settings.entry)
+        if self.controller is not None:
+            self.controller.configure(decoded.ok)
+
+    def on_cluster_batch(self, batch: Batch, full: bool) -> None:
+        """Follow the leader's key."""
+        items = {item.key: item for item in batch.items}
+        if full or LEADER_KEY in items:
+            self.adopt_leader(items.get(LEADER_KEY))
+
+    def adopt_leader(self, item: Item | None) -> None:
+        """Take over who leads."""
+        leader = decode_leader(item)
+        if self.leader is not None and leader is not None:
+            if leader.revision <= self.leader.revision:
+                return
+        if leader != self.leader:
+            log_event(
+                Event.LEADER_CHANGED,
+                leader=leader.record.entry if leader else None,
+                token=leader.revision if leader else None,
+            )
+        self.leader = leader
+        term = self.term
+        if term is not None and (leader is None or int(leader.revision) != int(term.token)):
+            if leader is None or int(leader.revision) > int(term.token):
+                self.end_term("key")
+        self.leader_changed.set()
+
+    def end_term(self, cause: str) -> None:
+        """Stop leading."""
+        if self.term is not None and not self.term.ended:
+            log_event(Event.LEADERSHIP_LOST, cause=cause, token=self.term.token)
+            self.term.ended = True
+            if self.controller is not None:
+                self.controller.wake.set()
+
+    def on_job_batch(self, batch: Batch, full: bool) -> None:
+        """Bring the mirror up to date."""
+        if full:
+            changed = self.mirror.replace_all(list(batch.items), batch.revision)
+        else:
+            changed = [job for item in batch.items if (job := self.mirror.apply(item))]
+            self.mirror.revision = Revision(max(self.mirror.revision, batch.revision))
+        self.service.fresh_at = self.clock.monotonic()
+        self.tell_controller(changed)
+
+    def tell_controller(self, changed: list[JobId]) -> None:
+        """Hand changed jobs to the scheduler if this entry leads."""
+        if self.controller is not None:
+            for job_id in changed:
+                self.controller.see_job(job_id)
+
+    def on_own_records(self, items: list[Item]) -> None:
+        """Take over what this entry stored for a caller, and tell the leader."""
+        changed = [job for item in items if (job := self.mirror.apply(item))]
+        self.tell_controller(changed)
+        records = [(item.key, int(item.revision), item.value or b"") for item in items]
+        if self.controller is not None:
+            self.peers.broadcast(records)
+        elif self.leader_stream is not None:
+            self.leader_stream.send([1, records])
+
+    def on_peer_records(self, records: list[Record]) -> None:
+        """Take over what a peer stored."""
+        items = [Item(key, value, Revision(rev)) for key, rev, value in records]
+        changed = [job for item in items if (job := self.mirror.apply(item))]
+        self.service.fresh_at = self.clock.monotonic()
+        self.tell_controller(changed)
+        if self.controller is not None:
+            self.peers.broadcast(records)
+
+    def on_progress_stored(self, items: list[Item]) -> None:
+        """Send what the controller stored to the other entries."""
+        self.service.fresh_at = self.clock.monotonic()
+        self.peers.broadcast(
+            [(item.key, int(item.revision), item.value or b"") for item in items]
+        )
+
+    async def call_leader(
+        self, method: str, argument: Any
+    ) -> Result[tuple[int, Any], PeerFailure]:
+        """Pass a call on to the leader."""
+        if self.leader_stream is None:
+            return Error(PeerFailure.NOT_SENT)
+        return await self.leader_stream.call(method, argument)
+
+    # Leadership
+
+    async def follow_leader(self) -> None:
+        """Keep a stream to the leader; take over when there is none."""
+        while True:
+            self.leader_changed.clear()
+            if self.stopping or not self.cluster_watch.listed:
+                await asyncio.sleep(ELECTION_RETRY_SECONDS)
+                continue
+            leader = self.leader
+            if leader is None:
+                await self.stand_for_election(ABSENT)
+            elif leader.record.entry == self.settings.entry and (
+                leader.record.started_ms != self.record.started_ms
+            ):
+                # An earlier life of this entry led; it can not come back.
+                await self.stand_for_election(leader.revision)
+            elif leader.record.entry == self.settings.entry:
+                await self._wait_for_change(ELECTION_RETRY_SECONDS)
+            else:
+                await self.stay_connected(leader)
+
+    async def _wait_for_change(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self.leader_changed.wait()
+        except TimeoutError:
+            return
+
+    async def stay_connected(self, leader: Leader) -> None:
+        """Hold a stream to the leader until it breaks or another one leads."""
+        host, _, port = leader.record.address.rpartition(":")
+        opened = await connect(host, int(port), self.settings.entry)
+        if opened.is_error():
+            if isinstance(opened.error, ConnectionRefusedError):
+                # Nobody listens there, so the leader's process is gone.
+                log_event(Event.LEADER_DEAD, leader=leader.record.entry)
+                if self.leader == leader:
+                    await self.stand_for_election(leader.revision)
+                return
+            await self._wait_for_change(ELECTION_RETRY_SECONDS)
+            return
+        stream = opened.ok
+        self.leader_stream = stream
+        running = asyncio.create_task(stream.run(self.on_peer_records, None))
+        changed = asyncio.create_task(self.leader_changed.wait())
+        try:
+            await asyncio.wait({running, changed}, return_when="FIRST_COMPLETED")
+        finally:
+            self.leader_stream = None
+            stream.close()
+            for task in (running, changed):
+                task.cancel()
+            await asyncio.gather(running, changed, return_exceptions=True)
+
+    async def stand_for_election(self, replaced: Revision) -> None:
+        """Try to become leader, and lead if it succeeds."""
+        await asyncio.sleep(self.rng.uniform(0.0, ELECTION_SPREAD_SECONDS))
+        if self.configuration is None:
+            await asyncio.sleep(ELECTION_RETRY_SECONDS)
+            return
+        current = self.leader.revision if self.leader else ABSENT
+        if current != replaced:
+            return
+        result = await self.elections.acquire(replaced)
+        if result.is_error():
+            if result.error is StoreFailure.CONFLICT:
+                await self._wait_for_change(ELECTION_RETRY_SECONDS)
+            else:
+                await asyncio.sleep(ELECTION_RETRY_SECONDS)
+            return
+        await self.lead(result.ok)
+
+    async def lead(self, term: Term) -> None:
+        """Run the controller for one term."""
+        self.term = term
+        self.leader = Leader(self.record, Revision(int(term.token)))
+        renewals = asyncio.create_task(self.renew(term))
+        try:
+            await self.catch_up(term)
+            if term.ended or self.configuration is None:
+                return
+            controller = Controller(
+                term, self.store, self.mirror, self.advisor, self.clock, self.rng,
+                self.metrics, self.on_progress_stored,
+            )  # fmt: skip
+            controller.configure(self.configuration)
+            self.controller = controller
+            running = asyncio.create_task(controller.run())
+            await asyncio.wait({running})
+            if not running.cancelled() and running.exception() is not None:
+                log_event(
+                    Event.TASK_FAILED,
+                    task="controller",
+                    error=repr(running.exception()),
+                )
+        finally:
+            self.controller = None
+            self.term = None
+            renewals.cancel()
+            if self.leader is not None and int(self.leader.revision) == int(term.token):
+                self.leader = None
+                self.cluster_watch.listed = False
+            for stream in list(self.peers.streams):
+                stream.close()
+            await self.elections.resign(term)
+
+    async def catch_up(self, term: Term) -> None:
+        """Bring the mirror to the revision at which this term began."""
+        while not term.ended:
+            result = await self.store.list(JOBS)
+            if result.is_ok():
+                changed = self.mirror.replace_all(
+                    list(result.ok.items), result.ok.revision
+                )
+                log_event(
+                    Event.MIRROR_CAUGHT_UP, token=term.token, jobs=len(self.mirror.jobs),
+                    changed=len(changed),
+                )  # fmt: skip
+                return
+            await asyncio.sleep(ELECTION_RETRY_SECONDS)
+
+    async def renew(self, term: Term) -> None:
+        """Renew the lease of a term until it ends."""
+        from ..cluster.leadership import RENEW_SECONDS
+
+        while not term.ended:
+            await asyncio.sleep(RENEW_SECONDS)
+            result = await self.elections.renew(term)
+            if result.is_error() and result.error is StoreFailure.LEASE_ENDED:
+                self.end_term("lease")
+
+    # Life
+
+    async def run(self) -> None:
+        """Run until SIGTERM or SIGINT, then shut down gracefully."""
+        log_event(
+            Event.ENTRY_STARTED, entry=self.settings.entry,
+            data_centre=self.settings.data_centre, ip=self.settings.ip,
+        )  # fmt: skip
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.on_reload)
+        root = Supervisor("root", self.clock, self.rng)
+        root.add("caller-server", lambda: run_server(self.caller_server))
+        root.add("ready-server", lambda: run_server(self.ready_server))
+        root.add("peer-server", self.peers.run)
+        root.add("operator-watch", self.operator_watch.run)
+        root.add("cluster-watch", self.cluster_watch.run)
+        root.add("job-watch", self.job_watch.run)
+        root.add("leadership", self.follow_leader)
+        tree = asyncio.create_task(root.run(), name="root")
+        stopped = asyncio.create_task(stop.wait(), name="stop-signal")
+        await asyncio.wait({tree, stopped}, return_when=asyncio.FIRST_COMPLETED)
+        if tree.done():
+            stopped.cancel()
+            await tree
+            return
+        await self.shut_down()
+        tree.cancel()
+        await asyncio.gather(tree, return_exceptions=True)
+        log_event(Event.SHUTDOWN_DONE, entry=self.settings.entry)
+
+    def on_reload(self) -> None:
+        """Note a reload; the settings that may change are read at the start only."""
+        log_event(Event.RELOADED, entry=self.settings.entry)
+
+    async def shut_down(self) -> None:
+        """Hand leadership over, then stop without cutting off a request."""
+        self.stopping = True
+        log_event(Event.SHUTDOWN_BEGUN, in_flight=self.job_api.in_flight)
+        self.end_term("shutdown")
+        await asyncio.sleep(STOP_NOTICE_SECONDS)
+        self.caller_server.should_exit = True
+        end = self.clock.monotonic() + STOP_LIMIT_SECONDS
+        while self.clock.monotonic() < end:
+            if not self.job_api.in_flight and not self.caller_server.server_state.tasks:
+                break
+            await asyncio.sleep(0.05)
+        self.ready_server.should_exit = True
+
+
+def _listener(address: str) -> Listener:
+    host, _, port = address.rpartition(":")
+    return Listener(host, int(port))
+
+
+async def serve_on_platform(settings: NodeSettings) -> None:
+    """Run one entry process on the platform."""
+    await PlatformEntry(settings).run()
--- a/src/ebonyhub/errors.py
+++ b/src/ebonyhub/errors.py
@@ -41,6 +41,9 @@
     KEY_REUSED = "key_reused"
     CONFIGURATION_MISSING = "configuration_missing"
     SHUTTING_DOWN = "shutting_down"
+    UNKNOWN_JOB = "unknown_job"
+    STORE_UNAVAILABLE = "store_unavailable"
+    STORE_OUTCOME_UNKNOWN = "store_outcome_unknown"
     INTERNAL = "internal"
 
 
@@ -81,6 +84,9 @@
     ErrorKind.KEY_REUSED: ErrorAnswer(422, _NOT_RUN),
     ErrorKind.CONFIGURATION_MISSING: ErrorAnswer(503, _NOT_RUN, 1),
     ErrorKind.SHUTTING_DOWN: ErrorAnswer(503, _NOT_RUN, 1),
+    ErrorKind.UNKNOWN_JOB: ErrorAnswer(410, _NOT_RUN),
+    ErrorKind.STORE_UNAVAILABLE: ErrorAnswer(503, _NOT_RUN, 1),
+    ErrorKind.STORE_OUTCOME_UNKNOWN: ErrorAnswer(504, _UNKNOWN),
     ErrorKind.INTERNAL: ErrorAnswer(500, _UNKNOWN),
 }
 
--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -67,6 +67,62 @@
     ANSWER_ABORTED = EventSpec(
         1403, _W, "answer broke off; caller connection aborted", "Check the backend."
     )
+    LEADERSHIP_TAKEN = EventSpec(2001, _I, "leadership taken", "None.")
+    LEADERSHIP_LOST = EventSpec(
+        2002, _W, "leadership lost", "None if another entry leads soon."
+    )
+    LEADER_CHANGED = EventSpec(2003, _I, "leader changed", "None.")
+    LEADER_DEAD = EventSpec(
+        2004, _W, "nobody listens at the leader's address", "None; an entry takes over."
+    )
+    MIRROR_CAUGHT_UP = EventSpec(
+        2005, _I, "records read at the start of a term", "None."
+    )
+    CONTROLLER_STARTED = EventSpec(2006, _I, "controller started", "None.")
+    HISTORY_DROPPED = EventSpec(
+        2007,
+        _W,
+        "store dropped the history that a watch needs",
+        "None; it lists again.",
+    )
+    PEER_STREAM_FAILED = EventSpec(
+        2008, _W, "stream to a peer failed", "Look at the peer if it repeats."
+    )
+    TASK_FAILED = EventSpec(2009, _E, "background task failed", "Report the error.")
+    RELOADED = EventSpec(2010, _I, "settings reloaded", "None.")
+    CALL_ANSWERED = EventSpec(2101, _I, "call answered", "None.")
+    CALL_REFUSED = EventSpec(
+        2102, _W, "call refused", "See the error kind and docs/OPERATIONS.md."
+    )
+    CALL_PASSED_ON = EventSpec(
+        2103, _I, "call passed to a peer", "Check this entry's path to the store."
+    )
+    JOB_SEEN = EventSpec(2201, _I, "scheduler has taken over a job", "None.")
+    JOB_ENDED = EventSpec(2202, _I, "job has ended", "None.")
+    RUN_ENDED = EventSpec(2203, _I, "run has ended", "None.")
+    RUN_STOPPED = EventSpec(2204, _I, "run is stopped", "None.")
+    RUN_LOST = EventSpec(2205, _W, "run is not on its worker", "Check the worker.")
+    START_FAILED = EventSpec(2206, _W, "start failed", "Check the worker.")
+    RUN_PLANNED = EventSpec(2207, _I, "run planned", "None.")
+    WORKER_FOUND = EventSpec(2301, _I, "worker found", "None.")
+    WORKER_DRAINS = EventSpec(2302, _I, "worker drains", "None.")
+    WORKER_GONE = EventSpec(
+        2303, _I, "store has no entry of a worker any more", "None."
+    )
+    WORKER_EXPIRED = EventSpec(
+        2304, _W, "runs of a worker given up", "Check the worker."
+    )
+    WORKER_REBORN = EventSpec(2305, _W, "worker has started anew", "Check the worker.")
+    WORKER_QUARANTINED = EventSpec(
+        2306, _W, "worker set aside after failures", "Check the worker."
+    )
+    WORKER_UNREACHABLE = EventSpec(
+        2307, _W, "worker does not answer", "Check the worker and the network."
+    )
+    WORKER_REACHABLE = EventSpec(2308, _I, "worker answers again", "None.")
+    ENTRY_UNREADABLE = EventSpec(
+        2309, _W, "entry of a worker is unreadable", "Check which program wrote it."
+    )
 
 
 _LEVELS = {
--- /dev/null
+++ b/src/ebonyhub/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity and maintenance of pools: moves between pools and upkeep waves."""
--- /dev/null
+++ b/src/ebonyhub/http_session.py
@@ -0,0 +1,73 @@
+"""Small exchanges with one address over reused connections."""
+
+import asyncio
+
+from expression import Error, Result
+
+from .clock import Clock
+from .connection_pool import ConnectionPool
+from .errors import ErrorKind
+from .http_client import (
+    ExchangeError,
+    Header,
+    RequestHead,
+    SmallResponse,
+    exchange_small,
+)
+
+# Connections without use for longer are closed; a path that forgot them would
+# swallow the next request.
+IDLE_SECONDS = 10.0
+CONNECT_TIMEOUT_SECONDS = 0.5
+
+
+class HttpSession:
+    """Makes calls to one address; calls run side by side on separate connections."""
+
+    def __init__(self, address: str, clock: Clock, connection_limit: int) -> None:
+        host, _, port = address.rpartition(":")
+        self.address = address
+        self.pool = ConnectionPool(
+            host,
+            int(port),
+            connection_limit,
+            IDLE_SECONDS,
+            CONNECT_TIMEOUT_SECONDS,
+            clock,
+        )
+        self.slots = asyncio.Semaphore(connection_limit)
+        self.host_header = (b"Host", address.encode())
+
+    async def call(
+        self,
+        method: bytes,
+        target: bytes,
+        body: bytes | None,
+        timeout_seconds: float,
+        headers: tuple[Header, ...] = (),
+    ) -> Result[SmallResponse, ExchangeError]:
+        """Make one exchange within ``timeout_seconds``; it is never repeated."""
+        all_headers = [self.host_header, *headers]
+        if body is not None:
+            all_headers.append((b"Content-Type", b"application/json"))
+            all_headers.append((b"Content-Length", str(len(body)).encode()))
+        head = RequestHead(method, target, all_headers)
+        written = False
+        try:
+            async with asyncio.timeout(timeout_seconds), self.slots:
+                acquired = await self.pool.acquire()
+                if acquired.is_error():
+                    return Error(acquired.error)
+                connection = acquired.ok
+                written = True
+                try:
+                    return await exchange_small(connection, head, body)
+                finally:
+                    self.pool.release(connection)
+        except TimeoutError:
+            return Error(ExchangeError(ErrorKind.BACKEND_TIMEOUT, written))
+
+    def close(self) -> None:
+        """Close idle connections; busy ones close when their exchange ends."""
+        self.pool.idle_seconds = 0.0
+        self.pool.close()
--- a/src/ebonyhub/ids.py
+++ b/src/ebonyhub/ids.py
@@ -1,6 +1,6 @@
 """Identifier types shared by all modules."""
 
-from typing import NewType
+from typing import NamedTuple, NewType
 
 EntryId = NewType("EntryId", str)
 Incarnation = NewType("Incarnation", int)
@@ -15,6 +15,25 @@
 ChangeId = NewType("ChangeId", str)
 LeaseId = NewType("LeaseId", str)
 InstanceId = NewType("InstanceId", str)
+QueueName = NewType("QueueName", str)
+JobId = NewType("JobId", str)
+WorkerId = NewType("WorkerId", str)
+Revision = NewType("Revision", int)
+FencingToken = NewType("FencingToken", int)
+StoreLease = NewType("StoreLease", int)
+WaveId = NewType("WaveId", int)
+
+# Before the first revision of the store.
+ROOT_REVISION = Revision(0)
+
+
+class TaskId(NamedTuple):
+    """One task: a job's occurrence, step and index within the step."""
+
+    job: JobId
+    occurrence: int
+    step: int
+    position: int
 
 
 def instance_id(service: ServiceName, vm: VmId) -> InstanceId:
--- /dev/null
+++ b/src/ebonyhub/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: what callers submit, and how far it has come."""
--- a/src/ebonyhub/metrics.py
+++ b/src/ebonyhub/metrics.py
@@ -60,3 +60,40 @@
             ["operation", "result"],
             registry=registry,
         )
+        self.cloud_calls = Counter(
+            "ebonyhub_cloud_calls_total",
+            "Calls to the cloud and the advisor by operation and result.",
+            ["operation", "result"],
+            registry=registry,
+        )
+        self.worker_orders = Counter(
+            "ebonyhub_worker_orders_total",
+            "Orders sent to workers.",
+            ["order"],
+            registry=registry,
+        )
+        self.order_failures = Counter(
+            "ebonyhub_order_failures_total",
+            "Orders to workers that did not succeed, by reason.",
+            ["order", "reason"],
+            registry=registry,
+        )
+        self.commit_seconds = Histogram(
+            "ebonyhub_commit_seconds",
+            "Time of a commit of progress records.",
+            buckets=LATENCY_BUCKETS,
+            registry=registry,
+        )
+        self.start_seconds = Histogram(
+            "ebonyhub_start_seconds",
+            "Time from the decision to start a task to its worker's answer.",
+            buckets=LATENCY_BUCKETS,
+            registry=registry,
+        )
+        self.call_seconds = Histogram(
+            "ebonyhub_call_seconds",
+            "Time to answer a caller, by HTTP method.",
+            ["method"],
+            buckets=LATENCY_BUCKETS,
+            registry=registry,
+        )
--- /dev/null
+++ b/src/ebonyhub/platform/store.py
@@ -0,0 +1,162 @@
+"""The platform's metadata store."""
+
+import base64
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+from expression import Error, Ok, Result
+
+from ..clock import Clock
+from ..cluster.metadata_store import (
+    Batch,
+    CommitFailure,
+    Item,
+    StoreFailure,
+    Transaction,
+)
+from ..http_client import SmallResponse
+from ..http_session import HttpSession
+from ..ids import Revision, StoreLease
+from ..metrics import Metrics
+
+# Seconds. A healthy store answers in milliseconds; a slow one takes a quarter of a
+# second.
+CALL_TIMEOUT_SECONDS = 1.0
+CONNECTION_LIMIT = 16
+
+
+class PlatformStore:
+    """HTTP client of the store."""
+
+    def __init__(self, address: str, clock: Clock, metrics: Metrics) -> None:
+        self.session = HttpSession(address, clock, CONNECTION_LIMIT)
+        self.metrics = metrics
+
+    async def _call(
+        self,
+        operation: str,
+        method: bytes,
+        target: str,
+        body: Any = None,
+        extra_seconds: float = 0.0,
+    ) -> Result[SmallResponse, StoreFailure]:
+        """Make one call; 429 and 5xx answers mean that nothing was done."""
+        encoded = None if body is None else msgspec.json.encode(body)
+        result = await self.session.call(
+            method, target.encode(), encoded, CALL_TIMEOUT_SECONDS + extra_seconds
+        )
+        if result.is_error():
+            self.metrics.store_calls.labels(operation, result.error.kind.value).inc()
+            written = result.error.bytes_written
+            return Error(StoreFailure.UNKNOWN if written else StoreFailure.REFUSED)
+        status = result.ok.status
+        self.metrics.store_calls.labels(operation, str(status)).inc()
+        if status == 429 or status >= 500:
+            return Error(StoreFailure.REFUSED)
+        return Ok(result.ok)
+
+    async def get(self, key: str) -> Result[Item | None, StoreFailure]:
+        """Read one key."""
+        result = await self._call("get", b"GET", f"/kv-key?Key={quote(key, safe='')}")
+        if result.is_error():
+            return Error(result.error)
+        if result.ok.status == 404:
+            return Ok(None)
+        return Ok(_item(msgspec.json.decode(result.ok.body)))
+
+    async def list(self, prefix: str) -> Result[Batch, StoreFailure]:
+        """Read all keys below a prefix, page by page."""
+        items: list[Item] = []
+        revision: Revision | None = None
+        after = ""
+        while True:
+            target = f"/kv-range?PathPrefix={quote(prefix, safe='')}"
+            if after:
+                target += f"&After={quote(after, safe='')}"
+            result = await self._call("list", b"GET", target)
+            if result.is_error():
+                return Error(result.error)
+            page = msgspec.json.decode(result.ok.body)
+            if revision is None:
+                revision = Revision(page["AtRevision"])
+            rows = page.get("items", [])
+            items += [_item(row) for row in rows]
+            if not page.get("HasMore") or not rows:
+                return Ok(Batch(items, revision))
+            after = rows[-1]["Key"]
+
+    async def watch(
+        self, prefix: str, after: Revision, wait_seconds: float
+    ) -> Result[Batch, StoreFailure]:
+        """Wait for changes after a revision."""
+        target = (
+            f"/kv-watch?PathPrefix={quote(prefix, safe='')}"
+            f"&After={after}&WaitMs={int(wait_seconds * 1000)}"
+        )
+        result = await self._call("watch", b"GET", target, extra_seconds=wait_seconds)
+        if result.is_error():
+            return Error(result.error)
+        if result.ok.status == 410:
+            return Error(StoreFailure.COMPACTED)
+        answer = msgspec.json.decode(result.ok.body)
+        events = [_item(row) for row in answer.get("events", [])]
+        return Ok(Batch(events, Revision(answer["AtRevision"])))
+
+    async def commit(self, transaction: Transaction) -> Result[Revision, CommitFailure]:
+        """Carry out a transaction."""
+        body = {
+            "Expect": [
+                {"Key": key, "Revision": revision}
+                for key, revision in transaction.conditions.items()
+            ],
+            "Puts": [
+                {
+                    "Key": write.key,
+                    "Value": base64.b64encode(write.value).decode(),
+                    "Lease": write.lease,
+                }
+                for write in transaction.writes
+            ],
+            "Remove": list(transaction.removals),
+        }
+        result = await self._call("commit", b"POST", "/kv-txn", body)
+        if result.is_error():
+            return Error(CommitFailure(result.error))
+        if result.ok.status == 404:
+            return Error(CommitFailure(StoreFailure.LEASE_ENDED))
+        answer = msgspec.json.decode(result.ok.body)
+        if result.ok.status == 412:
+            current = [_item(row) for row in answer.get("items", [])]
+            found = {item.key: item for item in current}
+            return Error(CommitFailure(StoreFailure.CONFLICT, found))
+        return Ok(Revision(answer["Revision"]))
+
+    async def grant_lease(self, ttl_seconds: float) -> Result[StoreLease, StoreFailure]:
+        """Create a lease."""
+        body = {"TtlMs": int(ttl_seconds * 1000)}
+        result = await self._call("grant_lease", b"POST", "/kv-lease", body)
+        if result.is_error():
+            return Error(result.error)
+        return Ok(StoreLease(msgspec.json.decode(result.ok.body)["Lease"]))
+
+    async def renew_lease(self, lease: StoreLease) -> Result[None, StoreFailure]:
+        """Extend a lease by its full duration."""
+        result = await self._call("renew_lease", b"POST", f"/kv-keep/{lease}", {})
+        if result.is_error():
+            return Error(result.error)
+        if result.ok.status == 404:
+            return Error(StoreFailure.LEASE_ENDED)
+        return Ok(None)
+
+    async def end_lease(self, lease: StoreLease) -> Result[None, StoreFailure]:
+        """End a lease."""
+        result = await self._call("end_lease", b"DELETE", f"/kv-lease-end/{lease}")
+        return Error(result.error) if result.is_error() else Ok(None)
+
+
+def _item(row: dict[str, Any]) -> Item:
+    """Decode an item, or an event that says that a key was removed."""
+    value = None if row.get("Deleted") else base64.b64decode(row.get("Value") or "")
+    lease = StoreLease(row.get("Lease") or 0)
+    return Item(row["Key"], value, Revision(row["Revision"]), lease)
--- /dev/null
+++ b/src/ebonyhub/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which task runs where and when; no module here does I/O."""
--- /dev/null
+++ b/src/ebonyhub/scheduling/controller.py
@@ -0,0 +1,355 @@
+"""Runs the scheduler while this entry leads: links to workers, commits and planning."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from ..clock import Clock
+from ..cluster.leadership import Term
+from ..cluster.metadata_store import Item, MetadataStore, StoreFailure
+from ..cluster.mirror import JobMirror
+from ..configuration import Configuration
+from ..events import Event, log_event
+from ..ids import JobId, Revision, WorkerId
+from ..metrics import Metrics
+from ..platform.cloud import AdvisorClient
+from ..platform.config import WORKERS, decode_worker
+from ..platform.workers import WorkerClient
+from .committer import Committer
+from .model import OrderFailure, WorkerReport
+from .orders import LookAtWorker, Order, PaceRun, StartRun, StopRun
+from .runs import SLOW_CLOCK_FACTOR, Worker
+from .scheduler import Scheduler
+from .worker_link import HOLD_SECONDS, WorkerLink
+
+# Seconds between passes over everything that depends on time.
+TICK_SECONDS = 0.1
+# Seconds for which a leader that can not renew its lease still extends the leases of
+# the work that runs, so that an outage of the store does not end it.
+EXTEND_SECONDS = 5.0
+# Seconds that the watch on workers waits.
+WATCH_SECONDS = 0.8
+RETRY_SECONDS = 0.2
+# After the store's return, workers whose entries lapsed have this long to come back.
+RETURN_SECONDS = 2.5
+
+
+class Controller:
+    """One term of leadership."""
+
+    def __init__(
+        self,
+        term: Term,
+        store: MetadataStore,
+        mirror: JobMirror,
+        advisor: AdvisorClient | None,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+        on_stored: Callable[[list[Item]], None],
+    ) -> None:
+        self.term = term
+        self.store = store
+        self.mirror = mirror
+        self.advisor = advisor
+        self.clock = clock
+        self.rng = rng
+        self.metrics = metrics
+        self.publish = on_stored
+        self.scheduler = Scheduler()
+        self.committer = Committer(
+            store, self.scheduler, term, clock, metrics, self._on_stored
+        )
+        self.links: dict[WorkerId, WorkerLink] = {}
+        self.link_tasks: dict[WorkerId, asyncio.Task[None]] = {}
+        self.order_tasks: set[asyncio.Task[None]] = set()
+        self.wake = asyncio.Event()
+        self.next_tick = 0.0
+        now = clock.monotonic()
+        # An earlier leader may have extended leases until then.
+        hold = HOLD_SECONDS * SLOW_CLOCK_FACTOR
+        self.scheduler.inherited_leases_until = now + EXTEND_SECONDS + hold + 0.5
+
+    # Inputs
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take over a newer configuration."""
+        self.scheduler.configure(configuration)
+        self.wake.set()
+
+    def see_job(self, job_id: JobId) -> None:
+        """Take over a job whose records changed in the mirror."""
+        mirrored = self.mirror.jobs.get(job_id)
+        if mirrored is None or mirrored.accepted is None:
+            return
+        now, wall = self.clock.monotonic(), self._wall_ms()
+        known = job_id in self.scheduler.jobs
+        if known and not mirrored.cancelled:
+            return
+        progress = None if known else mirrored.decode_progress()
+        if not known:
+            self.committer.revisions[job_id] = mirrored.progress_revision
+        self.scheduler.load(mirrored.accepted, progress, mirrored.cancelled, now, wall)
+        if not known:
+            log_event(
+                Event.JOB_SEEN, job=job_id, queue=mirrored.accepted.queue,
+                steps=len(mirrored.accepted.spec.steps),
+                tasks=sum(step.count for step in mirrored.accepted.spec.steps),
+            )  # fmt: skip
+        self.wake.set()
+
+    def _wall_ms(self) -> int:
+        return int(self.clock.wall() * 1000)
+
+    # Life
+
+    async def run(self) -> None:
+        """Lead until the term ends."""
+        await self._load_workers()
+        for job_id in list(self.mirror.jobs):
+            self.see_job(job_id)
+        log_event(
+            Event.CONTROLLER_STARTED, token=self.term.token,
+            workers=len(self.scheduler.workers), jobs=len(self.scheduler.active),
+        )  # fmt: skip
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.committer.run())
+                watching = group.create_task(self._watch_workers())
+                await self._drive()
+                watching.cancel()
+                raise asyncio.CancelledError
+        finally:
+            self._close()
+
+    def _close(self) -> None:
+        for task in [*self.link_tasks.values(), *self.order_tasks]:
+            task.cancel()
+        self.link_tasks.clear()
+        self.links.clear()
+
+    async def _load_workers(self) -> None:
+        while not self.term.ended:
+            listed = await self.store.list(WORKERS)
+            if listed.is_ok():
+                self._replace_workers(list(listed.ok.items))
+                self.workers_revision = listed.ok.revision
+                return
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def _replace_workers(self, items: list[Item]) -> None:
+        """Take over a full listing of the workers' entries."""
+        listed = {WorkerId(item.key[len(WORKERS) :]) for item in items}
+        for worker_id in list(self.scheduler.workers):
+            if worker_id not in listed:
+                self.scheduler.lose_worker(worker_id)
+        for item in items:
+            self._apply_worker(item)
+
+    def _apply_worker(self, item: Item) -> None:
+        worker_id = WorkerId(item.key[len(WORKERS) :])
+        if item.value is None:
+            self.scheduler.lose_worker(worker_id)
+            return
+        decoded = decode_worker(item.key, item.value)
+        if decoded.is_error():
+            log_event(Event.ENTRY_UNREADABLE, key=item.key, error=decoded.error)
+            return
+        entry = decoded.ok
+        known = self.scheduler.workers.get(worker_id)
+        moved = known is not None and known.entry.address != entry.address
+        self.scheduler.see_worker(entry, self.clock.monotonic())
+        if moved or worker_id not in self.links:
+            self._open_link(self.scheduler.workers[worker_id])
+
+    def _open_link(self, worker: Worker) -> None:
+        old = self.link_tasks.pop(worker.worker_id, None)
+        if old is not None:
+            old.cancel()
+        link = WorkerLink(
+            worker,
+            WorkerClient(worker.worker_id, worker.entry.address, self.clock),
+            self.term.token,
+            self.clock,
+            self.rng,
+            self.metrics,
+            self._on_report,
+            self._on_fenced,
+        )
+        link.may_extend = self._may_extend
+        self.links[worker.worker_id] = link
+        self.link_tasks[worker.worker_id] = asyncio.create_task(link.run())
+
+    def _may_extend(self) -> bool:
+        return (
+            not self.term.ended
+            and self.clock.monotonic() < self.term.valid_until + EXTEND_SECONDS
+        )
+
+    async def _watch_workers(self) -> None:
+        """Follow the workers' entries."""
+        failed_at: float | None = None
+        while True:
+            result = await self.store.watch(
+                WORKERS, self.workers_revision, WATCH_SECONDS
+            )
+            if result.is_ok():
+                if failed_at is not None:
+                    failed_at = None
+                for item in result.ok.items:
+                    self._apply_worker(item)
+                self.workers_revision = Revision(
+                    max(self.workers_revision, result.ok.revision)
+                )
+                self.wake.set()
+                continue
+            failed_at = failed_at or self.clock.monotonic()
+            if result.error is StoreFailure.COMPACTED:
+                await self._load_workers()
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _drive(self) -> None:
+        """Plan and give orders until the term ends."""
+        while not self.term.ended:
+            now = self.clock.monotonic()
+            if now >= self.next_tick:
+                self.next_tick = now + TICK_SECONDS
+                self.scheduler.tick(now, self._wall_ms())
+                self._drop_departed_links()
+            if self.term.is_valid(now) and self.committer.healthy:
+                self.scheduler.plan(now)
+                self._ask_for_advice()
+            if self.scheduler.dirty:
+                self.committer.work.set()
+            self._give_orders()
+            self.wake.clear()
+            try:
+                async with asyncio.timeout(max(0.0, self.next_tick - now)):
+                    await self.wake.wait()
+            except TimeoutError:
+                continue
+
+    def _drop_departed_links(self) -> None:
+        for worker_id in [w for w in self.links if w not in self.scheduler.workers]:
+            self.link_tasks.pop(worker_id).cancel()
+            del self.links[worker_id]
+
+    # Orders
+
+    def _give_orders(self) -> None:
+        """Give the orders that wait; none once the lease may have run out."""
+        while self.scheduler.outbox:
+            order = self.scheduler.outbox.popleft()
+            task = asyncio.create_task(self._carry_out(order))
+            self.order_tasks.add(task)
+            task.add_done_callback(self._order_done)
+
+    def _order_done(self, task: asyncio.Task[None]) -> None:
+        self.order_tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_event(Event.TASK_FAILED, task="order", error=repr(task.exception()))
+        self.wake.set()
+
+    async def _carry_out(self, order: Order) -> None:
+        match order:
+            case StartRun(run, ticket):
+                await self._start(order)
+            case StopRun():
+                link = self.links.get(order.worker)
+                if link is not None:
+                    result = await link.stop(order)
+                    failure = result.error if result.is_error() else None
+                    now = self.clock.monotonic()
+                    self.scheduler.handle_stop_result(order, failure, now)
+            case PaceRun():
+                link = self.links.get(order.worker)
+                if link is not None:
+                    await link.pace(order)
+            case LookAtWorker():
+                link = self.links.get(order.worker)
+                if link is not None:
+                    await link.hold_once(0.0)
+
+    async def _start(self, order: StartRun) -> None:
+        run = order.run
+        now = self.clock.monotonic()
+        link = self.links.get(run.worker)
+        job = self.scheduler.jobs.get(run.task.job)
+        if link is None or job is None or not self.term.is_valid(now):
+            failure = OrderFailure.NOT_SENT
+            self.scheduler.handle_start_result(run, failure, now)
+            return
+        result = await link.start(run, job.accepted.spec.text, order.ticket)
+        self.scheduler.handle_start_result(
+            run, result.error if result.is_error() else None, self.clock.monotonic()
+        )
+
+    def _ask_for_advice(self) -> None:
+        """Ask the advisor about steps that can not be placed without it."""
+        if self.advisor is None or not self.scheduler.steps_without_advice:
+            return
+        steps, self.scheduler.steps_without_advice = (
+            self.scheduler.steps_without_advice, {},
+        )  # fmt: skip
+        for key, queue_name in steps.items():
+            if key in self.scheduler.tickets:
+                continue
+            queue = self.scheduler.queues[queue_name]
+            policy = queue.advisor
+            if policy is None:
+                continue
+            now = self.clock.monotonic()
+            workers = [
+                worker.worker_id
+                for worker in self.scheduler.workers.values()
+                if worker.entry.service == queue.service
+                and self.scheduler.eligible(worker, now)
+            ][:100]
+            self.scheduler.tickets[key] = {}
+            seconds = policy.decision + policy.per_worker * len(workers)
+            task = asyncio.create_task(self._advise(key, workers, seconds))
+            self.order_tasks.add(task)
+            task.add_done_callback(self._order_done)
+
+    async def _advise(
+        self, key: tuple[JobId, int, int], workers: list[WorkerId], seconds: float
+    ) -> None:
+        assert self.advisor is not None
+        result = await self.advisor.advise(*key, workers, seconds)
+        if result.is_ok():
+            self.scheduler.tickets[key] = result.ok
+        else:
+            await asyncio.sleep(RETRY_SECONDS)
+            self.scheduler.tickets.pop(key, None)
+
+    # Results
+
+    def _on_report(self, worker: Worker, report: WorkerReport, sent_at: float) -> None:
+        if self.scheduler.workers.get(worker.worker_id) is not worker:
+            return
+        now, wall = self.clock.monotonic(), self._wall_ms()
+        self.scheduler.handle_report(worker, report, sent_at, now, wall)
+        self.wake.set()
+
+    def _on_fenced(self, worker: Worker) -> None:
+        if not self.term.ended:
+            log_event(
+                Event.LEADERSHIP_LOST, cause="fenced", token=self.term.token,
+                worker=worker.worker_id,
+            )  # fmt: skip
+        self.term.ended = True
+        self.wake.set()
+
+    def _on_stored(self, items: list[Item]) -> None:
+        for item in items:
+            self.mirror.apply(item)
+        self.publish(items)
+        self.scheduler.release_starts(self.clock.monotonic())
+        for worker_id, link in self.links.items():
+            worker = self.scheduler.workers.get(worker_id)
+            if worker is not None and worker.unstored_ends:
+                self.scheduler.advance_acknowledgements(worker)
+                if not worker.unstored_ends:
+                    link.stored.set()
+        self._give_orders()
+        self.wake.set()
--- /dev/null
+++ b/src/ebonyhub/scheduling/lifecycle.py
@@ -0,0 +1,172 @@
+"""State changes of one job: due occurrences, ends of tasks, final states."""
+
+from ..ids import TaskId
+from ..jobs.model import StepSpec
+from ..jobs.records import JobState, ProgressRecord, RunRecord, StepProgress
+from .runs import Job, Run
+
+
+def step_of(job: Job, task: TaskId) -> StepSpec:
+    """Return the step of a task."""
+    return job.accepted.spec.steps[task.step]
+
+
+def progress_of(job: Job, task: TaskId) -> StepProgress | None:
+    """Return the progress of the task's step; None if its occurrence is complete."""
+    steps = job.progress.occurrences.get(task.occurrence)
+    return steps[task.step] if steps else None
+
+
+def activate_due(job: Job, wall_ms: int) -> bool:
+    """Begin the occurrences that are due; return whether there are any."""
+    if job.final or job.cancelled:
+        return False
+    spec = job.accepted.spec
+    total = spec.repeat_count or 1
+    began = False
+    while job.next_due < total and spec.due_ms(job.next_due) <= wall_ms:
+        number = job.next_due
+        job.next_due += 1
+        if number < job.progress.next_occurrence:
+            continue
+        if number not in job.progress.occurrences:
+            job.progress.occurrences[number] = [StepProgress() for _ in spec.steps]
+        refresh_pending(job, number)
+        began = True
+    return began
+
+
+def refresh_pending(job: Job, occurrence: int) -> None:
+    """Recompute the ready tasks of an occurrence that have no run."""
+    steps = job.progress.occurrences.get(occurrence)
+    for number, step in enumerate(job.accepted.spec.steps):
+        key = (occurrence, number)
+        job.pending.pop(key, None)
+        if not steps or not is_ready(job, occurrence, number):
+            continue
+        state = steps[number]
+        waiting = {
+            index
+            for index in range(step.count)
+            if index not in state.done and index not in state.runs
+        }
+        if step.gang and state.runs:
+            # The members of a gang start together, once the last one has ended.
+            continue
+        if waiting:
+            job.pending[key] = waiting
+
+
+def is_ready(job: Job, occurrence: int, step: int) -> bool:
+    """Return whether all steps that must come first are done."""
+    spec = job.accepted.spec
+    steps = job.progress.occurrences[occurrence]
+    return all(
+        len(steps[before].done) >= spec.steps[before].count
+        for before in spec.steps[step].after
+    )
+
+
+def record_start(job: Job, run: Run) -> None:
+    """Note a run in the job's record before it is ordered."""
+    state = progress_of(job, run.task)
+    assert state is not None
+    index = run.task.position
+    state.numbers[index] = run.number
+    state.runs[index] = RunRecord(run.number, run.worker, run.born_ms, run.checkpoint)
+    key = (run.task.occurrence, run.task.step)
+    waiting = job.pending.get(key)
+    if waiting is not None:
+        waiting.discard(index)
+        if not waiting:
+            del job.pending[key]
+    if job.progress.state is JobState.QUEUED:
+        job.progress.state = JobState.RUNNING
+    job.version += 1
+
+
+def is_current(job: Job, task: TaskId, number: int) -> bool:
+    """Return whether the record's open run of the task is this one."""
+    state = progress_of(job, task)
+    if state is None:
+        return False
+    record = state.runs.get(task.position)
+    return record is not None and record.number == number
+
+
+def drop_run(job: Job, task: TaskId, checkpoint: str = "") -> None:
+    """Forget the task's run, so that the task may start again."""
+    state = progress_of(job, task)
+    if state is None:
+        return
+    state.runs.pop(task.position, None)
+    if checkpoint:
+        state.checkpoints[task.position] = checkpoint
+    refresh_pending(job, task.occurrence)
+    job.version += 1
+
+
+def record_done(job: Job, task: TaskId, wall_ms: int) -> None:
+    """Note that a task has ended as done; one member's end stands for its gang."""
+    state = progress_of(job, task)
+    if state is None or job.final:
+        return
+    step = step_of(job, task)
+    if step.gang:
+        state.done.update(range(step.count))
+        state.runs.clear()
+    else:
+        state.done.add(task.position)
+        state.runs.pop(task.position, None)
+    state.checkpoints.pop(task.position, None)
+    job.version += 1
+    if len(state.done) >= step.count:
+        refresh_pending(job, task.occurrence)
+    if _occurrence_done(job, task.occurrence):
+        _close_occurrence(job, task.occurrence, wall_ms)
+
+
+def record_failure(job: Job, task: TaskId, max_attempts: int, wall_ms: int) -> None:
+    """Note a failed run; past the limit the job fails."""
+    state = progress_of(job, task)
+    if state is None or job.final:
+        return
+    state.runs.pop(task.position, None)
+    state.failures[task.position] = state.failures.get(task.position, 0) + 1
+    job.version += 1
+    step = step_of(job, task)
+    if not step.long_running and state.failures[task.position] >= max_attempts:
+        finish(job, JobState.FAILED, wall_ms)
+        return
+    refresh_pending(job, task.occurrence)
+
+
+def finish(job: Job, state: JobState, wall_ms: int) -> None:
+    """Give the job its final state; runs that are left are to be stopped."""
+    job.progress = ProgressRecord(
+        state=state,
+        next_occurrence=job.progress.next_occurrence,
+        finished_ms=wall_ms,
+    )
+    job.pending.clear()
+    job.avoid.clear()
+    job.version += 1
+
+
+def _occurrence_done(job: Job, occurrence: int) -> bool:
+    steps = job.progress.occurrences[occurrence]
+    return all(
+        len(state.done) >= step.count
+        for state, step in zip(steps, job.accepted.spec.steps, strict=True)
+    )
+
+
+def _close_occurrence(job: Job, occurrence: int, wall_ms: int) -> None:
+    """Leave out a complete occurrence; the last one completes the job."""
+    job.progress.occurrences[occurrence] = []
+    total = job.accepted.spec.repeat_count or 1
+    while job.progress.occurrences.get(job.progress.next_occurrence) == []:
+        del job.progress.occurrences[job.progress.next_occurrence]
+        job.progress.next_occurrence += 1
+    if job.progress.next_occurrence >= total:
+        finish(job, JobState.COMPLETED, wall_ms)
--- /dev/null
+++ b/src/ebonyhub/scheduling/placement.py
@@ -0,0 +1,121 @@
+"""Choice of a worker for a task."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from ..ids import JobId, WorkerId
+from ..jobs.model import Resources, StepSpec
+from .runs import Worker
+
+
+@dataclass(frozen=True, slots=True)
+class StepNeeds:
+    """What a step asks of the workers that run its tasks."""
+
+    job: JobId
+    occurrence: int
+    step_number: int
+    step: StepSpec
+    # Workers that the advisor allows, with their tickets; None without an advisor.
+    tickets: dict[WorkerId, str] | None = None
+
+
+def allows(needs: StepNeeds, worker: Worker) -> bool:
+    """Return whether the worker may run tasks of the step at all."""
+    label = needs.step.required_label
+    if label and label not in worker.entry.labels:
+        return False
+    return needs.tickets is None or worker.worker_id in needs.tickets
+
+
+def has_room(needs: StepNeeds, worker: Worker) -> bool:
+    """Return whether one more task of the step may start on the worker now."""
+    if not needs.step.reserved.fits_into(worker.free):
+        return False
+    limit = needs.step.max_per_worker
+    if not limit:
+        return True
+    held = worker.tasks_of_step(needs.job, needs.occurrence, needs.step_number)
+    return held < limit
+
+
+def cost(
+    needs: StepNeeds, worker: Worker, avoided: Iterable[WorkerId]
+) -> tuple[int, int, int, float]:
+    """Return the cost of a placement; the lowest is best.
+
+    Away from its data a task takes a multiple of its time, so this comes right after
+    workers on which the task failed before. Serving tasks and fillers spread, since
+    they share more than the reserved capacity; other tasks pack tightly, which leaves
+    whole workers free to be moved.
+    """
+    step = needs.step
+    failed_here = int(worker.worker_id in avoided)
+    remote = int(bool(step.data_rack) and step.data_rack != worker.entry.rack)
+    spread = 0
+    if step.long_running or step.fills:
+        spread = sum(1 for run in worker.runs.values() if run.step.long_running)
+        return (failed_here, remote, spread, -float(worker.free.cpu))
+    return (failed_here, remote, spread, float(worker.free.cpu))
+
+
+def choose_worker(
+    needs: StepNeeds, workers: Sequence[Worker], avoided: Iterable[WorkerId] = ()
+) -> Worker | None:
+    """Return the best worker with room, or None."""
+    best: Worker | None = None
+    best_cost: tuple[int, int, int, float] | None = None
+    for worker in workers:
+        if not has_room(needs, worker):
+            continue
+        candidate = cost(needs, worker, avoided)
+        if best_cost is None or candidate < best_cost:
+            best, best_cost = worker, candidate
+    return best
+
+
+def choose_gang_workers(
+    needs: StepNeeds, workers: Sequence[Worker], indexes: Sequence[int]
+) -> dict[int, Worker] | None:
+    """Return a worker for each member of a gang, or None if not all have room."""
+    groups: list[Sequence[Worker]] = [workers]
+    if needs.step.same_rack:
+        racks = sorted({worker.entry.rack for worker in workers})
+        by_rack = [[w for w in workers if w.entry.rack == rack] for rack in racks]
+        groups = [*by_rack, workers]
+    for group in groups:
+        chosen = _fill_group(needs, group, indexes)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _fill_group(
+    needs: StepNeeds, workers: Sequence[Worker], indexes: Sequence[int]
+) -> dict[int, Worker] | None:
+    free = {worker.worker_id: worker.free for worker in workers}
+    held = {
+        w.worker_id: w.tasks_of_step(needs.job, needs.occurrence, needs.step_number)
+        for w in workers
+    }
+    limit = needs.step.max_per_worker or len(indexes)
+    chosen: dict[int, Worker] = {}
+    for index in indexes:
+        for worker in sorted(workers, key=lambda w: cost(needs, w, ())):
+            fits = needs.step.reserved.fits_into(free[worker.worker_id])
+            if fits and held[worker.worker_id] < limit:
+                break
+        else:
+            return None
+        chosen[index] = worker
+        free[worker.worker_id] = free[worker.worker_id] - needs.step.reserved
+        held[worker.worker_id] += 1
+    return chosen
+
+
+def total_capacity(workers: Iterable[Worker]) -> Resources:
+    """Return the sum of the workers' capacities."""
+    total = Resources()
+    for worker in workers:
+        total = total + worker.entry.capacity
+    return total
--- /dev/null
+++ b/src/ebonyhub/scheduling/runs.py
@@ -0,0 +1,180 @@
+"""A scheduler's belief about runs and workers."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..ids import JobId, QueueName, ServiceName, TaskId, WorkerId
+from ..jobs.model import AcceptedJob, Resources, StepSpec
+from ..jobs.records import JobState, ProgressRecord
+from .model import WorkerEntry
+
+# A worker's steady clock may be slow by 2%; the margin covers the answer's way.
+SLOW_CLOCK_FACTOR = 1.03
+CLOCK_MARGIN_MS = 100
+
+
+class RunPhase(Enum):
+    """What is known about a run."""
+
+    # Its record is not yet in the store, so no order has been given.
+    PLANNED = "planned"
+    # A start was ordered and its answer is outstanding.
+    ORDERED = "ordered"
+    # The worker confirmed the start or listed the run.
+    CONFIRMED = "confirmed"
+    # The answer was lost, or a predecessor gave the order.
+    UNCERTAIN = "uncertain"
+
+
+class StopReason(Enum):
+    """Why a run is being stopped."""
+
+    CANCELLED = "cancelled"
+    # A start without an answer, which must not be carried out later.
+    UNANSWERED = "unanswered"
+    UNKNOWN_RUN = "unknown_run"
+    WORKER_LEAVES = "worker_leaves"
+    NO_PROGRESS = "no_progress"
+    JOB_ENDED = "job_ended"
+    PREEMPTED = "preempted"
+
+
+@dataclass(eq=False, slots=True)
+class Run:
+    """One start of a task; times are monotonic seconds."""
+
+    task: TaskId
+    number: int
+    worker: WorkerId
+    born_ms: int
+    reserved: Resources
+    step: StepSpec
+    phase: RunPhase
+    # Version of the job whose record contains the run.
+    job_version: int = 0
+    # Left by an earlier leader: the fencing token keeps its orders from acting.
+    inherited: bool = False
+    planned_at: float = 0.0
+    confirmed_at: float = 0.0
+    stop: StopReason | None = None
+    stop_sent_at: float = float("-inf")
+    # When the worker confirmed the stop; the run can not start after it.
+    barred_at: float | None = None
+    checkpoint: str = ""
+    percent: float = 0.0
+    percent_changed_at: float = 0.0
+    usage: float = 0.0
+    pace: int = 100
+    over_target_since: float | None = None
+    look_requested: bool = False
+
+    @property
+    def key(self) -> tuple[TaskId, int]:
+        """Return what identifies the run on its worker."""
+        return (self.task, self.number)
+
+
+@dataclass(eq=False, slots=True)
+class Worker:
+    """A scheduler's belief about one worker; times are monotonic seconds."""
+
+    entry: WorkerEntry
+    born_ms: int = 0
+    # The store has no entry of it any more.
+    departed: bool = False
+    # Planned work is about to end it; it gets no new tasks.
+    cordoned: bool = False
+    leaves_at: float | None = None
+    runs: dict[tuple[TaskId, int], Run] = field(default_factory=dict)
+    used: Resources = Resources()
+    # Last answer under this leader's token; None before the first.
+    contact_at: float | None = None
+    clock_ms: int = 0
+    clock_at: float = 0.0
+    # Highest lease end that was sent, on the worker's clock.
+    lease_ms: int = 0
+    seen_sequence: int = 0
+    acknowledged: int = 0
+    # Ends whose records are not yet stored: sequence and the job versions to wait for.
+    unstored_ends: list[tuple[int, dict[JobId, int]]] = field(default_factory=list)
+    failures_in_row: int = 0
+    failed_jobs: set[JobId] = field(default_factory=set)
+    quarantined_until: float = float("-inf")
+    # Its runs were given up after its lease had ended.
+    expired: bool = False
+
+    @property
+    def worker_id(self) -> WorkerId:
+        """Return the worker's id."""
+        return self.entry.worker
+
+    @property
+    def free(self) -> Resources:
+        """Return the capacity that no run holds."""
+        return self.entry.capacity - self.used
+
+    def clock_now_ms(self, now: float) -> int:
+        """Return the most that the worker's clock can show."""
+        return self.clock_ms + int((now - self.clock_at) * 1000)
+
+    def lease_has_ended(self, now: float, inherited_until: float) -> bool:
+        """Return whether every lease that was ever given has surely ended.
+
+        ``inherited_until`` bounds the leases of earlier leaders, for a worker that
+        has not yet answered this one.
+        """
+        if self.contact_at is None:
+            return now > inherited_until
+        elapsed_ms = (now - self.clock_at) * 1000 / SLOW_CLOCK_FACTOR
+        return self.clock_ms + elapsed_ms > self.lease_ms + CLOCK_MARGIN_MS
+
+    def add(self, run: Run) -> None:
+        """Reserve capacity for a run."""
+        self.runs[run.key] = run
+        self.used = self.used + run.reserved
+
+    def remove(self, run: Run) -> None:
+        """Free the capacity of a run."""
+        if self.runs.pop(run.key, None) is not None:
+            self.used = self.used - run.reserved
+
+    def tasks_of_step(self, job: JobId, occurrence: int, step: int) -> int:
+        """Return how many runs of a step are here."""
+        return sum(
+            1
+            for task, _ in self.runs
+            if task.job == job and task.occurrence == occurrence and task.step == step
+        )
+
+
+@dataclass(eq=False, slots=True)
+class Job:
+    """A job with its progress; ``arrived_at`` is monotonic seconds."""
+
+    accepted: AcceptedJob
+    progress: ProgressRecord
+    queue: QueueName
+    service: ServiceName
+    arrived_at: float
+    cancelled: bool = False
+    version: int = 0
+    stored_version: int = 0
+    # Ready tasks without a run, by occurrence and step.
+    pending: dict[tuple[int, int], set[int]] = field(default_factory=dict)
+    avoid: dict[TaskId, set[WorkerId]] = field(default_factory=dict)
+    next_due: int = 0
+
+    @property
+    def job_id(self) -> JobId:
+        """Return the job's id."""
+        return self.accepted.job
+
+    @property
+    def final(self) -> bool:
+        """Return whether the job has ended."""
+        return self.progress.state.final
+
+    @property
+    def started(self) -> bool:
+        """Return whether a task of the job has started."""
+        return self.progress.state is not JobState.QUEUED
--- /dev/null
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -0,0 +1,153 @@
+"""The leader's contact with one worker: holds in a loop, and single orders."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from expression import Result
+
+from ..clock import Clock
+from ..events import Event, log_event
+from ..ids import FencingToken
+from ..metrics import Metrics
+from ..platform.workers import WorkerClient
+from .model import OrderFailure, StartOrder, WorkerReport
+from .orders import PaceRun, StopRun
+from .runs import Run, Worker
+
+# Seconds for which a hold lets everything on the worker run on. Longer than a take-over
+# of leadership, and below the platform's limit of 10 s.
+HOLD_SECONDS = 6.0
+# Seconds that a hold waits for an end before it returns.
+LONG_POLL_SECONDS = 1.0
+# Seconds between holds while ends can not be stored.
+UNSTORED_PAUSE_SECONDS = 0.25
+# Seconds between attempts at a worker that does not answer.
+RETRY_SECONDS = 0.25
+# Seconds in which a start must reach its worker. Less than the 2 s after which an order
+# without an answer may still be carried out.
+START_VALID_SECONDS = 1.8
+
+
+class WorkerLink:
+    """Owns the connections to one worker."""
+
+    def __init__(
+        self,
+        worker: Worker,
+        client: WorkerClient,
+        token: FencingToken,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+        on_report: Callable[[Worker, WorkerReport, float], None],
+        on_fenced: Callable[[Worker], None],
+    ) -> None:
+        self.worker = worker
+        self.client = client
+        self.token = token
+        self.clock = clock
+        self.rng = rng
+        self.metrics = metrics
+        self.on_report = on_report
+        self.on_fenced = on_fenced
+        self.stored = asyncio.Event()
+        self.may_extend: Callable[[], bool] = lambda: True
+        self.reachable = True
+
+    async def run(self) -> None:
+        """Hold the worker until cancelled."""
+        try:
+            while True:
+                await self.hold_once(self._wait_seconds())
+        finally:
+            self.client.close()
+
+    def _wait_seconds(self) -> float:
+        first = self.worker.contact_at is None
+        return 0.0 if first or self.worker.unstored_ends else LONG_POLL_SECONDS
+
+    async def hold_once(self, wait_seconds: float) -> None:
+        """Make one hold and hand on what it reports."""
+        sent_at = self.clock.monotonic()
+        result = await self.look(wait_seconds)
+        if result.is_ok():
+            if not self.reachable:
+                self.reachable = True
+                log_event(Event.WORKER_REACHABLE, worker=self.worker.worker_id)
+            self.on_report(self.worker, result.ok, sent_at)
+            await self._wait_for_store()
+            return
+        self.metrics.order_failures.labels("hold", result.error.value).inc()
+        if result.error is OrderFailure.FENCED:
+            self.on_fenced(self.worker)
+            await asyncio.sleep(RETRY_SECONDS)
+            return
+        if self.reachable:
+            self.reachable = False
+            log_event(
+                Event.WORKER_UNREACHABLE, worker=self.worker.worker_id,
+                reason=result.error.value,
+            )  # fmt: skip
+        await asyncio.sleep(RETRY_SECONDS * self.rng.uniform(0.8, 1.2))
+
+    async def look(self, wait_seconds: float) -> Result[WorkerReport, OrderFailure]:
+        """Read both lists; extends the lease if the worker's clock is known."""
+        lease: int | None = None
+        if self.worker.contact_at is not None and self.may_extend():
+            now = self.clock.monotonic()
+            lease = self.worker.clock_now_ms(now) + int(HOLD_SECONDS * 1000)
+            self.worker.lease_ms = max(self.worker.lease_ms, lease)
+        self.metrics.worker_orders.labels("hold").inc()
+        return await self.client.hold(
+            self.token, self.worker.acknowledged, lease, wait_seconds
+        )
+
+    async def _wait_for_store(self) -> None:
+        """Let the ends be stored, so that the next hold can acknowledge them."""
+        if not self.worker.unstored_ends:
+            return
+        self.stored.clear()
+        try:
+            async with asyncio.timeout(UNSTORED_PAUSE_SECONDS):
+                await self.stored.wait()
+        except TimeoutError:
+            return
+
+    async def start(
+        self, run: Run, text: str, ticket: str
+    ) -> Result[int, OrderFailure]:
+        """Order a start."""
+        now = self.clock.monotonic()
+        deadline = self.worker.clock_now_ms(now) + int(START_VALID_SECONDS * 1000)
+        self.worker.lease_ms = max(self.worker.lease_ms, deadline)
+        order = StartOrder(
+            run.task, run.number, text, deadline, self.token, run.checkpoint, ticket
+        )
+        self.metrics.worker_orders.labels("start").inc()
+        result = await self.client.start(order)
+        self._count("start", result)
+        self.metrics.start_seconds.observe(self.clock.monotonic() - run.planned_at)
+        return result
+
+    async def stop(self, order: StopRun) -> Result[int, OrderFailure]:
+        """Order a stop."""
+        self.metrics.worker_orders.labels("stop").inc()
+        result = await self.client.stop(order.task, order.number, self.token)
+        self._count("stop", result)
+        return result
+
+    async def pace(self, order: PaceRun) -> Result[int, OrderFailure]:
+        """Order a pace."""
+        self.metrics.worker_orders.labels("pace").inc()
+        result = await self.client.pace(
+            order.task, order.number, order.percent, self.token
+        )
+        self._count("pace", result)
+        return result
+
+    def _count(self, order: str, result: Result[int, OrderFailure]) -> None:
+        if result.is_error():
+            self.metrics.order_failures.labels(order, result.error.value).inc()
+            if result.error is OrderFailure.FENCED:
+                self.on_fenced(self.worker)
