--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -11,6 +11,7 @@
 from ..clock import SystemClock
 from ..cluster.leadership import (
     LEADER_KEY,
+    RENEW_SECONDS,
     Elections,
     Leader,
     LeaderRecord,
@@ -23,12 +24,19 @@
 from ..cluster.watches import PrefixWatch
 from ..configuration import Configuration
 from ..events import Event, log_event
-from ..ids import JobId, Revision
+from ..fleet.model import Wave
+from ..ids import JobId, Revision, WaveId
 from ..jobs.records import JOBS
 from ..metrics import Metrics
 from ..node_settings import NodeSettings
-from ..platform.cloud import AdvisorClient
-from ..platform.config import CONFIG_KEY, OPERATOR_PREFIX, decode_configuration
+from ..platform.cloud import AdvisorClient, CloudClient
+from ..platform.config import (
+    CONFIG_KEY,
+    OPERATOR_PREFIX,
+    WAVES,
+    decode_configuration,
+    decode_wave,
+)
 from ..platform.store import PlatformStore
 from ..scheduling.controller import Controller
 from ..servers import build_server, run_server
@@ -88,6 +96,14 @@
             if settings.advisor_address
             else None
         )
+        self.cloud = (
+            CloudClient(
+                settings.cloud_address, settings.entry, self.clock, self.metrics
+            )
+            if settings.cloud_address
+            else None
+        )
+        self.waves: dict[WaveId, Wave] = {}
         self.job_api = JobApi(
             self.service, lambda: self.configuration, self.clock, self.metrics
         )
@@ -124,6 +140,18 @@
         for item in batch.items:
             if item.key == CONFIG_KEY and item.value is not None:
                 self.adopt_configuration(item.value)
+            elif item.key.startswith(WAVES) and item.value is not None:
+                self.adopt_wave(item.key, item.value)
+
+    def adopt_wave(self, key: str, value: bytes) -> None:
+        """Take over a wave of upkeep."""
+        decoded = decode_wave(value)
+        if decoded.is_error():
+            log_event(Event.DOCUMENT_REJECTED, name=key, error=decoded.error)
+            return
+        self.waves[decoded.ok.wave] = decoded.ok
+        if self.controller is not None:
+            self.controller.see_wave(decoded.ok)
 
     def adopt_configuration(self, value: bytes) -> None:
         """Put a configuration into effect unless it is older."""
@@ -164,7 +192,9 @@
             )
         self.leader = leader
         term = self.term
-        if term is not None and (leader is None or int(leader.revision) != int(term.token)):
+        if term is not None and (
+            leader is None or int(leader.revision) != int(term.token)
+        ):
             if leader is None or int(leader.revision) > int(term.token):
                 self.end_term("key")
         self.leader_changed.set()
@@ -311,9 +341,11 @@
                 return
             controller = Controller(
                 term, self.store, self.mirror, self.advisor, self.clock, self.rng,
-                self.metrics, self.on_progress_stored,
+                self.metrics, self.cloud, self.on_progress_stored,
             )  # fmt: skip
             controller.configure(self.configuration)
+            for wave in self.waves.values():
+                controller.see_wave(wave)
             self.controller = controller
             running = asyncio.create_task(controller.run())
             await asyncio.wait({running})
@@ -351,8 +383,6 @@
 
     async def renew(self, term: Term) -> None:
         """Renew the lease of a term until it ends."""
-        from ..cluster.leadership import RENEW_SECONDS
-
         while not term.ended:
             await asyncio.sleep(RENEW_SECONDS)
             result = await self.elections.renew(term)
--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -123,6 +123,12 @@
     ENTRY_UNREADABLE = EventSpec(
         2309, _W, "entry of a worker is unreadable", "Check which program wrote it."
     )
+    WAVE_SEEN = EventSpec(2401, _I, "wave of upkeep seen", "None.")
+    WAVE_DONE = EventSpec(2402, _I, "wave of upkeep completed", "None.")
+    MOVE_PLANNED = EventSpec(2403, _I, "move of a VM planned", "None.")
+    UPKEEP_PLANNED = EventSpec(2404, _I, "upkeep of a VM planned", "None.")
+    CHANGE_ORDERED = EventSpec(2405, _I, "change of a VM ordered", "None.")
+    CHANGE_DROPPED = EventSpec(2406, _I, "change of a VM given up", "None.")
 
 
 _LEVELS = {
--- /dev/null
+++ b/src/ebonyhub/fleet/controller.py
@@ -0,0 +1,182 @@
+"""Carries out the planner's decisions: reads the list of VMs and calls the cloud."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from ..clock import Clock
+from ..cluster.leadership import LEADER_KEY, Term
+from ..cluster.metadata_store import ABSENT, MetadataStore, Transaction, Write
+from ..configuration import Configuration
+from ..events import Event, log_event
+from ..ids import PoolName, Revision, VmId, WaveId
+from ..platform.cloud import CloudClient, CloudFailure
+from ..platform.config import encode_wave_status
+from .demand import Demand
+from .model import Wave
+from .planner import Change, FleetPlanner, VmLoad
+
+# Seconds between two passes of the planner.
+STEP_SECONDS = 0.2
+# Seconds between readings of the list of VMs, while changes are under way and without.
+BUSY_LIST_SECONDS = 0.5
+IDLE_LIST_SECONDS = 2.0
+# Key prefix of the VMs of each wave whose upkeep has begun.
+WAVE_PROGRESS = "eb/w/"
+
+_RETRY = frozenset({CloudFailure.REFUSED, CloudFailure.UNKNOWN, CloudFailure.BUSY})
+
+LoadReader = Callable[[], Mapping[VmId, VmLoad]]
+DemandReader = Callable[[], Mapping[PoolName, Demand]]
+
+
+class FleetController:
+    """Moves and upkeep during one term of leadership."""
+
+    def __init__(
+        self,
+        term: Term,
+        store: MetadataStore,
+        cloud: CloudClient,
+        clock: Clock,
+        read_loads: LoadReader,
+        read_demands: DemandReader,
+        cordon: Callable[[set[VmId]], None],
+    ) -> None:
+        self.term = term
+        self.store = store
+        self.cloud = cloud
+        self.clock = clock
+        self.read_loads = read_loads
+        self.read_demands = read_demands
+        self.cordon = cordon
+        self.planner = FleetPlanner()
+        self.next_list = 0.0
+        self.revisions: dict[str, Revision] = {}
+        self.stored_done: dict[WaveId, int] = {}
+        self.calls: set[asyncio.Task[None]] = set()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take over which pools are standby."""
+        self.planner.standby = {
+            PoolName(name) for name, s in configuration.services.items() if s.standby
+        }
+
+    def see_wave(self, wave: Wave) -> None:
+        """Take over an operator's wave."""
+        self.planner.see_wave(wave, self.clock.monotonic())
+
+    async def run(self) -> None:
+        """Plan and order until cancelled."""
+        try:
+            await self._load_progress()
+            while True:
+                await self._step()
+                await asyncio.sleep(STEP_SECONDS)
+        finally:
+            for task in self.calls:
+                task.cancel()
+
+    async def _load_progress(self) -> None:
+        """Read which upkeep an earlier leader has begun."""
+        while True:
+            listed = await self.store.list(WAVE_PROGRESS)
+            if listed.is_ok():
+                break
+            await asyncio.sleep(STEP_SECONDS)
+        for item in listed.ok.items:
+            self.revisions[item.key] = item.revision
+            wave = WaveId(int(item.key.removeprefix(WAVE_PROGRESS)))
+            state = self.planner.waves.get(wave)
+            if state is not None and item.value is not None:
+                state.done |= set(msgspec.msgpack.decode(item.value, type=list[VmId]))
+                self.stored_done[wave] = len(state.done)
+
+    async def _step(self) -> None:
+        now = self.clock.monotonic()
+        if now >= self.next_list:
+            await self._read_vms()
+        now = self.clock.monotonic()
+        if not self.term.is_valid(now) or not self.planner.vms:
+            return
+        self.planner.loads = self.read_loads()
+        for change in self.planner.plan(self.read_demands(), now):
+            task = asyncio.create_task(self._order(change))
+            self.calls.add(task)
+            task.add_done_callback(self._call_done)
+        self.cordon(self.planner.cordoned())
+        await self._store_progress()
+
+    def _call_done(self, task: asyncio.Task[None]) -> None:
+        self.calls.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_event(Event.TASK_FAILED, task="cloud", error=repr(task.exception()))
+
+    async def _read_vms(self) -> None:
+        listed = await self.cloud.list_vms()
+        now = self.clock.monotonic()
+        pause = BUSY_LIST_SECONDS if self.planner.changes else IDLE_LIST_SECONDS
+        self.next_list = now + pause
+        if listed.is_ok():
+            self.planner.see_vms(listed.ok, now)
+
+    async def _order(self, change: Change) -> None:
+        """Ask the cloud for a change whose VM is empty."""
+        if change.wave is not None:
+            result = await self.cloud.start_upkeep(
+                change.vm, change.wave, self.term.token
+            )
+        else:
+            assert change.pool is not None
+            result = await self.cloud.move(change.vm, change.pool, self.term.token)
+        now = self.clock.monotonic()
+        log_event(
+            Event.CHANGE_ORDERED,
+            vm=change.vm,
+            pool=change.pool,
+            wave=change.wave,
+            outcome=result.error.value if result.is_error() else "accepted",
+        )
+        self.next_list = min(self.next_list, now + BUSY_LIST_SECONDS)
+        if result.is_ok():
+            self.planner.accepted(change, now)
+            return
+        if result.error is CloudFailure.FENCED:
+            self.term.ended = True
+        self.planner.refused(change, result.error.value, result.error in _RETRY, now)
+
+    async def _store_progress(self) -> None:
+        """Store which upkeep has begun, and tell operators how waves stand."""
+        for wave, state in self.planner.waves.items():
+            if state.completed or self.stored_done.get(wave) == len(state.done):
+                continue
+            count = len(state.done)
+            value = msgspec.msgpack.encode(sorted(state.done))
+            status = encode_wave_status(wave, completed=False)
+            rows = [(f"{WAVE_PROGRESS}{wave}", value)]
+            if not count:
+                rows.append(status)
+            if await self._write(rows):
+                self.stored_done[wave] = count
+        for state in self.planner.finished_waves():
+            status = encode_wave_status(state.wave.wave, completed=True)
+            if await self._write([status]):
+                state.completed = True
+                log_event(Event.WAVE_DONE, wave=state.wave.wave)
+
+    async def _write(self, rows: list[tuple[str, bytes]]) -> bool:
+        """Write keys while this entry leads; a changed key is written next time."""
+        conditions = {LEADER_KEY: Revision(int(self.term.token))}
+        for key, _ in rows:
+            conditions[key] = self.revisions.get(key, ABSENT)
+        writes = tuple(Write(key, value) for key, value in rows)
+        result = await self.store.commit(Transaction(conditions, writes))
+        if result.is_ok():
+            for key, _ in rows:
+                self.revisions[key] = result.ok
+            return True
+        for key, item in result.error.current.items():
+            if key != LEADER_KEY:
+                self.revisions[key] = item.revision
+        return False
--- /dev/null
+++ b/src/ebonyhub/fleet/planner.py
@@ -0,0 +1,356 @@
+"""Decides which VMs move between pools and which have their upkeep next.
+
+A VM is first cordoned, so that it gets no new tasks. Once its tasks have ended, the
+cloud is asked to move it or to begin its upkeep.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from math import ceil
+
+from ..events import Event, log_event
+from ..ids import PoolName, VmId, WaveId
+from .demand import Demand
+from .model import Vm, VmState, Wave
+
+# VMs that a pool with long-running tasks keeps after its surge: two, so that the loss
+# of one leaves it served.
+BASE_VMS = 2
+# Seconds within which a backlog is to be worked off.
+DRAIN_SECONDS = 0.8
+# Room above the forecast, since declared run times are rough.
+HEADROOM = 1.1
+# Seconds for which the highest recent target of a pool counts, so that a dip between
+# two jobs moves nothing. A parked VM pays for its two moves after about 2.5 s.
+HOLD_SECONDS = 2.0
+# Seconds that a cordoned VM may take to become empty before a move is given up.
+CORDON_LIMIT_SECONDS = 6.0
+# Seconds an upkeep takes with draining, for the time that a wave still needs.
+UPKEEP_ROUND_SECONDS = 4.5
+# A pool is in a surge while it wants this multiple of its first size.
+SURGE_FACTOR = 1.0
+
+
+class Phase(Enum):
+    """Step of a planned change of a VM."""
+
+    # Gets no new tasks; those it has go on.
+    CORDONED = "cordoned"
+    # The cloud has been asked.
+    ORDERED = "ordered"
+    # The cloud has accepted; the VM comes back in a while.
+    ACCEPTED = "accepted"
+
+
+@dataclass(slots=True)
+class Change:
+    """A planned move or upkeep of one VM; times are monotonic seconds."""
+
+    vm: VmId
+    phase: Phase
+    since: float
+    pool: PoolName | None = None
+    wave: WaveId | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class VmLoad:
+    """What runs on a VM."""
+
+    used_cores: float = 0.0
+    tasks: int = 0
+    long_running: int = 0
+
+
+@dataclass(slots=True)
+class WaveState:
+    """Progress of a wave; ``due_at`` is monotonic seconds."""
+
+    wave: Wave
+    due_at: float
+    done: set[VmId] = field(default_factory=set)
+    completed: bool = False
+
+
+@dataclass(slots=True)
+class PoolState:
+    """What the planner remembers of a pool."""
+
+    first_size: int
+    # Target sizes with the time at which each was wanted.
+    targets: list[tuple[float, int]] = field(default_factory=list)
+    surged: bool = False
+    in_surge: bool = False
+
+    def note_target(self, now: float, target: int) -> int:
+        """Add a target; return the highest of the last seconds."""
+        self.targets.append((now, target))
+        while self.targets[0][0] < now - HOLD_SECONDS:
+            self.targets.pop(0)
+        return max(size for _, size in self.targets)
+
+
+class FleetPlanner:
+    """Owns planned changes, waves and what is remembered of the pools."""
+
+    def __init__(self) -> None:
+        self.vms: dict[VmId, Vm] = {}
+        self.changes: dict[VmId, Change] = {}
+        self.waves: dict[WaveId, WaveState] = {}
+        self.pools: dict[PoolName, PoolState] = {}
+        self.standby: set[PoolName] = set()
+        self.loads: Mapping[VmId, VmLoad] = {}
+
+    # Facts
+
+    def see_vms(self, vms: list[Vm], now: float) -> None:
+        """Take over a reading of the list of VMs."""
+        self.vms = {vm.vm: vm for vm in vms}
+        if not self.pools and vms:
+            for pool in {vm.pool for vm in vms}:
+                size = sum(1 for vm in vms if vm.pool == pool)
+                self.pools[pool] = PoolState(size)
+        for change in list(self.changes.values()):
+            if change.phase is not Phase.ACCEPTED:
+                continue
+            vm = self.vms.get(change.vm)
+            if vm is None or vm.state is VmState.UP:
+                arrived = change.pool is None or (vm and vm.pool == change.pool)
+                if arrived and now - change.since > 1.0:
+                    del self.changes[change.vm]
+
+    def see_wave(self, wave: Wave, now: float) -> bool:
+        """Add a wave; return whether it is new."""
+        if wave.wave in self.waves:
+            return False
+        self.waves[wave.wave] = WaveState(wave, now + wave.duration)
+        log_event(
+            Event.WAVE_SEEN,
+            wave=wave.wave,
+            vms=len(wave.vms),
+            limit=wave.limit,
+            seconds=wave.duration,
+        )
+        return True
+
+    def size(self, pool: PoolName) -> int:
+        """Return the VMs of a pool, with those on their way and less those leaving."""
+        count = 0
+        for vm in self.vms.values():
+            change = self.changes.get(vm.vm)
+            target = change.pool if change and change.pool else vm.pool
+            if target == pool and vm.state is not VmState.DOWN:
+                count += 1
+        return count
+
+    def cordoned(self) -> set[VmId]:
+        """Return the VMs that must get no new tasks."""
+        return set(self.changes)
+
+    # Decisions
+
+    def plan(self, demands: Mapping[PoolName, Demand], now: float) -> list[Change]:
+        """Cordon VMs for waves and moves; return the changes to order now."""
+        targets = self._targets(demands, now)
+        self._plan_waves(targets, now)
+        self._plan_moves(targets, now)
+        return self._ready(now)
+
+    def _ready(self, now: float) -> list[Change]:
+        """Return the cordoned changes whose VM is empty."""
+        ready: list[Change] = []
+        for change in list(self.changes.values()):
+            if change.phase is not Phase.CORDONED:
+                continue
+            load = self.loads.get(change.vm, VmLoad())
+            if load.tasks == 0:
+                change.phase, change.since = Phase.ORDERED, now
+                ready.append(change)
+            elif change.wave is None and now - change.since > CORDON_LIMIT_SECONDS:
+                self._drop(change, "not empty in time")
+        return ready
+
+    def _drop(self, change: Change, reason: str) -> None:
+        del self.changes[change.vm]
+        log_event(
+            Event.CHANGE_DROPPED,
+            vm=change.vm,
+            pool=change.pool,
+            wave=change.wave,
+            reason=reason,
+        )
+
+    def accepted(self, change: Change, now: float) -> None:
+        """Note that the cloud carries a change out."""
+        change.phase, change.since = Phase.ACCEPTED, now
+        if change.wave is not None:
+            self.waves[change.wave].done.add(change.vm)
+
+    def refused(self, change: Change, reason: str, retry: bool, now: float) -> None:
+        """Note that the cloud refused; a change to retry stays cordoned."""
+        if retry:
+            change.phase, change.since = Phase.CORDONED, now
+        else:
+            self._drop(change, reason)
+
+    def _targets(
+        self, demands: Mapping[PoolName, Demand], now: float
+    ) -> dict[PoolName, int]:
+        """Return the wanted size of each pool that is not standby."""
+        targets: dict[PoolName, int] = {}
+        for pool, state in self.pools.items():
+            if pool in self.standby:
+                continue
+            demand = demands.get(pool, Demand())
+            cores = self._cores_per_vm(pool)
+            wanted = demand.forecast_cores(DRAIN_SECONDS) * HEADROOM / cores
+            target = state.note_target(now, ceil(wanted))
+            self._note_surge(state, target)
+            targets[pool] = max(target, self._reserve(state))
+        return targets
+
+    def _note_surge(self, state: PoolState, target: int) -> None:
+        """Remember which pools have had their turn in the present round."""
+        if target >= state.first_size * SURGE_FACTOR:
+            state.in_surge = True
+        elif state.in_surge and target <= state.first_size // 2:
+            state.in_surge, state.surged = False, True
+            rest = [s for p, s in self.pools.items() if p not in self.standby]
+            if all(s.surged for s in rest):
+                for other in rest:
+                    other.surged = other is state
+
+    def _reserve(self, state: PoolState) -> int:
+        """Return the size that a pool keeps without demand.
+
+        Queues surge in turn, so a pool that had its surge lends its VMs until every
+        other pool has had one.
+        """
+        return min(BASE_VMS, state.first_size) if state.surged else state.first_size
+
+    def _cores_per_vm(self, pool: PoolName) -> float:
+        sizes = [vm.capacity.cpu for vm in self.vms.values() if vm.pool == pool]
+        sizes = sizes or [vm.capacity.cpu for vm in self.vms.values()]
+        return max(1.0, sum(sizes) / max(1, len(sizes)) / 1000)
+
+    # Moves
+
+    def _plan_moves(self, targets: dict[PoolName, int], now: float) -> None:
+        surplus: list[Vm] = []
+        for pool, target in targets.items():
+            extra = self.size(pool) - target
+            if extra > 0:
+                surplus += self._free_vms(pool)[:extra]
+        for pool in self.standby:
+            surplus += self._free_vms(pool)
+        wanted = [
+            (target - self.size(pool), pool)
+            for pool, target in targets.items()
+            if target > self.size(pool)
+        ]
+        for missing, pool in sorted(wanted, reverse=True):
+            for _ in range(missing):
+                if not surplus:
+                    return
+                self._move(surplus.pop(0), pool, now)
+        if not self.standby:
+            return
+        home = min(self.standby)
+        for vm in surplus:
+            if vm.pool not in self.standby:
+                self._move(vm, home, now)
+
+    def _move(self, vm: Vm, pool: PoolName, now: float) -> None:
+        self.changes[vm.vm] = Change(vm.vm, Phase.CORDONED, now, pool=pool)
+        log_event(Event.MOVE_PLANNED, vm=vm.vm, source=vm.pool, pool=pool)
+
+    def _free_vms(self, pool: PoolName) -> list[Vm]:
+        """Return the VMs of a pool that may leave it, the emptiest first."""
+        free = [
+            vm
+            for vm in self.vms.values()
+            if vm.pool == pool and vm.state is VmState.UP and vm.vm not in self.changes
+        ]
+        free = [vm for vm in free if not self._load(vm).long_running]
+        return sorted(free, key=lambda vm: (self._load(vm).used_cores, vm.vm))
+
+    def _load(self, vm: Vm) -> VmLoad:
+        return self.loads.get(vm.vm, VmLoad())
+
+    # Waves
+
+    def _plan_waves(self, targets: dict[PoolName, int], now: float) -> None:
+        for state in self.waves.values():
+            if state.completed:
+                continue
+            waiting = [
+                self.vms[vm]
+                for vm in state.wave.vms
+                if vm in self.vms and vm not in state.done
+            ]
+            busy = sum(1 for vm in state.wave.vms if self._in_upkeep(vm))
+            rounds = ceil(len(waiting) / max(1, state.wave.limit))
+            hurry = now + (rounds + 1) * UPKEEP_ROUND_SECONDS > state.due_at
+            candidates = [
+                vm
+                for vm in waiting
+                if vm.vm not in self.changes and vm.state is VmState.UP
+            ]
+            candidates.sort(key=self._upkeep_order)
+            for vm in candidates:
+                if busy >= state.wave.limit:
+                    break
+                if not hurry and not self._can_spare(vm, targets):
+                    continue
+                self.changes[vm.vm] = Change(
+                    vm.vm, Phase.CORDONED, now, wave=state.wave.wave
+                )
+                log_event(
+                    Event.UPKEEP_PLANNED, vm=vm.vm, wave=state.wave.wave, hurry=hurry
+                )
+                busy += 1
+
+    def _in_upkeep(self, vm_id: VmId) -> bool:
+        change = self.changes.get(vm_id)
+        vm = self.vms.get(vm_id)
+        in_change = change is not None and change.wave is not None
+        return in_change or (vm is not None and vm.state is VmState.UPKEEP)
+
+    def _upkeep_order(self, vm: Vm) -> tuple[bool, int, float, VmId]:
+        load = self._load(vm)
+        return (
+            vm.pool not in self.standby,
+            load.long_running,
+            load.used_cores,
+            vm.vm,
+        )
+
+    def _can_spare(self, vm: Vm, targets: dict[PoolName, int]) -> bool:
+        """Return whether the pool does without the VM for the length of an upkeep."""
+        if vm.pool in self.standby:
+            return True
+        state = self.pools.get(vm.pool)
+        if state is None:
+            return True
+        wanted = max((size for _, size in state.targets), default=0)
+        away = sum(
+            1
+            for change in self.changes.values()
+            if change.wave is not None and self._pool_of(change.vm) == vm.pool
+        )
+        return self.size(vm.pool) - away - 1 >= max(1, wanted)
+
+    def _pool_of(self, vm_id: VmId) -> PoolName | None:
+        vm = self.vms.get(vm_id)
+        return vm.pool if vm else None
+
+    def finished_waves(self) -> list[WaveState]:
+        """Return the waves whose VMs have all begun their upkeep or are gone."""
+        return [
+            state
+            for state in self.waves.values()
+            if not state.completed
+            and self.vms
+            and all(vm in state.done or vm not in self.vms for vm in state.wave.vms)
+        ]
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -10,9 +10,11 @@
 from ..cluster.mirror import JobMirror
 from ..configuration import Configuration
 from ..events import Event, log_event
+from ..fleet.controller import FleetController
+from ..fleet.model import Wave
 from ..ids import JobId, Revision, WorkerId
 from ..metrics import Metrics
-from ..platform.cloud import AdvisorClient
+from ..platform.cloud import AdvisorClient, CloudClient
 from ..platform.config import WORKERS, decode_worker
 from ..platform.workers import WorkerClient
 from .committer import Committer
@@ -46,6 +48,7 @@
         clock: Clock,
         rng: random.Random,
         metrics: Metrics,
+        cloud: CloudClient | None,
         on_stored: Callable[[list[Item]], None],
     ) -> None:
         self.term = term
@@ -60,6 +63,19 @@
         self.committer = Committer(
             store, self.scheduler, term, clock, metrics, self._on_stored
         )
+        self.fleet = (
+            FleetController(
+                term,
+                store,
+                cloud,
+                clock,
+                self.scheduler.loads,
+                lambda: self.scheduler.demands(clock.monotonic()),
+                self.scheduler.set_cordoned,
+            )
+            if cloud is not None
+            else None
+        )
         self.links: dict[WorkerId, WorkerLink] = {}
         self.link_tasks: dict[WorkerId, asyncio.Task[None]] = {}
         self.order_tasks: set[asyncio.Task[None]] = set()
@@ -75,8 +91,15 @@
     def configure(self, configuration: Configuration) -> None:
         """Take over a newer configuration."""
         self.scheduler.configure(configuration)
+        if self.fleet is not None:
+            self.fleet.configure(configuration)
         self.wake.set()
 
+    def see_wave(self, wave: Wave) -> None:
+        """Take over an operator's wave."""
+        if self.fleet is not None:
+            self.fleet.see_wave(wave)
+
     def see_job(self, job_id: JobId) -> None:
         """Take over a job whose records changed in the mirror."""
         mirrored = self.mirror.jobs.get(job_id)
@@ -115,9 +138,10 @@
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.committer.run())
-                watching = group.create_task(self._watch_workers())
+                group.create_task(self._watch_workers())
+                if self.fleet is not None:
+                    group.create_task(self.fleet.run())
                 await self._drive()
-                watching.cancel()
                 raise asyncio.CancelledError
         finally:
             self._close()
@@ -252,7 +276,7 @@
 
     async def _carry_out(self, order: Order) -> None:
         match order:
-            case StartRun(run, ticket):
+            case StartRun():
                 await self._start(order)
             case StopRun():
                 link = self.links.get(order.worker)
--- a/src/ebonyhub/scheduling/placement.py
+++ b/src/ebonyhub/scheduling/placement.py
@@ -45,18 +45,21 @@
     """Return the cost of a placement; the lowest is best.
 
     Away from its data a task takes a multiple of its time, so this comes right after
-    workers on which the task failed before. Serving tasks and fillers spread, since
-    they share more than the reserved capacity; other tasks pack tightly, which leaves
-    whole workers free to be moved.
+    workers on which the task failed before. Long-running tasks of a step share two
+    workers, so that the loss of one leaves half of them. Everything packs tightly, which
+    leaves whole workers free to be moved; only fillers spread, since they live on what
+    others leave over.
     """
     step = needs.step
     failed_here = int(worker.worker_id in avoided)
     remote = int(bool(step.data_rack) and step.data_rack != worker.entry.rack)
-    spread = 0
-    if step.long_running or step.fills:
-        spread = sum(1 for run in worker.runs.values() if run.step.long_running)
-        return (failed_here, remote, spread, -float(worker.free.cpu))
-    return (failed_here, remote, spread, float(worker.free.cpu))
+    if step.fills:
+        return (failed_here, remote, 0, -float(worker.free.cpu))
+    crowded = 0
+    if step.long_running:
+        held = worker.tasks_of_step(needs.job, needs.occurrence, needs.step_number)
+        crowded = int(held >= (step.count + 1) // 2)
+    return (failed_here, remote, crowded, float(worker.free.cpu))
 
 
 def choose_worker(
--- a/src/ebonyhub/scheduling/scheduler.py
+++ b/src/ebonyhub/scheduling/scheduler.py
@@ -11,7 +11,9 @@
 
 from ..configuration import Configuration, Queue
 from ..events import Event, log_event
-from ..ids import JobId, QueueName, ServiceName, TaskId, WorkerId
+from ..fleet.demand import ArrivalMeter, Demand
+from ..fleet.planner import VmLoad
+from ..ids import JobId, PoolName, QueueName, ServiceName, TaskId, VmId, WorkerId
 from ..jobs.model import AcceptedJob, Resources, StepSpec
 from ..jobs.records import JobState, ProgressRecord
 from . import lifecycle
@@ -63,8 +65,7 @@
         # Tickets of the advisor by step: workers and the time they are valid until.
         self.tickets: dict[tuple[JobId, int, int], dict[WorkerId, str]] = {}
         self.steps_without_advice: dict[tuple[JobId, int, int], QueueName] = {}
-        # Workers that planned work is about to end.
-        self.cordoned: set[WorkerId] = set()
+        self.arrivals: dict[ServiceName, ArrivalMeter] = {}
 
     # Configuration and jobs
 
@@ -100,6 +101,10 @@
             return
         job.next_due = job.progress.next_occurrence
         self.active[accepted.job] = job
+        if not accepted.spec.long_running:
+            meter = self.arrivals.setdefault(self._service_of(job), ArrivalMeter())
+            work = sum(step.core_seconds for step in accepted.spec.steps)
+            meter.add(job.arrived_at, work)
         for number, steps in job.progress.occurrences.items():
             if steps:
                 self._adopt_runs(job, number, now)
@@ -534,14 +539,44 @@
         for run in list(worker.runs.values()):
             if run.stop is not None:
                 self._stop(run, run.stop, now)
-            elif worker.entry.draining and run.step.long_running:
-                self._evacuate(run, now)
+            elif run.step.long_running and (worker.entry.draining or worker.cordoned):
+                self._evacuate(run, worker, now)
 
-    def _evacuate(self, run: Run, now: float) -> None:
-        """Stop a long-running task on a worker that is leaving."""
-        if run.phase is RunPhase.CONFIRMED:
+    def _evacuate(self, run: Run, worker: Worker, now: float) -> None:
+        """Stop a long-running task, so that it starts again on another worker.
+
+        Planned work keeps to the number of tasks that may be unavailable at once. A
+        worker that drains ends its tasks anyway.
+        """
+        if run.phase is not RunPhase.CONFIRMED:
+            return
+        if worker.entry.draining or self._may_interrupt(run, now):
             self._stop(run, StopReason.WORKER_LEAVES, now)
 
+    def _may_interrupt(self, run: Run, now: float) -> bool:
+        """Return whether the step can do without the run, and another worker has room."""
+        job = self.jobs.get(run.task.job)
+        if job is None or job.final:
+            return True
+        at_work = 0
+        for worker in self.workers.values():
+            for other in worker.runs.values():
+                same = other.task[:3] == run.task[:3] and other is not run
+                if same and is_at_work(other) and worker.contact_at is not None:
+                    at_work += 1
+        away = run.step.count - 1 - at_work
+        if away >= max(1, run.step.max_unavailable):
+            return False
+        needs = StepNeeds(job.job_id, run.task.occurrence, run.task.step, run.step)
+        service = self._service_of(job)
+        others = [
+            worker
+            for worker in self.workers.values()
+            if worker.entry.service == service and self.eligible(worker, now)
+        ]
+        others = [worker for worker in others if allows(needs, worker)]
+        return choose_worker(needs, others) is not None
+
     # Planning
 
     def plan(self, now: float) -> None:
@@ -641,6 +676,57 @@
                 counts[job.queue] = counts.get(job.queue, 0) + 1
         return counts
 
+    # What the planner of the fleet asks
+
+    def set_cordoned(self, vms: set[VmId]) -> None:
+        """Keep new tasks away from the workers on these VMs."""
+        for worker in self.workers.values():
+            worker.cordoned = worker.entry.vm in vms
+
+    def loads(self) -> dict[VmId, VmLoad]:
+        """Return what runs on each VM."""
+        loads: dict[VmId, VmLoad] = {}
+        for worker in self.workers.values():
+            if worker.expired or not worker.entry.vm:
+                continue
+            serving = sum(1 for run in worker.runs.values() if run.step.long_running)
+            loads[worker.entry.vm] = VmLoad(
+                worker.used.cpu / 1000, len(worker.runs), serving
+            )
+        return loads
+
+    def demands(self, now: float) -> dict[PoolName, Demand]:
+        """Return the demand of each service."""
+        found: dict[PoolName, Demand] = {}
+        backlog: dict[ServiceName, float] = {}
+        serving: dict[ServiceName, float] = {}
+        for job in self.active.values():
+            service = self._service_of(job)
+            for number, step in enumerate(job.accepted.spec.steps):
+                if step.long_running:
+                    cores = step.count * step.reserved.cpu / 1000
+                    serving[service] = serving.get(service, 0.0) + cores
+                    continue
+                for steps in job.progress.occurrences.values():
+                    if not steps:
+                        continue
+                    state = steps[number]
+                    left = step.count - len(state.done) - len(state.runs)
+                    work = left * step.demand.cpu * step.estimate_ms / 1e6
+                    backlog[service] = backlog.get(service, 0.0) + work
+        for service in {*backlog, *serving, *self.arrivals}:
+            meter = self.arrivals.get(service)
+            recent, before = meter.rates(now) if meter else (0.0, 0.0)
+            found[PoolName(service)] = Demand(
+                serving.get(service, 0.0), recent, before, backlog.get(service, 0.0)
+            )
+        return found
+
+
+def is_at_work(run: Run) -> bool:
+    """Return whether a long-running task is serving."""
+    return run.phase is RunPhase.CONFIRMED and run.stop is None and run.percent >= 100
+
 
 def _short(task: TaskId) -> str:
     return f"{task.occurrence}.{task.step}.{task.position}"
