--- a/src/ebonyhub/fleet/controller.py
+++ b/src/ebonyhub/fleet/controller.py
@@ -14,7 +14,7 @@
 from ..platform.cloud import CloudClient, CloudFailure
 from ..platform.config import encode_wave_status
 from .demand import Demand
-from .model import Wave
+from .model import Vm, Wave
 from .planner import Change, FleetPlanner, VmLoad
 
 # Seconds between two passes of the planner.
@@ -43,6 +43,8 @@
         read_loads: LoadReader,
         read_demands: DemandReader,
         cordon: Callable[[set[VmId]], None],
+        on_vms: Callable[[list[Vm]], None],
+        is_urgent: Callable[[], bool],
     ) -> None:
         self.term = term
         self.store = store
@@ -51,8 +53,12 @@
         self.read_loads = read_loads
         self.read_demands = read_demands
         self.cordon = cordon
+        self.on_vms = on_vms
+        # Whether a worker with runs is silent, so that its VM's state is wanted soon.
+        self.is_urgent = is_urgent
         self.planner = FleetPlanner()
         self.next_list = 0.0
+        self.listed_at = 0.0
         self.revisions: dict[str, Revision] = {}
         self.stored_done: dict[WaveId, int] = {}
         self.calls: set[asyncio.Task[None]] = set()
@@ -95,6 +101,8 @@
 
     async def _step(self) -> None:
         now = self.clock.monotonic()
+        if self.is_urgent():
+            self.next_list = min(self.next_list, self.listed_at + BUSY_LIST_SECONDS)
         if now >= self.next_list:
             await self._read_vms()
         now = self.clock.monotonic()
@@ -118,8 +126,10 @@
         now = self.clock.monotonic()
         pause = BUSY_LIST_SECONDS if self.planner.changes else IDLE_LIST_SECONDS
         self.next_list = now + pause
+        self.listed_at = now
         if listed.is_ok():
             self.planner.see_vms(listed.ok, now)
+            self.on_vms(listed.ok)
 
     async def _order(self, change: Change) -> None:
         """Ask the cloud for a change whose VM is empty."""
--- a/src/ebonyhub/scheduling/committer.py
+++ b/src/ebonyhub/scheduling/committer.py
@@ -89,15 +89,16 @@
             group.append(job)
             if len(group) == JOBS_PER_COMMIT:
                 break
+        # Marked before the commit's task first runs, or the next group would hold the
+        # same jobs.
+        self.in_flight |= {job.job_id for job in group}
         return group
 
     async def _store_group(self, group: list[Job]) -> None:
-        names = {job.job_id for job in group}
-        self.in_flight |= names
         try:
             await self._commit(group)
         finally:
-            self.in_flight -= names
+            self.in_flight -= {job.job_id for job in group}
 
     async def _commit(self, group: list[Job]) -> None:
         versions = {job.job_id: job.version for job in group}
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -72,6 +72,8 @@
                 self.scheduler.loads,
                 lambda: self.scheduler.demands(clock.monotonic()),
                 self.scheduler.set_cordoned,
+                lambda vms: self.scheduler.see_vms(vms, clock.monotonic()),
+                lambda: bool(self.scheduler.silent_workers(clock.monotonic())),
             )
             if cloud is not None
             else None
--- a/src/ebonyhub/scheduling/scheduler.py
+++ b/src/ebonyhub/scheduling/scheduler.py
@@ -12,6 +12,7 @@
 from ..configuration import Configuration, Queue
 from ..events import Event, log_event
 from ..fleet.demand import ArrivalMeter, Demand
+from ..fleet.model import Vm, VmState
 from ..fleet.planner import VmLoad
 from ..ids import JobId, PoolName, QueueName, ServiceName, TaskId, VmId, WorkerId
 from ..jobs.model import AcceptedJob, Resources, StepSpec
@@ -246,11 +247,27 @@
             worker.departed = True
             log_event(Event.WORKER_GONE, worker=worker_id, runs=len(worker.runs))
 
-    def worker_is_dead(self, worker_id: WorkerId, now: float, wall_ms: int) -> None:
-        """Give up the runs of a worker whose life has surely ended."""
-        worker = self.workers.get(worker_id)
-        if worker is not None and not worker.expired:
-            self._expire(worker, "dead", now)
+    def see_vms(self, vms: Iterable[Vm], now: float) -> None:
+        """Give up the runs of silent workers whose VM is down or lives another life."""
+        by_id = {vm.vm: vm for vm in vms}
+        for worker in self.silent_workers(now):
+            vm = by_id.get(worker.entry.vm)
+            if vm is None:
+                continue
+            replaced = vm.worker and vm.worker != worker.worker_id
+            if vm.state is VmState.DOWN or replaced:
+                self._expire(worker, f"vm_{vm.state.value}", now)
+
+    def silent_workers(self, now: float) -> list[Worker]:
+        """Return the workers with runs that do not answer."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.runs
+            and not worker.expired
+            and worker.entry.vm
+            and not self.is_answering(worker, now)
+        ]
 
     def _expire(self, worker: Worker, cause: str, now: float) -> None:
         worker.expired = True
@@ -270,6 +287,11 @@
         lifecycle.drop_run(job, run.task, run.checkpoint)
         self._mark_dirty(job)
 
+    def is_answering(self, worker: Worker, now: float) -> bool:
+        """Return whether the worker answered this leader a moment ago."""
+        contact = worker.contact_at
+        return contact is not None and now - contact < CONTACT_LIMIT_SECONDS
+
     def eligible(self, worker: Worker, now: float) -> bool:
         """Return whether the worker may get new tasks."""
         return (
@@ -277,8 +299,7 @@
             and not worker.entry.draining
             and not worker.cordoned
             and not worker.expired
-            and worker.contact_at is not None
-            and now - worker.contact_at < CONTACT_LIMIT_SECONDS
+            and self.is_answering(worker, now)
             and now >= worker.quarantined_until
         )
 
@@ -562,7 +583,7 @@
         for worker in self.workers.values():
             for other in worker.runs.values():
                 same = other.task[:3] == run.task[:3] and other is not run
-                if same and is_at_work(other) and worker.contact_at is not None:
+                if same and is_at_work(other) and self.is_answering(worker, now):
                     at_work += 1
         away = run.step.count - 1 - at_work
         if away >= max(1, run.step.max_unavailable):
--- a/src/ebonyhub/scheduling/worker_link.py
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -22,6 +22,8 @@
 LONG_POLL_SECONDS = 1.0
 # Seconds between holds while ends can not be stored.
 UNSTORED_PAUSE_SECONDS = 0.25
+# Seconds without an answer after which a worker's lease is left to run out.
+SILENCE_SECONDS = LONG_POLL_SECONDS + 0.6
 # Seconds between attempts at a worker that does not answer.
 RETRY_SECONDS = 0.25
 # Seconds in which a start must reach its worker. Less than the 2 s after which an order
@@ -94,8 +96,8 @@
     async def look(self, wait_seconds: float) -> Result[WorkerReport, OrderFailure]:
         """Read both lists; extends the lease if the worker's clock is known."""
         lease: int | None = None
-        if self.worker.contact_at is not None and self.may_extend():
-            now = self.clock.monotonic()
+        now = self.clock.monotonic()
+        if self._is_answering(now) and self.may_extend():
             lease = self.worker.clock_now_ms(now) + int(HOLD_SECONDS * 1000)
             self.worker.lease_ms = max(self.worker.lease_ms, lease)
         self.metrics.worker_orders.labels("hold").inc()
@@ -103,6 +105,15 @@
             self.token, self.worker.acknowledged, lease, wait_seconds
         )
 
+    def _is_answering(self, now: float) -> bool:
+        """Return whether the worker's lease may be extended.
+
+        A hold without an answer may be carried out all the same. The lease of a silent
+        worker must run out, or its runs could never be given up.
+        """
+        contact = self.worker.contact_at
+        return contact is not None and now - contact < SILENCE_SECONDS
+
     async def _wait_for_store(self) -> None:
         """Let the ends be stored, so that the next hold can acknowledge them."""
         if not self.worker.unstored_ends:
