Move VMs by the cores that tasks can use at once, and lend what is only held in reserve

Cause: a pool's target counted work that can not run side by side, so pools with one large job drew VMs that a surging pool needed; VMs held in reserve were never lent; after a restart a pool that had borrowed VMs kept them as its own.

--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -129,6 +129,7 @@
     UPKEEP_PLANNED = EventSpec(2404, _I, "upkeep of a VM planned", "None.")
     CHANGE_ORDERED = EventSpec(2405, _I, "change of a VM ordered", "None.")
     CHANGE_DROPPED = EventSpec(2406, _I, "change of a VM given up", "None.")
+    POOL_TARGET = EventSpec(2407, _I, "size and target of a pool", "None.")
 
 
 _LEVELS = {
--- a/src/ebonyhub/fleet/controller.py
+++ b/src/ebonyhub/fleet/controller.py
@@ -64,7 +64,8 @@
         self.calls: set[asyncio.Task[None]] = set()
 
     def configure(self, configuration: Configuration) -> None:
-        """Take over which pools are standby."""
+        """Take over the pools, and which of them are standby."""
+        self.planner.declared = {PoolName(name) for name in configuration.services}
         self.planner.standby = {
             PoolName(name) for name, s in configuration.services.items() if s.standby
         }
--- a/src/ebonyhub/fleet/demand.py
+++ b/src/ebonyhub/fleet/demand.py
@@ -8,28 +8,30 @@
 WINDOW_SECONDS = 1.0
 
 
+# Seconds ahead that a rising rate is followed: a move and the delay of the average.
+LOOK_AHEAD_SECONDS = 1.5
+
+
 @dataclass(frozen=True, slots=True)
 class Demand:
-    """Demand of one service in cores, and core-seconds for the backlog."""
+    """Demand of one service in cores."""
 
-    # Cores that long-running tasks hold or wait for.
+    # Held or waited for by long-running tasks.
     long_running: float = 0.0
-    # Cores that the work of the last window would keep busy.
+    # Held by other tasks.
+    running: float = 0.0
+    # Wanted at once by tasks that are ready and have no worker.
+    waiting: float = 0.0
+    # Kept busy by the work that arrived in the last window, and in the one before.
     arriving: float = 0.0
-    # The same one window earlier.
     arrived_before: float = 0.0
-    # Work of accepted jobs that no worker runs yet.
-    backlog: float = 0.0
-
-    def forecast_cores(self, drain_seconds: float) -> float:
-        """Return the cores wanted at the time when a move takes effect.
-
-        A rising rate goes on rising for the length of a move; the backlog is to be
-        gone within ``drain_seconds``.
-        """
-        rise = max(0.0, self.arriving - self.arrived_before)
-        work = self.arriving + rise + self.backlog / drain_seconds
-        return self.long_running + work
+
+    @property
+    def cores(self) -> float:
+        """Return the cores wanted at the time when a move takes effect."""
+        rise = max(0.0, self.arriving - self.arrived_before) * LOOK_AHEAD_SECONDS
+        present = max(self.running + self.waiting, self.arriving)
+        return self.long_running + present + rise
 
 
 @dataclass(slots=True)
--- a/src/ebonyhub/fleet/planner.py
+++ b/src/ebonyhub/fleet/planner.py
@@ -4,7 +4,7 @@
 cloud is asked to move it or to begin its upkeep.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from math import ceil
@@ -17,8 +17,6 @@
 # VMs that a pool with long-running tasks keeps after its surge: two, so that the loss
 # of one leaves it served.
 BASE_VMS = 2
-# Seconds within which a backlog is to be worked off.
-DRAIN_SECONDS = 0.8
 # Room above the forecast, since declared run times are rough.
 HEADROOM = 1.1
 # Seconds for which the highest recent target of a pool counts, so that a dip between
@@ -61,6 +59,7 @@
     used_cores: float = 0.0
     tasks: int = 0
     long_running: int = 0
+    long_running_cores: float = 0.0
 
 
 @dataclass(slots=True)
@@ -73,11 +72,20 @@
     completed: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Wanted sizes of a pool: what it needs now, and what it keeps beyond that."""
+
+    least: int
+    keep: int
+
+
 @dataclass(slots=True)
 class PoolState:
     """What the planner remembers of a pool."""
 
-    first_size: int
+    # An even share of all VMs.
+    share: int
     # Target sizes with the time at which each was wanted.
     targets: list[tuple[float, int]] = field(default_factory=list)
     surged: bool = False
@@ -99,18 +107,22 @@
         self.changes: dict[VmId, Change] = {}
         self.waves: dict[WaveId, WaveState] = {}
         self.pools: dict[PoolName, PoolState] = {}
+        # All pools of the configuration, and those whose VMs are off.
+        self.declared: set[PoolName] = set()
         self.standby: set[PoolName] = set()
         self.loads: Mapping[VmId, VmLoad] = {}
+        self.logged: dict[PoolName, tuple[int, int, int]] = {}
 
     # Facts
 
     def see_vms(self, vms: list[Vm], now: float) -> None:
         """Take over a reading of the list of VMs."""
         self.vms = {vm.vm: vm for vm in vms}
-        if not self.pools and vms:
-            for pool in {vm.pool for vm in vms}:
-                size = sum(1 for vm in vms if vm.pool == pool)
-                self.pools[pool] = PoolState(size)
+        if not self.pools and vms and self.declared:
+            for pool in self.declared:
+                # A predecessor may have lent most VMs to one pool.
+                even = len(vms) // len(self.declared)
+                self.pools[pool] = PoolState(even)
         for change in list(self.changes.values()):
             if change.phase is not Phase.ACCEPTED:
                 continue
@@ -134,14 +146,18 @@
         )
         return True
 
-    def size(self, pool: PoolName) -> int:
-        """Return the VMs of a pool, with those on their way and less those leaving."""
+    def usable(self, pool: PoolName) -> int:
+        """Return the VMs that serve a pool or are on their way to it.
+
+        VMs that leave it or that have their upkeep do not count.
+        """
         count = 0
         for vm in self.vms.values():
             change = self.changes.get(vm.vm)
-            target = change.pool if change and change.pool else vm.pool
-            if target == pool and vm.state is not VmState.DOWN:
-                count += 1
+            if change is None:
+                count += vm.pool == pool and vm.state in (VmState.UP, VmState.MOVING)
+            elif change.wave is None:
+                count += change.pool == pool
         return count
 
     def cordoned(self) -> set[VmId]:
@@ -155,8 +171,29 @@
         targets = self._targets(demands, now)
         self._plan_waves(targets, now)
         self._plan_moves(targets, now)
+        self._log_pools(targets, demands)
         return self._ready(now)
 
+    def _log_pools(
+        self, targets: dict[PoolName, Target], demands: Mapping[PoolName, Demand]
+    ) -> None:
+        """Log sizes and targets whenever one of them changes."""
+        state = {
+            pool: (self.usable(pool), target.least, target.keep)
+            for pool, target in targets.items()
+        }
+        if state == self.logged:
+            return
+        self.logged = state
+        for pool, (size, least, keep) in state.items():
+            demand = demands.get(pool, Demand())
+            log_event(
+                Event.POOL_TARGET, pool=pool, size=size, least=least, keep=keep,
+                arriving=round(demand.arriving, 1), waiting=round(demand.waiting, 1),
+                running=round(demand.running, 1),
+                long_running=round(demand.long_running, 1),
+            )  # fmt: skip
+
     def _ready(self, now: float) -> list[Change]:
         """Return the cordoned changes whose VM is empty."""
         ready: list[Change] = []
@@ -196,25 +233,26 @@
 
     def _targets(
         self, demands: Mapping[PoolName, Demand], now: float
-    ) -> dict[PoolName, int]:
-        """Return the wanted size of each pool that is not standby."""
-        targets: dict[PoolName, int] = {}
+    ) -> dict[PoolName, Target]:
+        """Return the wanted sizes of each pool that is not standby."""
+        targets: dict[PoolName, Target] = {}
         for pool, state in self.pools.items():
             if pool in self.standby:
                 continue
             demand = demands.get(pool, Demand())
-            cores = self._cores_per_vm(pool)
-            wanted = demand.forecast_cores(DRAIN_SECONDS) * HEADROOM / cores
-            target = state.note_target(now, ceil(wanted))
-            self._note_surge(state, target)
-            targets[pool] = max(target, self._reserve(state))
+            need = ceil(demand.cores * HEADROOM / self._cores_per_vm(pool))
+            held = state.note_target(now, need)
+            self._note_surge(state, held)
+            keep = max(held, self._reserve(state))
+            least = max(need, min(BASE_VMS, state.share))
+            targets[pool] = Target(least, max(keep, least))
         return targets
 
     def _note_surge(self, state: PoolState, target: int) -> None:
         """Remember which pools have had their turn in the present round."""
-        if target >= state.first_size * SURGE_FACTOR:
+        if target >= state.share * SURGE_FACTOR:
             state.in_surge = True
-        elif state.in_surge and target <= state.first_size // 2:
+        elif state.in_surge and target <= state.share // 2:
             state.in_surge, state.surged = False, True
             rest = [s for p, s in self.pools.items() if p not in self.standby]
             if all(s.surged for s in rest):
@@ -227,7 +265,7 @@
         Queues surge in turn, so a pool that had its surge lends its VMs until every
         other pool has had one.
         """
-        return min(BASE_VMS, state.first_size) if state.surged else state.first_size
+        return min(BASE_VMS, state.share) if state.surged else state.share
 
     def _cores_per_vm(self, pool: PoolName) -> float:
         sizes = [vm.capacity.cpu for vm in self.vms.values() if vm.pool == pool]
@@ -236,29 +274,69 @@
 
     # Moves
 
-    def _plan_moves(self, targets: dict[PoolName, int], now: float) -> None:
-        surplus: list[Vm] = []
-        for pool, target in targets.items():
-            extra = self.size(pool) - target
-            if extra > 0:
-                surplus += self._free_vms(pool)[:extra]
-        for pool in self.standby:
-            surplus += self._free_vms(pool)
-        wanted = [
-            (target - self.size(pool), pool)
-            for pool, target in targets.items()
-            if target > self.size(pool)
-        ]
-        for missing, pool in sorted(wanted, reverse=True):
-            for _ in range(missing):
-                if not surplus:
-                    return
-                self._move(surplus.pop(0), pool, now)
-        if not self.standby:
-            return
+    def _plan_moves(self, targets: dict[PoolName, Target], now: float) -> None:
+        """Fill what is needed now, then what is held in reserve, and park the rest."""
+        free = {pool: self._free_vms(pool) for pool in self.pools}
+        usable = {pool: self.usable(pool) for pool in self.pools}
+        for pool in self._by_shortage(targets, usable, lambda target: target.least):
+            while usable[pool] < targets[pool].least:
+                source = self._donor(targets, usable, free, lend=True)
+                if source is None:
+                    break
+                self._move(free[source].pop(0), pool, now)
+                usable[source] -= 1
+                usable[pool] += 1
+        for pool in self._by_shortage(targets, usable, lambda target: target.keep):
+            while usable[pool] < targets[pool].keep:
+                source = self._donor(targets, usable, free, lend=False)
+                if source is None:
+                    break
+                self._move(free[source].pop(0), pool, now)
+                usable[source] -= 1
+                usable[pool] += 1
+        if self.standby:
+            self._park(targets, usable, free, now)
+
+    def _by_shortage(
+        self,
+        targets: dict[PoolName, Target],
+        usable: dict[PoolName, int],
+        wanted: Callable[[Target], int],
+    ) -> list[PoolName]:
+        """Return the pools that have too few VMs, the worst first."""
+        short = [pool for pool in targets if usable[pool] < wanted(targets[pool])]
+        return sorted(short, key=lambda pool: usable[pool] / wanted(targets[pool]))
+
+    def _donor(
+        self,
+        targets: dict[PoolName, Target],
+        usable: dict[PoolName, int],
+        free: dict[PoolName, list[Vm]],
+        lend: bool,
+    ) -> PoolName | None:
+        """Return the pool that gives a VM: one with a surplus, then a standby pool.
+
+        With ``lend`` also a pool that only holds its VMs in reserve.
+        """
+        surplus = [p for p in targets if free[p] and usable[p] > targets[p].keep]
+        parked = [p for p in self.standby if free.get(p)]
+        lent = [p for p in targets if free[p] and usable[p] > targets[p].least]
+        for group in (surplus, parked, lent if lend else []):
+            if group:
+                return max(group, key=lambda pool: (usable[pool], pool))
+        return None
+
+    def _park(
+        self,
+        targets: dict[PoolName, Target],
+        usable: dict[PoolName, int],
+        free: dict[PoolName, list[Vm]],
+        now: float,
+    ) -> None:
+        """Move the VMs that nobody wants to a standby pool."""
         home = min(self.standby)
-        for vm in surplus:
-            if vm.pool not in self.standby:
+        for pool, target in targets.items():
+            for vm in free[pool][: max(0, usable[pool] - target.keep)]:
                 self._move(vm, home, now)
 
     def _move(self, vm: Vm, pool: PoolName, now: float) -> None:
@@ -280,7 +358,7 @@
 
     # Waves
 
-    def _plan_waves(self, targets: dict[PoolName, int], now: float) -> None:
+    def _plan_waves(self, targets: dict[PoolName, Target], now: float) -> None:
         for state in self.waves.values():
             if state.completed:
                 continue
@@ -303,6 +381,8 @@
                     break
                 if not hurry and not self._can_spare(vm, targets):
                     continue
+                if not self._can_rehouse(vm):
+                    continue
                 self.changes[vm.vm] = Change(
                     vm.vm, Phase.CORDONED, now, wave=state.wave.wave
                 )
@@ -326,20 +406,25 @@
             vm.vm,
         )
 
-    def _can_spare(self, vm: Vm, targets: dict[PoolName, int]) -> bool:
+    def _can_spare(self, vm: Vm, targets: dict[PoolName, Target]) -> bool:
         """Return whether the pool does without the VM for the length of an upkeep."""
-        if vm.pool in self.standby:
-            return True
-        state = self.pools.get(vm.pool)
-        if state is None:
+        target = targets.get(vm.pool)
+        return target is None or self.usable(vm.pool) - 1 >= target.least
+
+    def _can_rehouse(self, vm: Vm) -> bool:
+        """Return whether another VM of the pool has room for the long-running tasks."""
+        load = self._load(vm)
+        if not load.long_running:
             return True
-        wanted = max((size for _, size in state.targets), default=0)
-        away = sum(
-            1
-            for change in self.changes.values()
-            if change.wave is not None and self._pool_of(change.vm) == vm.pool
+        return any(
+            other.vm != vm.vm
+            and other.pool == vm.pool
+            and other.state is VmState.UP
+            and other.vm not in self.changes
+            and other.capacity.cpu / 1000 - self._load(other).used_cores
+            >= load.long_running_cores
+            for other in self.vms.values()
         )
-        return self.size(vm.pool) - away - 1 >= max(1, wanted)
 
     def _pool_of(self, vm_id: VmId) -> PoolName | None:
         vm = self.vms.get(vm_id)
--- a/src/ebonyhub/scheduling/scheduler.py
+++ b/src/ebonyhub/scheduling/scheduler.py
@@ -47,6 +47,10 @@
 STUCK_SECONDS = 2.0
 
 
+# Seconds in which tasks that wait for a worker are to be worked off.
+BACKLOG_SECONDS = 1.0
+
+
 class Scheduler:
     """Owns jobs, workers and runs; one task drives it."""
 
@@ -710,40 +714,66 @@
         for worker in self.workers.values():
             if worker.expired or not worker.entry.vm:
                 continue
-            serving = sum(1 for run in worker.runs.values() if run.step.long_running)
+            serving = [
+                run.reserved.cpu / 1000
+                for run in worker.runs.values()
+                if run.step.long_running
+            ]
             loads[worker.entry.vm] = VmLoad(
-                worker.used.cpu / 1000, len(worker.runs), serving
+                worker.used.cpu / 1000, len(worker.runs), len(serving), sum(serving)
             )
         return loads
 
     def demands(self, now: float) -> dict[PoolName, Demand]:
         """Return the demand of each service."""
-        found: dict[PoolName, Demand] = {}
-        backlog: dict[ServiceName, float] = {}
         serving: dict[ServiceName, float] = {}
+        running: dict[ServiceName, float] = {}
+        waiting: dict[ServiceName, float] = {}
         for job in self.active.values():
             service = self._service_of(job)
-            for number, step in enumerate(job.accepted.spec.steps):
+            for step in job.accepted.spec.steps:
                 if step.long_running:
                     cores = step.count * step.reserved.cpu / 1000
                     serving[service] = serving.get(service, 0.0) + cores
-                    continue
-                for steps in job.progress.occurrences.values():
-                    if not steps:
-                        continue
-                    state = steps[number]
-                    left = step.count - len(state.done) - len(state.runs)
-                    work = left * step.demand.cpu * step.estimate_ms / 1e6
-                    backlog[service] = backlog.get(service, 0.0) + work
-        for service in {*backlog, *serving, *self.arrivals}:
+            wanted = _waiting_cores(job)
+            waiting[service] = waiting.get(service, 0.0) + wanted
+        for worker in self.workers.values():
+            cores = sum(
+                run.reserved.cpu / 1000
+                for run in worker.runs.values()
+                if not run.step.long_running
+            )
+            service = worker.entry.service
+            running[service] = running.get(service, 0.0) + cores
+        found: dict[PoolName, Demand] = {}
+        for service in {*serving, *running, *waiting, *self.arrivals}:
             meter = self.arrivals.get(service)
             recent, before = meter.rates(now) if meter else (0.0, 0.0)
             found[PoolName(service)] = Demand(
-                serving.get(service, 0.0), recent, before, backlog.get(service, 0.0)
+                serving.get(service, 0.0),
+                running.get(service, 0.0),
+                waiting.get(service, 0.0),
+                recent,
+                before,
             )
         return found
 
 
+def _waiting_cores(job: Job) -> float:
+    """Return the cores that the job's ready tasks want at once.
+
+    A task that is shorter than the time allowed for a backlog needs only a part of a
+    core's time.
+    """
+    cores = 0.0
+    for (_, number), indexes in job.pending.items():
+        step = job.accepted.spec.steps[number]
+        if not step.long_running:
+            share = min(1.0, step.estimate_ms / 1000 / BACKLOG_SECONDS)
+            cores += len(indexes) * step.reserved.cpu / 1000 * share
+    return cores
+
+
 def is_at_work(run: Run) -> bool:
     """Return whether a long-running task is serving."""
     return run.phase is RunPhase.CONFIRMED and run.stop is None and run.percent >= 100
