Fuzz the scheduler in fake time; two faults that the fuzzing found

The emulator drives the real scheduler with workers, a store and take-overs in fake time; the oracle checks TWICE, ORDER, BUDGET, LIMIT, ROUTE, UNASKED and, after a calm, LOST.

Found by seed 1: a start under way to a worker that is reborn under its id was given up, and the task started twice. Found by seeds 38 and 57: the old life's acknowledgement was sent to the new life, which then forgot ends that nobody had stored. Both fail without the change.

--- a/src/ebonyhub/cluster/metadata_store.py
+++ b/src/ebonyhub/cluster/metadata_store.py
@@ -87,6 +87,10 @@
 class MetadataStore(Protocol):
     """Typed interface of the store; every method is at least one priced call."""
 
+    @property
+    def failing(self) -> bool:
+        """Return whether the latest call failed, from any part of this process."""
+
     async def get(self, key: str) -> Result[Item | None, StoreFailure]:
         """Read one key; None if it does not exist."""
 
--- a/src/ebonyhub/connection_pool.py
+++ b/src/ebonyhub/connection_pool.py
@@ -55,6 +55,10 @@
             self.open_count -= 1
         return opened
 
+    def has_usable(self) -> bool:
+        """Return whether ``acquire`` would use a connection that is already open."""
+        return any(connection.usable for connection in self.idle)
+
     async def _open(self) -> Result[HttpConnection, ExchangeError]:
         try:
             return await open_connection(
--- a/src/ebonyhub/entry/job_service.py
+++ b/src/ebonyhub/entry/job_service.py
@@ -30,8 +30,6 @@
 from ..jobs.records import JobState, accepted_key, cancelled_key
 from ..metrics import Metrics
 
-# Seconds for which a failed call to the store sends callers' calls to peers first.
-DISTRUST_SECONDS = 1.0
 # Seconds without news from the watch and the leader after which reads ask a peer.
 STALE_SECONDS = 2.5
 
@@ -70,7 +68,6 @@
         self.metrics = metrics
         self.call_peer = call_peer
         self.on_stored = on_stored
-        self.distrusted_until = float("-inf")
         self.fresh_at = float("-inf")
 
     # Submissions
@@ -84,7 +81,7 @@
             int(self.clock.wall() * 1000), spec,
         )  # fmt: skip
         value = msgspec.msgpack.encode(accepted)
-        if not self.store_is_distrusted():
+        if not self.store.failing:
             answer = await self.store_submission(job_id, value)
             if answer is not NOT_STORED:
                 return answer
@@ -111,7 +108,6 @@
                 self._adopt(key, stored or value, revision)
                 return ACCEPTED
             unknown = unknown or failure.kind is StoreFailure.UNKNOWN
-            self.distrusted_until = self.clock.monotonic() + DISTRUST_SECONDS
             if failure.kind is not StoreFailure.UNKNOWN:
                 break
         return OUTCOME_UNKNOWN if unknown else NOT_STORED
@@ -146,7 +142,7 @@
             if answer.state is not None:
                 return answer
             return JobAnswer(mirrored.shown_state)
-        if not self.store_is_distrusted():
+        if not self.store.failing:
             answer = await self.read_store(job_id)
             if answer is not NOT_STORED:
                 return answer
@@ -157,7 +153,6 @@
         key = accepted_key(job_id)
         found = await self.store.get(key)
         if found.is_error():
-            self.distrusted_until = self.clock.monotonic() + DISTRUST_SECONDS
             return NOT_STORED
         if found.ok is None:
             return NOT_FOUND
@@ -176,7 +171,7 @@
         answer = await self.read(job_id)
         if answer.state is None or answer.state.final:
             return answer
-        if not self.store_is_distrusted():
+        if not self.store.failing:
             stored = await self.store_cancel(job_id)
             if stored is not NOT_STORED:
                 return stored
@@ -191,6 +186,8 @@
     async def answer_peer(self, method: str, argument: Any) -> tuple[int, Any]:
         """Carry out a call that a peer passed on, with this entry's own means."""
         job_id = JobId(argument[0])
+        if self.store.failing and method != "read":
+            return encode_peer_answer(NOT_STORED)
         if method == "submit":
             if self._known(job_id):
                 return encode_peer_answer(ACCEPTED)
@@ -202,12 +199,6 @@
             return encode_peer_answer(JobAnswer(mirrored.shown_state))
         return encode_peer_answer(await self.read_store(job_id))
 
-    # Beliefs
-
-    def store_is_distrusted(self) -> bool:
-        """Return whether the store failed a call of this entry a moment ago."""
-        return self.clock.monotonic() < self.distrusted_until
-
     def _known(self, job_id: JobId) -> bool:
         mirrored = self.mirror.jobs.get(job_id)
         return mirrored is not None and mirrored.accepted is not None
--- a/src/ebonyhub/http_session.py
+++ b/src/ebonyhub/http_session.py
@@ -67,6 +67,10 @@
         except TimeoutError:
             return Error(ExchangeError(ErrorKind.BACKEND_TIMEOUT, written))
 
+    def will_reuse(self) -> bool:
+        """Return whether the next call uses a connection that is already open."""
+        return self.pool.has_usable()
+
     def close(self) -> None:
         """Close idle connections; busy ones close when their exchange ends."""
         self.pool.idle_seconds = 0.0
--- a/src/ebonyhub/platform/store.py
+++ b/src/ebonyhub/platform/store.py
@@ -22,8 +22,10 @@
 
 # Seconds. A healthy store answers in milliseconds; a slow one takes a quarter of a
 # second.
-CALL_TIMEOUT_SECONDS = 1.0
+CALL_TIMEOUT_SECONDS = 0.7
 CONNECTION_LIMIT = 16
+# Seconds for which a failure without a later answer counts; watches try again sooner.
+FAILURE_MEMORY_SECONDS = 1.5
 
 
 class PlatformStore:
@@ -31,7 +33,16 @@
 
     def __init__(self, address: str, clock: Clock, metrics: Metrics) -> None:
         self.session = HttpSession(address, clock, CONNECTION_LIMIT)
+        self.clock = clock
         self.metrics = metrics
+        self.answered_at = float("-inf")
+        self.failed_at = float("-inf")
+
+    @property
+    def failing(self) -> bool:
+        """Return whether the last answer is older than a recent failure."""
+        recent = self.clock.monotonic() - self.failed_at < FAILURE_MEMORY_SECONDS
+        return recent and self.failed_at > self.answered_at
 
     async def _call(
         self,
@@ -47,13 +58,16 @@
             method, target.encode(), encoded, CALL_TIMEOUT_SECONDS + extra_seconds
         )
         if result.is_error():
+            self.failed_at = self.clock.monotonic()
             self.metrics.store_calls.labels(operation, result.error.kind.value).inc()
             written = result.error.bytes_written
             return Error(StoreFailure.UNKNOWN if written else StoreFailure.REFUSED)
         status = result.ok.status
         self.metrics.store_calls.labels(operation, str(status)).inc()
         if status == 429 or status >= 500:
+            self.failed_at = self.clock.monotonic()
             return Error(StoreFailure.REFUSED)
+        self.answered_at = self.clock.monotonic()
         return Ok(result.ok)
 
     async def get(self, key: str) -> Result[Item | None, StoreFailure]:
--- a/src/ebonyhub/platform/workers.py
+++ b/src/ebonyhub/platform/workers.py
@@ -50,12 +50,18 @@
 
     def __init__(self, worker: WorkerId, address: str, clock: Clock) -> None:
         self.session = HttpSession(address, clock, CONNECTION_LIMIT)
+        # Holds have one connection, which ends with the worker's process.
+        self.hold_session = HttpSession(address, clock, 1)
         self.headers = ((b"X-Expected-Instance", worker.encode()),)
 
     async def _order(
-        self, target: bytes, body: dict[str, Any], extra_seconds: float = 0.0
+        self,
+        target: bytes,
+        body: dict[str, Any],
+        extra_seconds: float = 0.0,
+        session: HttpSession | None = None,
     ) -> Result[SmallResponse, OrderFailure]:
-        result = await self.session.call(
+        result = await (session or self.session).call(
             b"POST",
             target,
             msgspec.json.encode(body),
@@ -109,14 +115,32 @@
         lease_until_ms: int | None,
         wait_seconds: float,
     ) -> Result[WorkerReport, OrderFailure]:
-        """Extend the lease of all runs, acknowledge ends and read both lists."""
+        """Extend the lease of all runs, acknowledge ends and read both lists.
+
+        A worker that started anew under its id counts its ends from 1 again, so
+        nothing is acknowledged on a connection that has not yet reported.
+        """
+        if not self.hold_session.will_reuse():
+            acknowledged = 0
         body: dict[str, Any] = {"FencingToken": token, "AckCursor": acknowledged}
         if lease_until_ms is not None:
             body["DeadlineMs"] = lease_until_ms
         wait_ms = int(wait_seconds * 1000)
         if wait_ms:
             body["WaitMs"] = wait_ms
-        result = await self._order(b"/hold", body, extra_seconds=wait_seconds)
+        result = await self._order(b"/hold", body, wait_seconds, self.hold_session)
+        if result.is_error():
+            return Error(result.error)
+        return Ok(_report(msgspec.json.decode(result.ok.body)))
+
+    async def look(
+        self, token: FencingToken, lease_until_ms: int | None
+    ) -> Result[WorkerReport, OrderFailure]:
+        """Read both lists beside a hold that waits; acknowledges nothing."""
+        body: dict[str, Any] = {"FencingToken": token, "AckCursor": 0}
+        if lease_until_ms is not None:
+            body["DeadlineMs"] = lease_until_ms
+        result = await self._order(b"/hold", body)
         if result.is_error():
             return Error(result.error)
         return Ok(_report(msgspec.json.decode(result.ok.body)))
@@ -124,6 +148,7 @@
     def close(self) -> None:
         """Close the connections."""
         self.session.close()
+        self.hold_session.close()
 
 
 def _clock(result: Result[SmallResponse, OrderFailure]) -> Result[int, OrderFailure]:
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -294,7 +294,7 @@
             case LookAtWorker():
                 link = self.links.get(order.worker)
                 if link is not None:
-                    await link.hold_once(0.0)
+                    await link.look()
 
     async def _start(self, order: StartRun) -> None:
         run = order.run
--- a/src/ebonyhub/scheduling/scheduler.py
+++ b/src/ebonyhub/scheduling/scheduler.py
@@ -335,13 +335,15 @@
         self.advance_acknowledgements(worker)
 
     def _handle_rebirth(self, worker: Worker, report: WorkerReport, now: float) -> None:
-        """Forget everything about an earlier life under the same id."""
+        """Forget what an earlier life under the same id listed.
+
+        Its runs are missing from the new life's lists. A start that is under way may
+        reach the new life, so it is not given up here.
+        """
         log_event(
             Event.WORKER_REBORN, worker=worker.worker_id, born=report.born_ms,
             runs=len(worker.runs),
         )  # fmt: skip
-        for run in list(worker.runs.values()):
-            self._give_up(run, worker)
         worker.seen_sequence = 0
         worker.acknowledged = 0
         worker.unstored_ends.clear()
--- a/src/ebonyhub/scheduling/worker_link.py
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -72,7 +72,11 @@
     async def hold_once(self, wait_seconds: float) -> None:
         """Make one hold and hand on what it reports."""
         sent_at = self.clock.monotonic()
-        result = await self.look(wait_seconds)
+        lease = self._next_lease(sent_at)
+        self.metrics.worker_orders.labels("hold").inc()
+        result = await self.client.hold(
+            self.token, self.worker.acknowledged, lease, wait_seconds
+        )
         if result.is_ok():
             if not self.reachable:
                 self.reachable = True
@@ -80,30 +84,38 @@
             self.on_report(self.worker, result.ok, sent_at)
             await self._wait_for_store()
             return
-        self.metrics.order_failures.labels("hold", result.error.value).inc()
-        if result.error is OrderFailure.FENCED:
-            self.on_fenced(self.worker)
-            await asyncio.sleep(RETRY_SECONDS)
-            return
-        if self.reachable:
+        self._note_failure("hold", result.error)
+        if self.reachable and result.error is not OrderFailure.FENCED:
             self.reachable = False
             log_event(
-                Event.WORKER_UNREACHABLE, worker=self.worker.worker_id,
+                Event.WORKER_UNREACHABLE,
+                worker=self.worker.worker_id,
                 reason=result.error.value,
-            )  # fmt: skip
+            )
         await asyncio.sleep(RETRY_SECONDS * self.rng.uniform(0.8, 1.2))
 
-    async def look(self, wait_seconds: float) -> Result[WorkerReport, OrderFailure]:
-        """Read both lists; extends the lease if the worker's clock is known."""
-        lease: int | None = None
-        now = self.clock.monotonic()
-        if self._is_answering(now) and self.may_extend():
-            lease = self.worker.clock_now_ms(now) + int(HOLD_SECONDS * 1000)
-            self.worker.lease_ms = max(self.worker.lease_ms, lease)
-        self.metrics.worker_orders.labels("hold").inc()
-        return await self.client.hold(
-            self.token, self.worker.acknowledged, lease, wait_seconds
-        )
+    async def look(self) -> None:
+        """Read both lists now, beside the hold that waits."""
+        sent_at = self.clock.monotonic()
+        self.metrics.worker_orders.labels("look").inc()
+        result = await self.client.look(self.token, self._next_lease(sent_at))
+        if result.is_ok():
+            self.on_report(self.worker, result.ok, sent_at)
+        else:
+            self._note_failure("look", result.error)
+
+    def _note_failure(self, order: str, failure: OrderFailure) -> None:
+        self.metrics.order_failures.labels(order, failure.value).inc()
+        if failure is OrderFailure.FENCED:
+            self.on_fenced(self.worker)
+
+    def _next_lease(self, now: float) -> int | None:
+        """Return the lease's end on the worker's clock, None to leave it."""
+        if not self._is_answering(now) or not self.may_extend():
+            return None
+        lease = self.worker.clock_now_ms(now) + int(HOLD_SECONDS * 1000)
+        self.worker.lease_ms = max(self.worker.lease_ms, lease)
+        return lease
 
     def _is_answering(self, now: float) -> bool:
         """Return whether the worker's lease may be extended.
@@ -159,6 +171,4 @@
 
     def _count(self, order: str, result: Result[int, OrderFailure]) -> None:
         if result.is_error():
-            self.metrics.order_failures.labels(order, result.error.value).inc()
-            if result.error is OrderFailure.FENCED:
-                self.on_fenced(self.worker)
+            self._note_failure(order, result.error)
--- /dev/null
+++ b/tests/test_scheduler_fuzz.py
@@ -0,0 +1,126 @@
+"""Stateful fuzzing of the scheduler against the oracle of the users' promises.
+
+Guards against tasks that run twice, before their turn, beyond a worker's capacity or
+after their cancel, whatever is lost, late, cut off, reborn or taken over.
+"""
+
+import random
+
+import pytest
+
+from ebonyhub.jobs.model import JobSpec, Resources, StepSpec
+from ebonyhub.jobs.records import JobState
+from standins.emulator import Emulator, Faults
+
+SEEDS = range(60)
+CALM_SECONDS = 30.0
+
+
+def random_spec(rng: random.Random) -> JobSpec:
+    steps = []
+    for number in range(rng.choice([1, 1, 2, 3])):
+        steps.append(
+            StepSpec(
+                count=rng.randint(1, 5),
+                demand=Resources(rng.choice([500, 1500, 3000]), 500, 0),
+                estimate_ms=rng.choice([200, 700, 1500]),
+                after=(number - 1,) if number and rng.random() < 0.8 else (),
+                max_per_worker=rng.choice([0, 0, 2]),
+            )
+        )
+    return JobSpec("text", tuple(steps))
+
+
+def long_running_spec(rng: random.Random) -> JobSpec:
+    step = StepSpec(
+        count=rng.randint(1, 4),
+        demand=Resources(1000, 500, 0),
+        long_running=True,
+        max_per_worker=2,
+        max_unavailable=1,
+    )
+    return JobSpec("text", (step,))
+
+
+def disturb(emulator: Emulator, rng: random.Random) -> None:
+    """Do one random thing to the emulated platform."""
+    name = rng.choice(list(emulator.workers))
+    worker = emulator.workers[name]
+    match rng.randrange(9):
+        case 0:
+            emulator.kill_leader()
+        case 1 | 2:
+            emulator.elect()
+        case 3:
+            worker.cut = not worker.cut
+        case 4:
+            emulator.crash(name)
+        case 5:
+            emulator.reborn(name)
+        case 6:
+            emulator.store_up = not emulator.store_up
+        case 7:
+            worker.registered = worker.up and not worker.registered
+        case 8:
+            jobs = list(emulator.accepted)
+            if jobs:
+                emulator.cancel(rng.choice(jobs))
+
+
+def heal(emulator: Emulator) -> None:
+    """End every fault."""
+    emulator.faults = Faults()
+    emulator.oracle.failure_share = 0.0
+    emulator.store_up = True
+    for name, worker in emulator.workers.items():
+        worker.cut = False
+        emulator.reborn(name)
+        worker.registered = True
+    if emulator.scheduler is None:
+        emulator.elect()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_promises_hold_under_faults(seed: int):
+    rng = random.Random(seed)
+    faults = Faults(
+        lost_answer=rng.choice([0.0, 0.1]),
+        late_order=rng.choice([0.0, 0.05, 0.2]),
+        failed_commit=rng.choice([0.0, 0.1]),
+        late_commit=rng.choice([0.0, 0.1]),
+    )
+    emulator = Emulator(seed, faults=faults)
+    emulator.oracle.failure_share = rng.choice([0.0, 0.05])
+    jobs = [emulator.submit(long_running_spec(rng))]
+    for _ in range(60):
+        emulator.run(rng.uniform(0.05, 1.5))
+        if rng.random() < 0.7:
+            jobs.append(emulator.submit(random_spec(rng)))
+        if rng.random() < 0.4:
+            disturb(emulator, rng)
+        if emulator.scheduler is None and rng.random() < 0.5:
+            emulator.elect()
+    heal(emulator)
+    emulator.run(CALM_SECONDS)
+    for job in jobs:
+        state = emulator.state(job)
+        if job in emulator.cancelled:
+            assert state.final
+        elif emulator.accepted[job].spec.long_running:
+            assert state is JobState.RUNNING
+            count = emulator.accepted[job].spec.steps[0].count
+            held = [
+                t for w in emulator.workers.values() for t in w.runs if t.job == job
+            ]
+            assert len(held) == count
+        else:
+            assert state in (JobState.COMPLETED, JobState.FAILED)
+
+
+def test_job_that_always_fails_is_named_failed():
+    emulator = Emulator(1)
+    job = emulator.submit(JobSpec("t", (StepSpec(2, Resources(500, 100), 300),)))
+    emulator.oracle.poisoned.add(job)
+    emulator.run(10)
+    assert emulator.state(job) is JobState.FAILED
+    assert all(history.starts <= 3 for history in emulator.oracle.tasks.values())
