Hand leadership over when the store turns the leader away; judge workers by their tasks

Entries now register in a directory, any stream carries calls both ways, and a leader whose calls fail asks a follower to take over. Workers on which tasks stand still or take much longer than elsewhere are set aside. Nothing is parked in the first 3 s of a term. Targets count present cores, and pools keep three VMs in reserve instead of an even share.

--- a/src/ebonyhub/cluster/leadership.py
+++ b/src/ebonyhub/cluster/leadership.py
@@ -23,6 +23,8 @@
 )
 
 LEADER_KEY = "eb/n/leader"
+# Followed by an entry's id: the address of its peer listener.
+DIRECTORY = "eb/n/e/"
 # Seconds. Short enough for a successor to begin within the 3 s of a ready task, long
 # enough for renewals at a store that takes a quarter of a second.
 LEASE_SECONDS = 2.0
--- a/src/ebonyhub/cluster/peers.py
+++ b/src/ebonyhub/cluster/peers.py
@@ -1,15 +1,16 @@
 """Streams between entries: msgpack arrays over TCP.
 
-An entry keeps one stream to the leader. It tells the leader what it has stored, passes
-on calls that it can not carry out itself, and receives every record that the leader
-stores. The first array on a stream is ``[PROTOCOL_VERSION, cluster entry id]``.
+An entry keeps one stream to the leader, or to any peer while it does not know who
+leads. It tells the leader what it has stored and receives every record that the leader
+stores. Either side passes calls on that it can not carry out itself. The first array on
+a stream is ``[PROTOCOL_VERSION, entry id]``; the accepting side answers with the leader
+that it knows.
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from enum import IntEnum
-from typing import Any
+from typing import Any, Protocol
 
 import msgpack
 from expression import Error, Ok, Result
@@ -39,6 +40,8 @@
     CALL = 2
     # [kind, sequence, status, payload]
     REPLY = 3
+    # [kind, revision, value]: the leader's key, as the sender last saw it.
+    LEADER = 4
 
 
 class PeerFailure(IntEnum):
@@ -51,8 +54,19 @@
 
 
 Record = tuple[str, int, bytes]
-RecordHandler = Callable[[list[Record]], None]
-CallHandler = Callable[[str, Any], Awaitable[tuple[int, Any]]]
+
+
+class StreamEvents(Protocol):
+    """What the owner of streams does with messages."""
+
+    def on_peer_records(self, records: list[Record]) -> None:
+        """Take over records that a peer stored."""
+
+    def on_peer_leader(self, revision: int, value: bytes) -> None:
+        """Take over who leads, as a peer sees it."""
+
+    async def on_peer_call(self, method: str, argument: Any) -> tuple[int, Any]:
+        """Carry out a call that a peer passed on; return status and payload."""
 
 
 class Stream:
@@ -68,6 +82,11 @@
         self.replies: dict[int, asyncio.Future[tuple[int, Any]]] = {}
         self.background: set[asyncio.Task[None]] = set()
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether messages can still be sent."""
+        return not self.writer.is_closing()
+
     def send(self, message: list[Any]) -> bool:
         """Queue a message; a peer that does not read loses the stream."""
         return self.send_packed(msgpack.packb(message))
@@ -82,7 +101,7 @@
         self.writer.write(packed)
         return True
 
-    async def run(self, on_records: RecordHandler, on_call: CallHandler | None) -> None:
+    async def run(self, events: StreamEvents) -> None:
         """Handle messages until the stream ends or goes silent."""
         pings = asyncio.create_task(self._send_pings())
         try:
@@ -93,7 +112,7 @@
                     return
                 self.unpacker.feed(data)
                 for message in self.unpacker:
-                    self._handle(message, on_records, on_call)
+                    self._handle(message, events)
         except (OSError, TimeoutError, msgpack.UnpackException, ValueError) as error:
             log_event(Event.PEER_STREAM_FAILED, error=repr(error))
         finally:
@@ -104,27 +123,24 @@
         while self.send([Kind.PING]):
             await asyncio.sleep(PING_SECONDS)
 
-    def _handle(
-        self,
-        message: list[Any],
-        on_records: RecordHandler,
-        on_call: CallHandler | None,
-    ) -> None:
+    def _handle(self, message: list[Any], events: StreamEvents) -> None:
         kind = message[0]
         if kind == Kind.RECORDS:
-            on_records([(row[0], row[1], row[2]) for row in message[1]])
-        elif kind == Kind.CALL and on_call is not None:
-            task = asyncio.create_task(self._answer(on_call, message))
+            events.on_peer_records([(row[0], row[1], row[2]) for row in message[1]])
+        elif kind == Kind.CALL:
+            task = asyncio.create_task(self._answer(events, message))
             self.background.add(task)
             task.add_done_callback(self.background.discard)
         elif kind == Kind.REPLY:
             future = self.replies.pop(message[1], None)
             if future is not None and not future.done():
                 future.set_result((message[2], message[3]))
+        elif kind == Kind.LEADER:
+            events.on_peer_leader(message[1], message[2])
 
-    async def _answer(self, on_call: CallHandler, message: list[Any]) -> None:
+    async def _answer(self, events: StreamEvents, message: list[Any]) -> None:
         _, sequence, method, argument = message
-        status, payload = await on_call(method, argument)
+        status, payload = await events.on_peer_call(method, argument)
         self.send([Kind.REPLY, sequence, status, payload])
 
     async def call(
@@ -174,14 +190,13 @@
 class PeerServer:
     """Accepts streams of other entries and sends them what this entry stores."""
 
-    def __init__(
-        self, ip: str, port: int, on_records: RecordHandler, on_call: CallHandler
-    ) -> None:
+    def __init__(self, ip: str, port: int, events: StreamEvents) -> None:
         self.ip = ip
         self.port = port
-        self.on_records = on_records
-        self.on_call = on_call
+        self.events = events
         self.streams: set[Stream] = set()
+        # The leader's key as last seen, sent to every entry that connects.
+        self.leader: tuple[int, bytes] | None = None
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -205,8 +220,10 @@
             stream.close()
             return
         self.streams.add(stream)
+        if self.leader is not None:
+            stream.send([Kind.LEADER, *self.leader])
         try:
-            await stream.run(self.on_records, self.on_call)
+            await stream.run(self.events)
         finally:
             self.streams.discard(stream)
 
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -5,11 +5,13 @@
 import signal
 from typing import Any
 
+import msgspec
 from expression import Error, Result
 from prometheus_client import CollectorRegistry
 
 from ..clock import SystemClock
 from ..cluster.leadership import (
+    DIRECTORY,
     LEADER_KEY,
     RENEW_SECONDS,
     Elections,
@@ -18,14 +20,21 @@
     Term,
     decode_leader,
 )
-from ..cluster.metadata_store import ABSENT, Batch, Item, StoreFailure
+from ..cluster.metadata_store import (
+    ABSENT,
+    Batch,
+    Item,
+    StoreFailure,
+    Transaction,
+    Write,
+)
 from ..cluster.mirror import JobMirror
 from ..cluster.peers import PeerFailure, PeerServer, Record, Stream, connect
 from ..cluster.watches import PrefixWatch
 from ..configuration import Configuration
 from ..events import Event, log_event
 from ..fleet.model import Wave
-from ..ids import JobId, Revision, WaveId
+from ..ids import EntryId, JobId, Revision, WaveId
 from ..jobs.records import JOBS
 from ..metrics import Metrics
 from ..node_settings import NodeSettings
@@ -55,6 +64,11 @@
 # Seconds between attempts to become leader or to reach one.
 ELECTION_RETRY_SECONDS = 0.1
 ELECTION_SPREAD_SECONDS = 0.03
+# Seconds for which an entry uses any peer before it looks for the leader again.
+HELPER_SECONDS = 1.0
+REGISTER_RETRY_SECONDS = 1.0
+# Method of a call between peers: become leader in place of the caller.
+TAKE_OVER = "take_over"
 # Seconds that a stopping entry goes on serving, so that the balancer's checks notice
 # and callers with open connections get their answers.
 STOP_NOTICE_SECONDS = 3.0
@@ -83,14 +97,12 @@
         self.elections = Elections(self.store, self.clock, self.record)
         self.service = JobService(
             self.store, self.mirror, self.clock, self.metrics,
-            self.call_leader, self.on_own_records,
+            self.call_peer, self.on_own_records,
         )  # fmt: skip
-        self.peers = PeerServer(
-            settings.ip,
-            settings.peer_port,
-            self.on_peer_records,
-            self.service.answer_peer,
-        )
+        self.peers = PeerServer(settings.ip, settings.peer_port, self)
+        # Peer addresses of the other entries, as they are registered in the store.
+        self.directory: dict[EntryId, str] = {}
+        self.newest_leader = Revision(0)
         self.advisor = (
             AdvisorClient(settings.advisor_address, self.clock, self.metrics)
             if settings.advisor_address
@@ -128,12 +140,14 @@
             JOB_WATCH_SECONDS, JOB_WATCH_PAUSE_SECONDS,
         )  # fmt: skip
         self.leader_changed = asyncio.Event()
+        self.hand_over: asyncio.Task[None] | None = None
 
     # Beliefs
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers to this entry."""
-        return not self.stopping and self.configuration is not None
+        reaches_store = not self.store.failing or self.leader_stream is not None
+        return not self.stopping and self.configuration is not None and reaches_store
 
     def on_operator_batch(self, batch: Batch, full: bool) -> None:
         """Take over a newer configuration."""
@@ -173,17 +187,28 @@
             self.controller.configure(decoded.ok)
 
     def on_cluster_batch(self, batch: Batch, full: bool) -> None:
-        """Follow the leader's key."""
+        """Follow the leader's key and the addresses of the entries."""
         items = {item.key: item for item in batch.items}
         if full or LEADER_KEY in items:
             self.adopt_leader(items.get(LEADER_KEY))
+        for key, item in items.items():
+            if key.startswith(DIRECTORY):
+                entry = EntryId(key.removeprefix(DIRECTORY))
+                if item.value is None:
+                    self.directory.pop(entry, None)
+                else:
+                    self.directory[entry] = item.value.decode()
+
+    def on_peer_leader(self, revision: int, value: bytes) -> None:
+        """Take over a newer leader that a peer knows."""
+        if revision > self.newest_leader:
+            self.adopt_leader(Item(LEADER_KEY, value, Revision(revision)))
 
     def adopt_leader(self, item: Item | None) -> None:
         """Take over who leads."""
         leader = decode_leader(item)
-        if self.leader is not None and leader is not None:
-            if leader.revision <= self.leader.revision:
-                return
+        if leader is not None and leader.revision < self.newest_leader:
+            return
         if leader != self.leader:
             log_event(
                 Event.LEADER_CHANGED,
@@ -191,12 +216,12 @@
                 token=leader.revision if leader else None,
             )
         self.leader = leader
+        if leader is not None and item is not None and item.value is not None:
+            self.newest_leader = leader.revision
+            self.peers.leader = (int(leader.revision), item.value)
         term = self.term
-        if term is not None and (
-            leader is None or int(leader.revision) != int(term.token)
-        ):
-            if leader is None or int(leader.revision) > int(term.token):
-                self.end_term("key")
+        if term is not None and (leader is None or leader.revision > int(term.token)):
+            self.end_term("key")
         self.leader_changed.set()
 
     def end_term(self, cause: str) -> None:
@@ -249,13 +274,22 @@
             [(item.key, int(item.revision), item.value or b"") for item in items]
         )
 
-    async def call_leader(
+    async def call_peer(
         self, method: str, argument: Any
     ) -> Result[tuple[int, Any], PeerFailure]:
-        """Pass a call on to the leader."""
-        if self.leader_stream is None:
+        """Pass a call on to the leader, or to any entry that is connected."""
+        streams = [stream for stream in self.peers.streams if stream.is_open]
+        if self.leader_stream is not None:
+            streams = [self.leader_stream]
+        if not streams:
             return Error(PeerFailure.NOT_SENT)
-        return await self.leader_stream.call(method, argument)
+        return await self.rng.choice(streams).call(method, argument)
+
+    async def on_peer_call(self, method: str, argument: Any) -> tuple[int, Any]:
+        """Carry out a call of a peer."""
+        if method == TAKE_OVER:
+            return await self.take_over(Revision(argument))
+        return await self.service.answer_peer(method, argument)
 
     # Leadership
 
@@ -263,21 +297,53 @@
         """Keep a stream to the leader; take over when there is none."""
         while True:
             self.leader_changed.clear()
+            leader = self.leader
             if self.stopping or not self.cluster_watch.listed:
                 await asyncio.sleep(ELECTION_RETRY_SECONDS)
-                continue
-            leader = self.leader
-            if leader is None:
+            elif self.term is not None:
+                await self._wait_for_change(ELECTION_RETRY_SECONDS)
+            elif leader is None and self.store.failing:
+                await self.ask_any_peer()
+            elif leader is None:
                 await self.stand_for_election(ABSENT)
-            elif leader.record.entry == self.settings.entry and (
-                leader.record.started_ms != self.record.started_ms
-            ):
+            elif leader.record.entry != self.settings.entry:
+                await self.stay_connected(leader)
+            elif leader.record.started_ms != self.record.started_ms:
                 # An earlier life of this entry led; it can not come back.
                 await self.stand_for_election(leader.revision)
-            elif leader.record.entry == self.settings.entry:
-                await self._wait_for_change(ELECTION_RETRY_SECONDS)
             else:
-                await self.stay_connected(leader)
+                await self.ask_any_peer()
+
+    async def ask_any_peer(self) -> None:
+        """Stay connected to some entry until it is known who leads."""
+        others = [a for e, a in self.directory.items() if e != self.settings.entry]
+        if not others:
+            await asyncio.sleep(ELECTION_RETRY_SECONDS)
+            return
+        host, _, port = self.rng.choice(others).rpartition(":")
+        opened = await connect(host, int(port), self.settings.entry)
+        if opened.is_error():
+            await self._wait_for_change(ELECTION_RETRY_SECONDS)
+            return
+        await self._use_stream(opened.ok, HELPER_SECONDS)
+
+    async def _use_stream(self, stream: Stream, seconds: float | None) -> None:
+        """Run a stream until it breaks, the leader changes or the time is over."""
+        self.leader_stream = stream
+        running = asyncio.create_task(stream.run(self))
+        changed = asyncio.create_task(self.leader_changed.wait())
+        try:
+            await asyncio.wait(
+                {running, changed},
+                timeout=seconds,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            self.leader_stream = None
+            stream.close()
+            for task in (running, changed):
+                task.cancel()
+            await asyncio.gather(running, changed, return_exceptions=True)
 
     async def _wait_for_change(self, seconds: float) -> None:
         try:
@@ -299,18 +365,18 @@
                 return
             await self._wait_for_change(ELECTION_RETRY_SECONDS)
             return
-        stream = opened.ok
-        self.leader_stream = stream
-        running = asyncio.create_task(stream.run(self.on_peer_records, None))
-        changed = asyncio.create_task(self.leader_changed.wait())
-        try:
-            await asyncio.wait({running, changed}, return_when="FIRST_COMPLETED")
-        finally:
-            self.leader_stream = None
-            stream.close()
-            for task in (running, changed):
-                task.cancel()
-            await asyncio.gather(running, changed, return_exceptions=True)
+        await self._use_stream(opened.ok, None)
+
+    async def take_over(self, replaced: Revision) -> tuple[int, Any]:
+        """Become leader at the request of one that the store turns away."""
+        known = self.leader.revision if self.leader else ABSENT
+        if self.store.failing or self.stopping or known != replaced:
+            return 1, None
+        result = await self.elections.acquire(replaced)
+        if result.is_error():
+            return 1, None
+        self.hand_over = asyncio.create_task(self.lead(result.ok))
+        return 0, None
 
     async def stand_for_election(self, replaced: Revision) -> None:
         """Try to become leader, and lead if it succeeds."""
@@ -333,7 +399,8 @@
     async def lead(self, term: Term) -> None:
         """Run the controller for one term."""
         self.term = term
-        self.leader = Leader(self.record, Revision(int(term.token)))
+        value = msgspec.msgpack.encode(self.record)
+        self.adopt_leader(Item(LEADER_KEY, value, Revision(int(term.token))))
         renewals = asyncio.create_task(self.renew(term))
         try:
             await self.catch_up(term)
@@ -382,12 +449,42 @@
             await asyncio.sleep(ELECTION_RETRY_SECONDS)
 
     async def renew(self, term: Term) -> None:
-        """Renew the lease of a term until it ends."""
+        """Renew the lease of a term until it ends.
+
+        A leader that the store turns away asks another entry to take over, which is
+        sooner than the end of its lease.
+        """
+        next_at = self.clock.monotonic() + RENEW_SECONDS
         while not term.ended:
-            await asyncio.sleep(RENEW_SECONDS)
+            await asyncio.sleep(RENEW_SECONDS / 5)
+            if self.clock.monotonic() < next_at and not self.store.failing:
+                continue
             result = await self.elections.renew(term)
-            if result.is_error() and result.error is StoreFailure.LEASE_ENDED:
+            next_at = self.clock.monotonic() + RENEW_SECONDS
+            if result.is_ok():
+                continue
+            if result.error is StoreFailure.LEASE_ENDED:
                 self.end_term("lease")
+            elif await self._ask_to_take_over(term):
+                self.end_term("handed_over")
+
+    async def _ask_to_take_over(self, term: Term) -> bool:
+        """Ask one of the connected entries; return whether it leads now."""
+        streams = [stream for stream in self.peers.streams if stream.is_open]
+        if not streams:
+            return False
+        answer = await self.rng.choice(streams).call(TAKE_OVER, int(term.token))
+        return answer.is_ok() and answer.ok[0] == 0
+
+    async def register(self) -> None:
+        """Write this entry's address into the directory."""
+        key = DIRECTORY + self.settings.entry
+        write = Write(key, self.record.address.encode())
+        while True:
+            result = await self.store.commit(Transaction({}, (write,)))
+            if result.is_ok():
+                return
+            await asyncio.sleep(REGISTER_RETRY_SECONDS)
 
     # Life
 
@@ -410,6 +507,7 @@
         root.add("cluster-watch", self.cluster_watch.run)
         root.add("job-watch", self.job_watch.run)
         root.add("leadership", self.follow_leader)
+        root.add("registration", self.register)
         tree = asyncio.create_task(root.run(), name="root")
         stopped = asyncio.create_task(stop.wait(), name="stop-signal")
         await asyncio.wait({tree, stopped}, return_when=asyncio.FIRST_COMPLETED)
--- a/src/ebonyhub/fleet/demand.py
+++ b/src/ebonyhub/fleet/demand.py
@@ -5,11 +5,11 @@
 
 # Seconds over which arrivals are averaged. Surges last for seconds, and a move takes
 # one and a half.
-WINDOW_SECONDS = 1.0
+WINDOW_SECONDS = 1.5
 
 
 # Seconds ahead that a rising rate is followed: a move and the delay of the average.
-LOOK_AHEAD_SECONDS = 1.5
+LOOK_AHEAD_SECONDS = 0.7
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +30,7 @@
     def cores(self) -> float:
         """Return the cores wanted at the time when a move takes effect."""
         rise = max(0.0, self.arriving - self.arrived_before) * LOOK_AHEAD_SECONDS
-        present = max(self.running + self.waiting, self.arriving)
+        present = self.running + self.waiting
         return self.long_running + present + rise
 
 
--- a/src/ebonyhub/fleet/planner.py
+++ b/src/ebonyhub/fleet/planner.py
@@ -21,7 +21,9 @@
 HEADROOM = 1.1
 # Seconds for which the highest recent target of a pool counts, so that a dip between
 # two jobs moves nothing. A parked VM pays for its two moves after about 2.5 s.
-HOLD_SECONDS = 2.0
+HOLD_SECONDS = 1.2
+# Seconds at the start of a term in which nothing is parked, since demand is not known.
+SETTLE_SECONDS = 3.0
 # Seconds that a cordoned VM may take to become empty before a move is given up.
 CORDON_LIMIT_SECONDS = 6.0
 # Seconds an upkeep takes with draining, for the time that a wave still needs.
@@ -111,6 +113,7 @@
         self.declared: set[PoolName] = set()
         self.standby: set[PoolName] = set()
         self.loads: Mapping[VmId, VmLoad] = {}
+        self.started_at = 0.0
         self.logged: dict[PoolName, tuple[int, int, int]] = {}
 
     # Facts
@@ -119,6 +122,7 @@
         """Take over a reading of the list of VMs."""
         self.vms = {vm.vm: vm for vm in vms}
         if not self.pools and vms and self.declared:
+            self.started_at = now
             for pool in self.declared:
                 # A predecessor may have lent most VMs to one pool.
                 even = len(vms) // len(self.declared)
@@ -265,7 +269,7 @@
         Queues surge in turn, so a pool that had its surge lends its VMs until every
         other pool has had one.
         """
-        return min(BASE_VMS, state.share) if state.surged else state.share
+        return min(BASE_VMS, state.share) if state.surged else BASE_VMS + 1
 
     def _cores_per_vm(self, pool: PoolName) -> float:
         sizes = [vm.capacity.cpu for vm in self.vms.values() if vm.pool == pool]
@@ -294,7 +298,7 @@
                 self._move(free[source].pop(0), pool, now)
                 usable[source] -= 1
                 usable[pool] += 1
-        if self.standby:
+        if self.standby and now - self.started_at > SETTLE_SECONDS:
             self._park(targets, usable, free, now)
 
     def _by_shortage(
--- /dev/null
+++ b/src/ebonyhub/scheduling/health.py
@@ -0,0 +1,86 @@
+"""Judges workers by what becomes of the tasks that they run.
+
+A worker may report good health and yet fail, stall or slow down everything. It is set
+aside for some seconds and then probed with new tasks.
+"""
+
+from dataclasses import dataclass, field
+from math import exp, log
+
+from ..ids import JobId
+
+# Failures in a row, of different jobs, after which a worker is set aside.
+FAILURES_BEFORE_QUARANTINE = 2
+# Seconds for which it is set aside before tasks probe it again.
+QUARANTINE_SECONDS = 4.0
+# Seconds without any progress after which a task counts as stuck. Progress comes in
+# hundredths of the work, and reports at least once a second.
+STUCK_SECONDS = 1.6
+# A worker is slow if its tasks take this many times as long as elsewhere, in proportion
+# to their estimates.
+SLOW_FACTOR = 3.0
+# Ends needed before a worker's pace is judged; estimates are off by half and more.
+ENDS_BEFORE_JUDGEMENT = 3
+# Weight of a new end in the averages.
+WEIGHT = 0.25
+
+
+@dataclass(slots=True)
+class Pace:
+    """Average of the logarithm of run time over estimate."""
+
+    average: float = 0.0
+    ends: int = 0
+
+    def add(self, ratio: float) -> None:
+        """Take one end into the average."""
+        self.ends += 1
+        weight = max(WEIGHT, 1 / self.ends)
+        self.average += (log(max(ratio, 0.01)) - self.average) * weight
+
+
+@dataclass(slots=True)
+class WorkerHealth:
+    """What is known about one worker; times are monotonic seconds."""
+
+    failures_in_row: int = 0
+    failed_jobs: set[JobId] = field(default_factory=set)
+    quarantined_until: float = float("-inf")
+    pace: Pace = field(default_factory=Pace)
+
+    def is_quarantined(self, now: float) -> bool:
+        """Return whether the worker is set aside."""
+        return now < self.quarantined_until
+
+    def quarantine(self, now: float, seconds: float = QUARANTINE_SECONDS) -> None:
+        """Set the worker aside."""
+        self.quarantined_until = max(self.quarantined_until, now + seconds)
+
+    def note_failure(self, job: JobId, now: float) -> bool:
+        """Count a failed task; return whether the worker is set aside for it."""
+        self.failures_in_row += 1
+        self.failed_jobs.add(job)
+        enough = len(self.failed_jobs) >= FAILURES_BEFORE_QUARANTINE
+        if not enough or self.failures_in_row < FAILURES_BEFORE_QUARANTINE:
+            return False
+        self.quarantine(now)
+        return True
+
+    def note_success(self, seconds: float, estimate: float, usual: Pace) -> None:
+        """Count a task that ended well, with its run time and estimate in seconds."""
+        self.failures_in_row = 0
+        self.failed_jobs.clear()
+        if estimate > 0:
+            self.pace.add(seconds / estimate)
+            usual.add(seconds / estimate)
+
+    def is_slow(self, usual: Pace) -> bool:
+        """Return whether tasks take much longer here than on the other workers."""
+        if self.pace.ends < ENDS_BEFORE_JUDGEMENT:
+            return False
+        return exp(self.pace.average - usual.average) > SLOW_FACTOR
+
+
+def is_stuck(progress_at: float, now: float) -> bool:
+    """Return whether a task made no progress for too long."""
+    return now - progress_at > STUCK_SECONDS
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -6,6 +6,7 @@
 from ..ids import JobId, QueueName, ServiceName, TaskId, WorkerId
 from ..jobs.model import AcceptedJob, Resources, StepSpec
 from ..jobs.records import JobState, ProgressRecord
+from .health import WorkerHealth
 from .model import WorkerEntry
 
 # A worker's steady clock may be slow by 2%; the margin covers the answer's way.
@@ -97,9 +98,7 @@
     acknowledged: int = 0
     # Ends whose records are not yet stored: sequence and the job versions to wait for.
     unstored_ends: list[tuple[int, dict[JobId, int]]] = field(default_factory=list)
-    failures_in_row: int = 0
-    failed_jobs: set[JobId] = field(default_factory=set)
-    quarantined_until: float = float("-inf")
+    health: WorkerHealth = field(default_factory=WorkerHealth)
     # Its runs were given up after its lease had ended.
     expired: bool = False
 
--- a/src/ebonyhub/scheduling/scheduler.py
+++ b/src/ebonyhub/scheduling/scheduler.py
@@ -18,6 +18,7 @@
 from ..jobs.model import AcceptedJob, Resources, StepSpec
 from ..jobs.records import JobState, ProgressRecord
 from . import lifecycle
+from .health import Pace, WorkerHealth, is_stuck
 from .model import (
     EndedTask,
     EndKind,
@@ -36,17 +37,10 @@
 CONTACT_LIMIT_SECONDS = 1.8
 # Seconds until an unconfirmed stop is ordered again.
 STOP_REPEAT_SECONDS = 0.6
-# Failures in a row, of different jobs, after which a worker is set aside.
-FAILURES_BEFORE_QUARANTINE = 2
-# Seconds for which it is set aside before one task probes it again.
-QUARANTINE_SECONDS = 4.0
+# Seconds without new tasks for a worker that refused one.
+REFUSAL_PAUSE_SECONDS = 0.5
 # A worker returns this many ends at once at most; a full list may hide others.
 ENDS_PER_REPORT = 500
-# Share of the estimate without any progress after which a task counts as stuck, and
-# the least number of seconds.
-STUCK_SECONDS = 2.0
-
-
 # Seconds in which tasks that wait for a worker are to be worked off.
 BACKLOG_SECONDS = 1.0
 
@@ -70,6 +64,8 @@
         # Tickets of the advisor by step: workers and the time they are valid until.
         self.tickets: dict[tuple[JobId, int, int], dict[WorkerId, str]] = {}
         self.steps_without_advice: dict[tuple[JobId, int, int], QueueName] = {}
+        # How long tasks take against their estimates, on all workers.
+        self.usual_pace = Pace()
         self.arrivals: dict[ServiceName, ArrivalMeter] = {}
 
     # Configuration and jobs
@@ -304,7 +300,7 @@
             and not worker.cordoned
             and not worker.expired
             and self.is_answering(worker, now)
-            and now >= worker.quarantined_until
+            and not worker.health.is_quarantined(now)
         )
 
     # Answers of workers
@@ -348,7 +344,7 @@
         worker.acknowledged = 0
         worker.unstored_ends.clear()
         worker.lease_ms = 0
-        worker.failures_in_row = 0
+        worker.health = WorkerHealth()
 
     def _handle_ends(
         self, worker: Worker, ended: Iterable[EndedTask], now: float, wall_ms: int
@@ -383,7 +379,7 @@
         if job.final or not lifecycle.is_current(job, end.task, end.number):
             return job if job.version > job.stored_version else None
         step = lifecycle.step_of(job, end.task)
-        self._judge_worker(worker, end, job, step, now)
+        self._judge_worker(worker, end, run, step, now)
         if end.kind is EndKind.DONE and not step.long_running:
             lifecycle.record_done(job, end.task, wall_ms)
         elif end.kind is EndKind.FAILED and not step.long_running:
@@ -405,24 +401,53 @@
         return queue.max_attempts if queue else job.accepted.max_attempts
 
     def _judge_worker(
-        self, worker: Worker, end: EndedTask, job: Job, step: StepSpec, now: float
+        self,
+        worker: Worker,
+        end: EndedTask,
+        run: Run | None,
+        step: StepSpec,
+        now: float,
     ) -> None:
-        """Set a worker aside that fails the tasks of several jobs in a row."""
-        if end.kind is EndKind.DONE:
-            worker.failures_in_row = 0
-            worker.failed_jobs.clear()
+        """Learn from an end how well the worker does."""
+        if step.long_running:
             return
-        if end.kind is not EndKind.FAILED or step.long_running:
+        if end.kind is EndKind.DONE:
+            if run is not None and not run.inherited:
+                seconds = now - (run.confirmed_at or run.planned_at)
+                estimate = step.estimate_ms / 1000
+                worker.health.note_success(seconds, estimate, self.usual_pace)
+                self._check_pace(worker, now)
+        elif end.kind is EndKind.FAILED and worker.health.note_failure(
+            end.task.job, now
+        ):
+            self._log_quarantine(worker, "failures")
+
+    def _check_pace(self, worker: Worker, now: float) -> None:
+        """Set a slow worker aside; its pace is learnt anew afterwards."""
+        if worker.health.is_slow(self.usual_pace):
+            worker.health.quarantine(now)
+            worker.health.pace = Pace()
+            self._log_quarantine(worker, "slow")
+
+    def _log_quarantine(self, worker: Worker, cause: str) -> None:
+        log_event(Event.WORKER_QUARANTINED, worker=worker.worker_id, cause=cause)
+
+    def _check_progress(self, run: Run, worker: Worker, now: float) -> None:
+        """Stop a task that stands still, and set its worker aside.
+
+        Only time for which the worker was heard counts.
+        """
+        heard_at = worker.contact_at
+        if heard_at is None or run.phase is not RunPhase.CONFIRMED or run.pace < 100:
             return
-        worker.failures_in_row += 1
-        worker.failed_jobs.add(job.job_id)
-        enough = len(worker.failed_jobs) >= FAILURES_BEFORE_QUARANTINE
-        if enough and worker.failures_in_row >= FAILURES_BEFORE_QUARANTINE:
-            worker.quarantined_until = now + QUARANTINE_SECONDS
-            log_event(
-                Event.WORKER_QUARANTINED, worker=worker.worker_id,
-                failures=worker.failures_in_row, seconds=QUARANTINE_SECONDS,
-            )  # fmt: skip
+        if is_stuck(max(run.percent_changed_at, run.confirmed_at), heard_at):
+            job = self.jobs.get(run.task.job)
+            if job is not None and not job.final:
+                job.avoid.setdefault(run.task, set()).add(worker.worker_id)
+            self._stop(run, StopReason.NO_PROGRESS, now)
+            if not worker.health.is_quarantined(now):
+                worker.health.quarantine(now)
+                self._log_quarantine(worker, "no_progress")
 
     def _handle_running(self, worker: Worker, row: RunningTask, now: float) -> None:
         run = worker.runs.get((row.task, row.number))
@@ -526,7 +551,7 @@
             key = (run.task.job, run.task.occurrence, run.task.step)
             self.tickets.pop(key, None)
         if failure in (OrderFailure.REFUSED, OrderFailure.NOT_SENT):
-            worker.quarantined_until = max(worker.quarantined_until, now + 0.5)
+            worker.health.quarantine(now, REFUSAL_PAUSE_SECONDS)
         self._give_up(run, worker)
 
     def handle_stop_result(
@@ -568,6 +593,8 @@
                 self._stop(run, run.stop, now)
             elif run.step.long_running and (worker.entry.draining or worker.cordoned):
                 self._evacuate(run, worker, now)
+            elif not run.step.long_running:
+                self._check_progress(run, worker, now)
 
     def _evacuate(self, run: Run, worker: Worker, now: float) -> None:
         """Stop a long-running task, so that it starts again on another worker.
--- a/standins/fake_worker.py
+++ b/standins/fake_worker.py
@@ -29,6 +29,12 @@
     outcome: EndKind
     stop_at_ms: int | None = None
 
+    def percent(self, clock_ms: int) -> int:
+        """Return the progress; a task that lasts is at work at once."""
+        if self.duration_ms is None:
+            return 100
+        return min(99, (clock_ms - self.started_ms) * 100 // max(1, self.duration_ms))
+
 
 @dataclass(slots=True)
 class FakeWorker:
@@ -152,7 +158,7 @@
         self.acknowledged = max(self.acknowledged, acknowledged)
         self.ended = [end for end in self.ended if end.sequence > self.acknowledged]
         running = tuple(
-            RunningTask(task, run.number, "", 100, 0.0)
+            RunningTask(task, run.number, "", run.percent(clock), 0.0)
             for task, run in self.runs.items()
         )
         return WorkerReport(clock, self.born_ms, running, tuple(self.ended[:500]))
