Status address, explain, retention of records, buffered log; hand over at a stop

Metrics and live state are served on port 9464; the command line reads them. Log lines are written in groups and never block. A stopping leader asks the entry that started last to take over.

--- a/src/ebonyhub/cli.py
+++ b/src/ebonyhub/cli.py
@@ -19,6 +19,7 @@
 from .app import serve
 from .entry.process import serve_on_platform
 from .http_client import Header, SmallResponse, request_once
+from .log_output import buffer_stream
 from .platform.settings import load_node_settings, settings_path
 from .resources import parse_resources
 from .settings import load_settings
@@ -144,9 +145,13 @@
         raise CommandError(ExitCode.USAGE, loaded.error)
     logging.set_verbosity(logging.INFO)
     logging.use_absl_handler()
-    logging.get_absl_handler().python_handler.stream = sys.stdout
+    output = buffer_stream(sys.stdout)
+    logging.get_absl_handler().python_handler.stream = output
     gc.freeze()
-    asyncio.run(serve_on_platform(loaded.ok))
+    try:
+        asyncio.run(serve_on_platform(loaded.ok, output))
+    finally:
+        output.write_out()
     return ExitCode.SUCCESS
 
 
@@ -197,9 +202,42 @@
     return ExitCode.SUCCESS
 
 
+LIVE_KINDS = frozenset({"jobs", "machines", "waves"})
+
+
+def print_rows(rows: Sequence[dict[str, Any]], output: str) -> None:
+    """Print live state as a table, JSON or YAML."""
+    if output == "json":
+        print(msgspec.json.format(msgspec.json.encode(rows), indent=2).decode())
+    elif output == "yaml":
+        print(yaml.safe_dump(list(rows), sort_keys=False), end="")
+    elif rows:
+        print("  ".join(f"{name.upper():<18}" for name in rows[0]).rstrip())
+        for row in rows:
+            print("  ".join(f"{value!s:<18}" for value in row.values()).rstrip())
+
+
+@command("explain")
+def run_explain(args: argparse.Namespace) -> ExitCode:
+    """Say why a job waits; only the leader knows."""
+    data = call_api(args, "GET", f"/v1/jobs/{args.job}")
+    print(f"job {args.job} of queue {data['queue']} is {data['state']}")
+    if "waits_because" not in data:
+        raise CommandError(
+            ExitCode.UNREACHABLE, f"ask the leader, {data['leader']}, for the reasons"
+        )
+    for reason in data["waits_because"]:
+        print(f"- {reason}")
+    return ExitCode.SUCCESS
+
+
 @command("get")
 def run_get(args: argparse.Namespace) -> ExitCode:
     """List the resources of a kind, or one of them."""
+    if args.kind in LIVE_KINDS:
+        items = call_api(args, "GET", f"/v1/{args.kind}")["items"]
+        print_rows(items, args.output)
+        return ExitCode.SUCCESS
     if args.name:
         items = [call_api(args, "GET", f"/v1/resources/{args.kind}/{args.name}")]
     else:
@@ -210,7 +248,10 @@
 
 @command("describe")
 def run_describe(args: argparse.Namespace) -> ExitCode:
-    """Show one resource in full with its recent changes."""
+    """Show a job, or one resource in full with its recent changes."""
+    if args.kind == "job":
+        print_rows([call_api(args, "GET", f"/v1/jobs/{args.name}")], "yaml")
+        return ExitCode.SUCCESS
     item = call_api(args, "GET", f"/v1/resources/{args.kind}/{args.name}")
     records = call_api(args, "GET", "/v1/audit")["items"]
     label = f"{args.kind}/{args.name}"
@@ -283,6 +324,10 @@
         sub.add_argument("name", nargs="?" if name == "get" else None)
         choices = ["table", "json", "yaml"]
         sub.add_argument("-o", "--output", choices=choices, default="table")
+    explaining = commands.add_parser(
+        "explain", parents=[remote], help="why a job waits"
+    )
+    explaining.add_argument("job")
     watching = commands.add_parser("watch", parents=[remote], help="follow changes")
     watching.add_argument("--after", type=int, default=0, metavar="GENERATION")
     watching.add_argument("--count", type=int, default=0, help="0 means no end")
--- a/src/ebonyhub/cluster/leadership.py
+++ b/src/ebonyhub/cluster/leadership.py
@@ -25,10 +25,11 @@
 LEADER_KEY = "eb/n/leader"
 # Followed by an entry's id: the address of its peer listener.
 DIRECTORY = "eb/n/e/"
-# Seconds. Short enough for a successor to begin within the 3 s of a ready task, long
-# enough for renewals at a store that takes a quarter of a second.
-LEASE_SECONDS = 2.0
-RENEW_SECONDS = 0.5
+# Seconds. Little more than the platform's shortest lease, since nothing starts until a
+# silent leader's lease has ended; four renewals fit in, also at a store that takes a
+# quarter of a second.
+LEASE_SECONDS = 1.2
+RENEW_SECONDS = 0.25
 
 
 class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/src/ebonyhub/cluster/mirror.py
+++ b/src/ebonyhub/cluster/mirror.py
@@ -67,7 +67,7 @@
 
     def _apply_accepted(self, job_id: JobId, item: Item) -> JobId | None:
         if item.value is None:
-            self._forget(job_id)
+            self.forget(job_id)
             return None
         job = self.jobs.setdefault(job_id, MirroredJob())
         if job.accepted is not None:
@@ -115,7 +115,8 @@
             self.waiting[job.counted] -= 1
             job.counted = None
 
-    def _forget(self, job_id: JobId) -> None:
+    def forget(self, job_id: JobId) -> None:
+        """Drop a job whose records were removed."""
         job = self.jobs.pop(job_id, None)
         if job is not None and job.counted is not None:
             self.waiting[job.counted] -= 1
@@ -134,4 +135,4 @@
     def drop_if_old(self, job_id: JobId) -> None:
         """Forget a finished job whose records were collected in the meantime."""
         if self.jobs[job_id].state.final:
-            self._forget(job_id)
+            self.forget(job_id)
--- a/src/ebonyhub/cluster/peers.py
+++ b/src/ebonyhub/cluster/peers.py
@@ -3,7 +3,7 @@
 An entry keeps one stream to the leader, or to any peer while it does not know who
 leads. It tells the leader what it has stored and receives every record that the leader
 stores. Either side passes calls on that it can not carry out itself. The first array on
-a stream is ``[PROTOCOL_VERSION, entry id]``; the accepting side answers with the leader
+a stream is ``[PROTOCOL_VERSION, entry id, start in ms since 1970]``; the accepting side answers with the leader
 that it knows.
 """
 
@@ -81,6 +81,8 @@
         self.sequence = 0
         self.replies: dict[int, asyncio.Future[tuple[int, Any]]] = {}
         self.background: set[asyncio.Task[None]] = set()
+        # Start of the connecting entry's process, ms since 1970.
+        self.peer_started_ms = 0
 
     @property
     def is_open(self) -> bool:
@@ -175,7 +177,9 @@
         self.replies.clear()
 
 
-async def connect(address: str, port: int, entry: EntryId) -> Result[Stream, OSError]:
+async def connect(
+    address: str, port: int, entry: EntryId, started_ms: int
+) -> Result[Stream, OSError]:
     """Open a stream to another entry."""
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
@@ -183,7 +187,7 @@
     except OSError as error:
         return Error(error)
     stream = Stream(reader, writer)
-    stream.send([PROTOCOL_VERSION, entry])
+    stream.send([PROTOCOL_VERSION, entry, started_ms])
     return Ok(stream)
 
 
@@ -219,6 +223,7 @@
             log_event(Event.PEER_STREAM_FAILED, error=f"protocol {greeting[0]}")
             stream.close()
             return
+        stream.peer_started_ms = int(greeting[2])
         self.streams.add(stream)
         if self.leader is not None:
             stream.send([Kind.LEADER, *self.leader])
--- a/src/ebonyhub/entry/job_api.py
+++ b/src/ebonyhub/entry/job_api.py
@@ -25,12 +25,14 @@
         self,
         service: JobService,
         configuration: Callable[[], Configuration | None],
+        is_stopping: Callable[[], bool],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         super().__init__(router=Router())
         self.service = service
         self.configuration = configuration
+        self.is_stopping = is_stopping
         self.clock = clock
         self.metrics = metrics
         self.in_flight = 0
@@ -40,7 +42,11 @@
         self.in_flight += 1
         started = self.clock.monotonic()
         try:
-            return await self._answer(request)
+            response = await self._answer(request)
+            if response.status == 503 or self.is_stopping():
+                # The caller's next connection goes to another entry.
+                response.headers.add(b"Connection", b"close")
+            return response
         except Exception as error:
             log_event(Event.REQUEST_FAILED, error=repr(error))
             return self._refuse(ErrorKind.INTERNAL, "", request)
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -36,6 +36,7 @@
 from ..fleet.model import Wave
 from ..ids import EntryId, JobId, Revision, WaveId
 from ..jobs.records import JOBS
+from ..log_output import BufferedOutput
 from ..metrics import Metrics
 from ..node_settings import NodeSettings
 from ..platform.cloud import AdvisorClient, CloudClient
@@ -53,6 +54,7 @@
 from ..supervisor import Supervisor
 from .job_api import JobApi, ReadyApi
 from .job_service import JobService
+from .status_api import StatusApi, StatusSources
 
 CLUSTER_PREFIX = "eb/n/"
 # Seconds that watches on configuration and leader wait; a silent connection hides a
@@ -64,6 +66,8 @@
 # Seconds between attempts to become leader or to reach one.
 ELECTION_RETRY_SECONDS = 0.1
 ELECTION_SPREAD_SECONDS = 0.03
+# Port of metrics and of the operators' reads, the one that deploy/system.toml names.
+STATUS_PORT = 9464
 # Seconds for which an entry uses any peer before it looks for the leader again.
 HELPER_SECONDS = 1.0
 REGISTER_RETRY_SECONDS = 1.0
@@ -117,7 +121,11 @@
         )
         self.waves: dict[WaveId, Wave] = {}
         self.job_api = JobApi(
-            self.service, lambda: self.configuration, self.clock, self.metrics
+            self.service,
+            lambda: self.configuration,
+            lambda: self.stopping,
+            self.clock,
+            self.metrics,
         )
         self.caller_server = build_server(
             self.job_api, _listener(settings.caller_address)
@@ -125,6 +133,17 @@
         self.ready_server = build_server(
             ReadyApi(self.is_ready), _listener(settings.ready_address)
         )
+        self.status_server = build_server(
+            StatusApi(
+                StatusSources(
+                    self.metrics,
+                    self.mirror,
+                    lambda: self.controller,
+                    lambda: self.leader.record.entry if self.leader else "nobody",
+                )
+            ),
+            Listener(settings.ip, STATUS_PORT),
+        )
         self.operator_watch = PrefixWatch(
             self.store,
             OPERATOR_PREFIX,
@@ -321,7 +340,9 @@
             await asyncio.sleep(ELECTION_RETRY_SECONDS)
             return
         host, _, port = self.rng.choice(others).rpartition(":")
-        opened = await connect(host, int(port), self.settings.entry)
+        opened = await connect(
+            host, int(port), self.settings.entry, self.record.started_ms
+        )
         if opened.is_error():
             await self._wait_for_change(ELECTION_RETRY_SECONDS)
             return
@@ -355,7 +376,9 @@
     async def stay_connected(self, leader: Leader) -> None:
         """Hold a stream to the leader until it breaks or another one leads."""
         host, _, port = leader.record.address.rpartition(":")
-        opened = await connect(host, int(port), self.settings.entry)
+        opened = await connect(
+            host, int(port), self.settings.entry, self.record.started_ms
+        )
         if opened.is_error():
             if isinstance(opened.error, ConnectionRefusedError):
                 # Nobody listens there, so the leader's process is gone.
@@ -408,7 +431,8 @@
                 return
             controller = Controller(
                 term, self.store, self.mirror, self.advisor, self.clock, self.rng,
-                self.metrics, self.cloud, self.on_progress_stored,
+                self.metrics, self.cloud, self.settings.bounds.status_retention,
+                self.on_progress_stored,
             )  # fmt: skip
             controller.configure(self.configuration)
             for wave in self.waves.values():
@@ -469,11 +493,15 @@
                 self.end_term("handed_over")
 
     async def _ask_to_take_over(self, term: Term) -> bool:
-        """Ask one of the connected entries; return whether it leads now."""
+        """Ask the entry that started last; return whether it leads now.
+
+        Where entries are restarted in turn, that one stays longest.
+        """
         streams = [stream for stream in self.peers.streams if stream.is_open]
         if not streams:
             return False
-        answer = await self.rng.choice(streams).call(TAKE_OVER, int(term.token))
+        newest = max(streams, key=lambda stream: stream.peer_started_ms)
+        answer = await newest.call(TAKE_OVER, int(term.token))
         return answer.is_ok() and answer.ok[0] == 0
 
     async def register(self) -> None:
@@ -502,6 +530,7 @@
         root = Supervisor("root", self.clock, self.rng)
         root.add("caller-server", lambda: run_server(self.caller_server))
         root.add("ready-server", lambda: run_server(self.ready_server))
+        root.add("status-server", lambda: run_server(self.status_server))
         root.add("peer-server", self.peers.run)
         root.add("operator-watch", self.operator_watch.run)
         root.add("cluster-watch", self.cluster_watch.run)
@@ -528,6 +557,8 @@
         """Hand leadership over, then stop without cutting off a request."""
         self.stopping = True
         log_event(Event.SHUTDOWN_BEGUN, in_flight=self.job_api.in_flight)
+        if self.term is not None:
+            await self._ask_to_take_over(self.term)
         self.end_term("shutdown")
         await asyncio.sleep(STOP_NOTICE_SECONDS)
         self.caller_server.should_exit = True
@@ -537,6 +568,7 @@
                 break
             await asyncio.sleep(0.05)
         self.ready_server.should_exit = True
+        self.status_server.should_exit = True
 
 
 def _listener(address: str) -> Listener:
@@ -544,6 +576,10 @@
     return Listener(host, int(port))
 
 
-async def serve_on_platform(settings: NodeSettings) -> None:
-    """Run one entry process on the platform."""
-    await PlatformEntry(settings).run()
+async def serve_on_platform(settings: NodeSettings, output: BufferedOutput) -> None:
+    """Run one entry process on the platform; log lines go through ``output``."""
+    writing = asyncio.create_task(output.run())
+    try:
+        await PlatformEntry(settings).run()
+    finally:
+        writing.cancel()
--- /dev/null
+++ b/src/ebonyhub/entry/status_api.py
@@ -0,0 +1,113 @@
+"""HTTP application for operators: metrics, and live state of jobs, VMs and waves."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from blacksheep import Application, Content, Request, Response, Router
+from prometheus_client import generate_latest
+
+from ..cluster.mirror import JobMirror
+from ..ids import JobId
+from ..metrics import Metrics
+from ..scheduling.controller import Controller
+from ..scheduling.explain import explain_job
+
+
+@dataclass(frozen=True, slots=True)
+class StatusSources:
+    """Where the application reads from."""
+
+    metrics: Metrics
+    mirror: JobMirror
+    controller: Callable[[], Controller | None]
+    leader: Callable[[], str]
+
+
+class StatusApi(Application):
+    """Answers reads only; the leader alone knows runs, VMs and waves."""
+
+    def __init__(self, sources: StatusSources) -> None:
+        super().__init__(router=Router())
+        self.sources = sources
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request by its path."""
+        path = request.url.path.decode("ascii", "replace").rstrip("/")
+        if path == "/metrics":
+            text = generate_latest(self.sources.metrics.registry)
+            return Response(200, content=Content(b"text/plain; version=0.0.4", text))
+        if path == "/v1/jobs":
+            return _json(200, {"items": self._jobs()})
+        if path.startswith("/v1/jobs/"):
+            return self._describe(JobId(path.removeprefix("/v1/jobs/")))
+        if path in ("/v1/machines", "/v1/waves"):
+            return self._fleet(path.removeprefix("/v1/"))
+        return _json(404, {"error": "not_found", "reasons": [path]})
+
+    def _jobs(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "job": job_id,
+                "queue": job.accepted.queue,
+                "state": job.shown_state.name.lower(),
+                "accepted_ms": job.accepted.accepted_ms,
+            }
+            for job_id, job in self.sources.mirror.jobs.items()
+            if job.accepted is not None
+        ]
+
+    def _describe(self, job_id: JobId) -> Response:
+        job = self.sources.mirror.jobs.get(job_id)
+        if job is None or job.accepted is None:
+            return _json(404, {"error": "not_found", "reasons": [f"no job {job_id}"]})
+        data: dict[str, Any] = {
+            "job": job_id,
+            "queue": job.accepted.queue,
+            "state": job.shown_state.name.lower(),
+            "accepted_ms": job.accepted.accepted_ms,
+            "leader": self.sources.leader(),
+        }
+        controller = self.sources.controller()
+        if controller is not None:
+            now = controller.clock.monotonic()
+            data["waits_because"] = explain_job(controller.scheduler, job_id, now)
+        return _json(200, data)
+
+    def _fleet(self, kind: str) -> Response:
+        controller = self.sources.controller()
+        if controller is None or controller.fleet is None:
+            reason = f"ask the leader, {self.sources.leader()}"
+            return _json(503, {"error": "not_leader", "reasons": [reason]})
+        planner = controller.fleet.planner
+        items: list[dict[str, Any]]
+        if kind == "machines":
+            changes = planner.changes
+            items = [
+                {
+                    "machine": vm.vm,
+                    "pool": vm.pool,
+                    "state": vm.state.value,
+                    "rack": vm.rack,
+                    "change": changes[vm.vm].phase.value if vm.vm in changes else "",
+                }
+                for vm in planner.vms.values()
+            ]
+        else:
+            items = [
+                {
+                    "wave": state.wave.wave,
+                    "machines": len(state.wave.vms),
+                    "begun": len(state.done),
+                    "completed": state.completed,
+                }
+                for state in planner.waves.values()
+            ]
+        return _json(200, {"items": items})
+
+
+def _json(status: int, data: Any) -> Response:
+    return Response(
+        status, content=Content(b"application/json", msgspec.json.encode(data))
+    )
--- a/src/ebonyhub/errors.py
+++ b/src/ebonyhub/errors.py
@@ -85,7 +85,7 @@
     ErrorKind.CONFIGURATION_MISSING: ErrorAnswer(503, _NOT_RUN, 1),
     ErrorKind.SHUTTING_DOWN: ErrorAnswer(503, _NOT_RUN, 1),
     ErrorKind.UNKNOWN_JOB: ErrorAnswer(410, _NOT_RUN),
-    ErrorKind.STORE_UNAVAILABLE: ErrorAnswer(503, _NOT_RUN, 1),
+    ErrorKind.STORE_UNAVAILABLE: ErrorAnswer(503, _NOT_RUN, 2),
     ErrorKind.STORE_OUTCOME_UNKNOWN: ErrorAnswer(504, _UNKNOWN),
     ErrorKind.INTERNAL: ErrorAnswer(500, _UNKNOWN),
 }
--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -103,7 +103,7 @@
     RUN_STOPPED = EventSpec(2204, _I, "run is stopped", "None.")
     RUN_LOST = EventSpec(2205, _W, "run is not on its worker", "Check the worker.")
     START_FAILED = EventSpec(2206, _W, "start failed", "Check the worker.")
-    RUN_PLANNED = EventSpec(2207, _I, "run planned", "None.")
+    RUN_STARTED = EventSpec(2207, _I, "run started", "None.")
     WORKER_FOUND = EventSpec(2301, _I, "worker found", "None.")
     WORKER_DRAINS = EventSpec(2302, _I, "worker drains", "None.")
     WORKER_GONE = EventSpec(
@@ -130,6 +130,7 @@
     CHANGE_ORDERED = EventSpec(2405, _I, "change of a VM ordered", "None.")
     CHANGE_DROPPED = EventSpec(2406, _I, "change of a VM given up", "None.")
     POOL_TARGET = EventSpec(2407, _I, "size and target of a pool", "None.")
+    RECORDS_REMOVED = EventSpec(2501, _I, "records of old jobs removed", "None.")
 
 
 _LEVELS = {
--- a/src/ebonyhub/platform/store.py
+++ b/src/ebonyhub/platform/store.py
@@ -23,6 +23,8 @@
 # Seconds. A healthy store answers in milliseconds; a slow one takes a quarter of a
 # second.
 CALL_TIMEOUT_SECONDS = 0.7
+# Seconds. A renewal is sent again sooner, so that a lost answer costs no leadership.
+RENEW_TIMEOUT_SECONDS = 0.4
 CONNECTION_LIMIT = 16
 # Seconds for which a failure without a later answer counts; watches try again sooner.
 FAILURE_MEMORY_SECONDS = 1.5
@@ -156,7 +158,13 @@
 
     async def renew_lease(self, lease: StoreLease) -> Result[None, StoreFailure]:
         """Extend a lease by its full duration."""
-        result = await self._call("renew_lease", b"POST", f"/kv-keep/{lease}", {})
+        result = await self._call(
+            "renew_lease",
+            b"POST",
+            f"/kv-keep/{lease}",
+            {},
+            extra_seconds=RENEW_TIMEOUT_SECONDS - CALL_TIMEOUT_SECONDS,
+        )
         if result.is_error():
             return Error(result.error)
         if result.ok.status == 404:
--- a/src/ebonyhub/scheduling/committer.py
+++ b/src/ebonyhub/scheduling/committer.py
@@ -1,7 +1,7 @@
 """Stores the progress of jobs in groups, on the condition that the leader still leads."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -141,16 +141,17 @@
             self.scheduler.stored(job, versions[job.job_id])
         self.on_stored([Item(w.key, w.value, revision) for w in writes])
 
-    def _resolve_conflict(self, group: list[Job], current: object) -> None:
-        """Adopt the revisions of earlier commits that were carried out late."""
-        items: dict[str, Item] = dict(current)  # type: ignore[call-overload]
-        leader = items.get(LEADER_KEY)
+    def _resolve_conflict(self, group: list[Job], current: Mapping[str, Item]) -> None:
+        """Adopt the revisions of earlier commits that were carried out late.
+
+        Without the leader's key, or with another revision of it, this term is over.
+        """
+        leader = current.get(LEADER_KEY)
         if leader is None or int(leader.revision) != int(self.term.token):
-            if leader is not None or LEADER_KEY in items or not items:
-                log_event(Event.LEADERSHIP_LOST, cause="commit", token=self.term.token)
-                self.term.ended = True
-                return
+            log_event(Event.LEADERSHIP_LOST, cause="commit", token=self.term.token)
+            self.term.ended = True
+            return
         for job in group:
-            item = items.get(progress_key(job.job_id))
+            item = current.get(progress_key(job.job_id))
             if item is not None:
                 self.revisions[job.job_id] = item.revision
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -20,6 +20,7 @@
 from .committer import Committer
 from .model import OrderFailure, WorkerReport
 from .orders import LookAtWorker, Order, PaceRun, StartRun, StopRun
+from .retention import Retention
 from .runs import SLOW_CLOCK_FACTOR, Worker
 from .scheduler import Scheduler
 from .worker_link import HOLD_SECONDS, WorkerLink
@@ -32,8 +33,6 @@
 # Seconds that the watch on workers waits.
 WATCH_SECONDS = 0.8
 RETRY_SECONDS = 0.2
-# After the store's return, workers whose entries lapsed have this long to come back.
-RETURN_SECONDS = 2.5
 
 
 class Controller:
@@ -49,6 +48,7 @@
         rng: random.Random,
         metrics: Metrics,
         cloud: CloudClient | None,
+        retention_seconds: float,
         on_stored: Callable[[list[Item]], None],
     ) -> None:
         self.term = term
@@ -63,6 +63,9 @@
         self.committer = Committer(
             store, self.scheduler, term, clock, metrics, self._on_stored
         )
+        self.retention = Retention(
+            store, mirror, self.scheduler, term, clock, retention_seconds
+        )
         self.fleet = (
             FleetController(
                 term,
@@ -141,6 +144,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.committer.run())
                 group.create_task(self._watch_workers())
+                group.create_task(self.retention.run())
                 if self.fleet is not None:
                     group.create_task(self.fleet.run())
                 await self._drive()
@@ -214,14 +218,11 @@
 
     async def _watch_workers(self) -> None:
         """Follow the workers' entries."""
-        failed_at: float | None = None
         while True:
             result = await self.store.watch(
                 WORKERS, self.workers_revision, WATCH_SECONDS
             )
             if result.is_ok():
-                if failed_at is not None:
-                    failed_at = None
                 for item in result.ok.items:
                     self._apply_worker(item)
                 self.workers_revision = Revision(
@@ -229,7 +230,6 @@
                 )
                 self.wake.set()
                 continue
-            failed_at = failed_at or self.clock.monotonic()
             if result.error is StoreFailure.COMPACTED:
                 await self._load_workers()
             await asyncio.sleep(RETRY_SECONDS)
--- /dev/null
+++ b/src/ebonyhub/scheduling/explain.py
@@ -0,0 +1,43 @@
+"""Says why the tasks of a job wait, from the scheduler's live state."""
+
+from ..ids import JobId
+from .placement import StepNeeds, allows, has_room
+from .runs import Job
+from .scheduler import Scheduler
+
+
+def explain_job(scheduler: Scheduler, job_id: JobId, now: float) -> list[str]:
+    """Return one sentence for each reason; none if nothing waits."""
+    job = scheduler.jobs.get(job_id)
+    if job is None:
+        return ["the scheduler has not seen the job yet"]
+    if job.final:
+        return []
+    reasons = [
+        _explain_step(scheduler, job, occurrence, step, len(waiting), now)
+        for (occurrence, step), waiting in job.pending.items()
+    ]
+    if job.accepted.spec.repeat_count and not job.progress.occurrences:
+        reasons.append(f"occurrence {job.next_due} is not due yet")
+    unstored = job.version - job.stored_version
+    if unstored:
+        reasons.append(f"{unstored} change(s) of its record are not stored yet")
+    return reasons
+
+
+def _explain_step(
+    scheduler: Scheduler, job: Job, occurrence: int, number: int, count: int, now: float
+) -> str:
+    step = job.accepted.spec.steps[number]
+    service = scheduler.service_of(job)
+    key = (job.job_id, occurrence, number)
+    needs = StepNeeds(job.job_id, occurrence, number, step, scheduler.tickets.get(key))
+    workers = [w for w in scheduler.workers.values() if w.entry.service == service]
+    eligible = [worker for worker in workers if scheduler.eligible(worker, now)]
+    allowed = [worker for worker in eligible if allows(needs, worker)]
+    roomy = [worker for worker in allowed if has_room(needs, worker)]
+    return (
+        f"step {number} of occurrence {occurrence}: {count} task(s) wait; service "
+        f"{service} has {len(workers)} worker(s), {len(eligible)} take tasks, "
+        f"{len(allowed)} may run the step, {len(roomy)} have room"
+    )
--- /dev/null
+++ b/src/ebonyhub/scheduling/retention.py
@@ -0,0 +1,79 @@
+"""Removes the records of jobs that ended long ago."""
+
+import asyncio
+from collections.abc import Iterable
+
+from ..clock import Clock
+from ..cluster.leadership import LEADER_KEY, Term
+from ..cluster.metadata_store import MetadataStore, Transaction
+from ..cluster.mirror import JobMirror, MirroredJob
+from ..events import Event, log_event
+from ..ids import JobId, Revision
+from ..jobs.records import accepted_key, cancelled_key, progress_key
+from .scheduler import Scheduler
+
+# Seconds between two passes.
+PASS_SECONDS = 10.0
+# Seconds beyond the time for which a state must be known, for late repeats of a
+# submission and clocks that differ.
+MARGIN_SECONDS = 60.0
+# Each job has three keys; one row of the transaction is the leader's condition.
+JOBS_PER_REMOVAL = 10
+
+
+def expired_jobs(
+    jobs: Iterable[tuple[JobId, MirroredJob]], now_ms: int, retention_seconds: float
+) -> list[JobId]:
+    """Return the jobs whose state need not be known any more."""
+    limit_ms = now_ms - int((retention_seconds + MARGIN_SECONDS) * 1000)
+    return [
+        job_id
+        for job_id, job in jobs
+        if job.state.final and job.finished_ms and job.finished_ms < limit_ms
+    ]
+
+
+class Retention:
+    """Removes old records while this entry leads."""
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        mirror: JobMirror,
+        scheduler: Scheduler,
+        term: Term,
+        clock: Clock,
+        retention_seconds: float,
+    ) -> None:
+        self.store = store
+        self.mirror = mirror
+        self.scheduler = scheduler
+        self.term = term
+        self.clock = clock
+        self.retention_seconds = retention_seconds
+
+    async def run(self) -> None:
+        """Remove old records until cancelled."""
+        while True:
+            await asyncio.sleep(PASS_SECONDS)
+            now_ms = int(self.clock.wall() * 1000)
+            old = expired_jobs(self.mirror.jobs.items(), now_ms, self.retention_seconds)
+            for start in range(0, len(old), JOBS_PER_REMOVAL):
+                if not await self._remove(old[start : start + JOBS_PER_REMOVAL]):
+                    break
+
+    async def _remove(self, jobs: list[JobId]) -> bool:
+        keys = [
+            key(job)
+            for job in jobs
+            for key in (accepted_key, progress_key, cancelled_key)
+        ]
+        conditions = {LEADER_KEY: Revision(int(self.term.token))}
+        result = await self.store.commit(Transaction(conditions, removals=keys))
+        if result.is_error():
+            return False
+        for job in jobs:
+            self.scheduler.forget(job)
+            self.mirror.forget(job)
+        log_event(Event.RECORDS_REMOVED, jobs=len(jobs))
+        return True
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -87,7 +87,10 @@
     cordoned: bool = False
     leaves_at: float | None = None
     runs: dict[tuple[TaskId, int], Run] = field(default_factory=dict)
-    used: Resources = Resources()
+    used: Resources = field(default_factory=Resources)
+    found_at: float = 0.0
+    # The last hold had no answer.
+    failing: bool = False
     # Last answer under this leader's token; None before the first.
     contact_at: float | None = None
     clock_ms: int = 0
--- a/src/ebonyhub/scheduling/scheduler.py
+++ b/src/ebonyhub/scheduling/scheduler.py
@@ -49,7 +49,6 @@
     """Owns jobs, workers and runs; one task drives it."""
 
     def __init__(self) -> None:
-        self.configuration: Configuration | None = None
         # Also queues that were dropped, since their jobs go on.
         self.queues: dict[QueueName, Queue] = {}
         self.jobs: dict[JobId, Job] = {}
@@ -72,7 +71,6 @@
 
     def configure(self, configuration: Configuration) -> None:
         """Take over a newer configuration."""
-        self.configuration = configuration
         self.queues.update(configuration.queues)
 
     def load(
@@ -103,7 +101,7 @@
         job.next_due = job.progress.next_occurrence
         self.active[accepted.job] = job
         if not accepted.spec.long_running:
-            meter = self.arrivals.setdefault(self._service_of(job), ArrivalMeter())
+            meter = self.arrivals.setdefault(self.service_of(job), ArrivalMeter())
             work = sum(step.core_seconds for step in accepted.spec.steps)
             meter.add(job.arrived_at, work)
         for number, steps in job.progress.occurrences.items():
@@ -174,6 +172,11 @@
                 if run.task.job == job.job_id:
                     self._stop(run, reason, now)
 
+    def forget(self, job_id: JobId) -> None:
+        """Drop a finished job whose records were removed."""
+        self.jobs.pop(job_id, None)
+        self.dirty.pop(job_id, None)
+
     def _mark_dirty(self, job: Job) -> None:
         self.dirty[job.job_id] = job
 
@@ -222,7 +225,8 @@
         """Take over what a worker says of itself in the store."""
         worker = self.workers.get(entry.worker)
         if worker is None:
-            self.workers[entry.worker] = worker = Worker(entry, born_ms=entry.born_ms)
+            worker = Worker(entry, born_ms=entry.born_ms, found_at=now)
+            self.workers[entry.worker] = worker
             log_event(
                 Event.WORKER_FOUND, worker=entry.worker, service=entry.service,
                 address=entry.address, rack=entry.rack, draining=entry.draining,
@@ -248,25 +252,33 @@
             log_event(Event.WORKER_GONE, worker=worker_id, runs=len(worker.runs))
 
     def see_vms(self, vms: Iterable[Vm], now: float) -> None:
-        """Give up the runs of silent workers whose VM is down or lives another life."""
+        """Give up the runs of silent workers whose life the cloud's list denies.
+
+        A VM that moves, has its upkeep, is down or is not listed any more has ended
+        everything that ran on it.
+        """
         by_id = {vm.vm: vm for vm in vms}
         for worker in self.silent_workers(now):
             vm = by_id.get(worker.entry.vm)
-            if vm is None:
+            alive = vm is not None and vm.state is VmState.UP
+            if vm is not None and alive and vm.worker == worker.worker_id:
                 continue
-            replaced = vm.worker and vm.worker != worker.worker_id
-            if vm.state is VmState.DOWN or replaced:
-                self._expire(worker, f"vm_{vm.state.value}", now)
+            state = vm.state.value if vm is not None else "gone"
+            self._expire(worker, f"vm_{state}", now)
 
     def silent_workers(self, now: float) -> list[Worker]:
-        """Return the workers with runs that do not answer."""
+        """Return the workers with runs that do not answer.
+
+        A worker that was found a moment ago may not have been asked yet.
+        """
         return [
             worker
             for worker in self.workers.values()
             if worker.runs
             and not worker.expired
             and worker.entry.vm
-            and not self.is_answering(worker, now)
+            and now - worker.found_at > CONTACT_LIMIT_SECONDS
+            and (worker.failing or not self.is_answering(worker, now))
         ]
 
     def _expire(self, worker: Worker, cause: str, now: float) -> None:
@@ -319,6 +331,7 @@
         if report.born_ms:
             worker.born_ms = report.born_ms
         worker.contact_at = now
+        worker.failing = False
         worker.clock_ms, worker.clock_at = report.clock_ms, now
         worker.expired = False
         self._handle_ends(worker, report.ended, now, wall_ms)
@@ -537,6 +550,14 @@
             run.phase = RunPhase.CONFIRMED
             run.confirmed_at = run.percent_changed_at = now
             worker.contact_at = max(worker.contact_at or now, now)
+            log_event(
+                Event.RUN_STARTED,
+                job=run.task.job,
+                task=_short(run.task),
+                run=run.number,
+                worker=run.worker,
+                contact_age=round(now - worker.clock_at, 3),
+            )
             return
         log_event(
             Event.START_FAILED, job=run.task.job, task=_short(run.task),
@@ -578,16 +599,17 @@
             self._check_worker(worker, now)
 
     def _check_worker(self, worker: Worker, now: float) -> None:
-        silent = (
-            worker.contact_at is None or now - worker.contact_at > CONTACT_LIMIT_SECONDS
-        )
-        if silent and worker.runs and not worker.expired:
-            if worker.lease_has_ended(now, self.inherited_leases_until):
-                self._expire(worker, "lease_ended", now)
-        if worker.departed and not worker.runs:
-            if silent or worker.expired:
-                del self.workers[worker.worker_id]
-                return
+        silent = not self.is_answering(worker, now)
+        open_runs = worker.runs and not worker.expired
+        if (
+            silent
+            and open_runs
+            and worker.lease_has_ended(now, self.inherited_leases_until)
+        ):
+            self._expire(worker, "lease_ended", now)
+        if worker.departed and not worker.runs and (silent or worker.expired):
+            del self.workers[worker.worker_id]
+            return
         for run in list(worker.runs.values()):
             if run.stop is not None:
                 self._stop(run, run.stop, now)
@@ -622,7 +644,7 @@
         if away >= max(1, run.step.max_unavailable):
             return False
         needs = StepNeeds(job.job_id, run.task.occurrence, run.task.step, run.step)
-        service = self._service_of(job)
+        service = self.service_of(job)
         others = [
             worker
             for worker in self.workers.values()
@@ -638,7 +660,7 @@
         by_service: dict[ServiceName, list[Job]] = {}
         for job in self.active.values():
             if job.pending:
-                by_service.setdefault(self._service_of(job), []).append(job)
+                by_service.setdefault(self.service_of(job), []).append(job)
         for service, jobs in by_service.items():
             workers = [
                 worker
@@ -651,7 +673,8 @@
             for job in jobs:
                 self._plan_job(job, workers, now)
 
-    def _service_of(self, job: Job) -> ServiceName:
+    def service_of(self, job: Job) -> ServiceName:
+        """Return the service that runs the job under the present configuration."""
         queue = self.queues.get(job.queue)
         return queue.service if queue else job.service
 
@@ -759,7 +782,7 @@
         running: dict[ServiceName, float] = {}
         waiting: dict[ServiceName, float] = {}
         for job in self.active.values():
-            service = self._service_of(job)
+            service = self.service_of(job)
             for step in job.accepted.spec.steps:
                 if step.long_running:
                     cores = step.count * step.reserved.cpu / 1000
--- a/src/ebonyhub/scheduling/worker_link.py
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -85,6 +85,7 @@
             await self._wait_for_store()
             return
         self._note_failure("hold", result.error)
+        self.worker.failing = True
         if self.reachable and result.error is not OrderFailure.FENCED:
             self.reachable = False
             log_event(
