--- a/src/ebonyhub/cluster/peers.py
+++ b/src/ebonyhub/cluster/peers.py
@@ -3,8 +3,8 @@
 An entry keeps one stream to the leader, or to any peer while it does not know who
 leads. It tells the leader what it has stored and receives every record that the leader
 stores. Either side passes calls on that it can not carry out itself. The first array on
-a stream is ``[PROTOCOL_VERSION, entry id, start in ms since 1970]``; the accepting side answers with the leader
-that it knows.
+a stream is ``[PROTOCOL_VERSION, entry id, start in ms since 1970]``; the accepting side
+answers with the leader that it knows.
 """
 
 import asyncio
--- a/src/ebonyhub/cluster/watches.py
+++ b/src/ebonyhub/cluster/watches.py
@@ -17,8 +17,8 @@
     """Lists a prefix once and then follows its changes.
 
     ``pause_seconds`` between calls bounds what the watch costs, since every call that
-    returns is priced. ``wait_seconds`` bounds how long a connection that has gone silent
-    hides a change.
+    returns is priced. ``wait_seconds`` bounds how long a connection that has gone
+    silent hides a change.
     """
 
     def __init__(
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -466,9 +466,11 @@
                     list(result.ok.items), result.ok.revision
                 )
                 log_event(
-                    Event.MIRROR_CAUGHT_UP, token=term.token, jobs=len(self.mirror.jobs),
+                    Event.MIRROR_CAUGHT_UP,
+                    token=term.token,
+                    jobs=len(self.mirror.jobs),
                     changed=len(changed),
-                )  # fmt: skip
+                )
                 return
             await asyncio.sleep(ELECTION_RETRY_SECONDS)
 
--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -104,6 +104,7 @@
     RUN_LOST = EventSpec(2205, _W, "run is not on its worker", "Check the worker.")
     START_FAILED = EventSpec(2206, _W, "start failed", "Check the worker.")
     RUN_STARTED = EventSpec(2207, _I, "run started", "None.")
+    RUN_PACED = EventSpec(2208, _I, "pace of a filling run changed", "None.")
     WORKER_FOUND = EventSpec(2301, _I, "worker found", "None.")
     WORKER_DRAINS = EventSpec(2302, _I, "worker drains", "None.")
     WORKER_GONE = EventSpec(
--- a/src/ebonyhub/platform/config.py
+++ b/src/ebonyhub/platform/config.py
@@ -144,5 +144,5 @@
 
 
 def _rack(labels: tuple[str, ...]) -> str:
-    """Return the rack: the first label names the kind of worker, the second its rack."""
+    """Return the rack, which the second label names; the first names the kind."""
     return labels[1] if len(labels) > 1 else ""
--- a/src/ebonyhub/scheduling/committer.py
+++ b/src/ebonyhub/scheduling/committer.py
@@ -1,4 +1,4 @@
-"""Stores the progress of jobs in groups, on the condition that the leader still leads."""
+"""Stores the progress of jobs in groups, on condition that the leader still leads."""
 
 import asyncio
 from collections.abc import Callable, Mapping
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -8,11 +8,11 @@
 from ..cluster.leadership import Term
 from ..cluster.metadata_store import Item, MetadataStore, StoreFailure
 from ..cluster.mirror import JobMirror
-from ..configuration import Configuration
+from ..configuration import AdvisorPolicy, Configuration
 from ..events import Event, log_event
 from ..fleet.controller import FleetController
 from ..fleet.model import Wave
-from ..ids import JobId, Revision, WorkerId
+from ..ids import JobId, QueueName, Revision, WorkerId
 from ..metrics import Metrics
 from ..platform.cloud import AdvisorClient, CloudClient
 from ..platform.config import WORKERS, decode_worker
@@ -22,7 +22,7 @@
 from .orders import LookAtWorker, Order, PaceRun, StartRun, StopRun
 from .retention import Retention
 from .runs import SLOW_CLOCK_FACTOR, Worker
-from .scheduler import Scheduler
+from .scheduler import Advice, Scheduler, StepKey
 from .worker_link import HOLD_SECONDS, WorkerLink
 
 # Seconds between passes over everything that depends on time.
@@ -33,6 +33,12 @@
 # Seconds that the watch on workers waits.
 WATCH_SECONDS = 0.8
 RETRY_SECONDS = 0.2
+# Calls that may wait at the advisor, and workers named in one call: limits of the
+# platform.
+ADVISOR_QUEUE = 32
+ADVISOR_WORKERS = 100
+# Share of a ticket's validity for which it is used, since the start takes its time.
+VALIDITY_SHARE = 0.7
 
 
 class Controller:
@@ -86,6 +92,8 @@
         self.order_tasks: set[asyncio.Task[None]] = set()
         self.wake = asyncio.Event()
         self.next_tick = 0.0
+        # Steps about which the advisor has been asked.
+        self.asked: set[StepKey] = set()
         now = clock.monotonic()
         # An earlier leader may have extended leases until then.
         hold = HOLD_SECONDS * SLOW_CLOCK_FACTOR
@@ -314,39 +322,43 @@
         """Ask the advisor about steps that can not be placed without it."""
         if self.advisor is None or not self.scheduler.steps_without_advice:
             return
-        steps, self.scheduler.steps_without_advice = (
-            self.scheduler.steps_without_advice, {},
-        )  # fmt: skip
+        steps = self.scheduler.steps_without_advice
+        self.scheduler.steps_without_advice = {}
         for key, queue_name in steps.items():
-            if key in self.scheduler.tickets:
-                continue
-            queue = self.scheduler.queues[queue_name]
-            policy = queue.advisor
-            if policy is None:
+            policy = self.scheduler.queues[queue_name].advisor
+            if policy is None or key in self.asked:
                 continue
-            now = self.clock.monotonic()
-            workers = [
-                worker.worker_id
-                for worker in self.scheduler.workers.values()
-                if worker.entry.service == queue.service
-                and self.scheduler.eligible(worker, now)
-            ][:100]
-            self.scheduler.tickets[key] = {}
-            seconds = policy.decision + policy.per_worker * len(workers)
-            task = asyncio.create_task(self._advise(key, workers, seconds))
+            if len(self.asked) >= ADVISOR_QUEUE:
+                return
+            self.asked.add(key)
+            task = asyncio.create_task(self._advise(key, queue_name, policy))
             self.order_tasks.add(task)
             task.add_done_callback(self._order_done)
 
     async def _advise(
-        self, key: tuple[JobId, int, int], workers: list[WorkerId], seconds: float
+        self, key: StepKey, queue_name: QueueName, policy: AdvisorPolicy
     ) -> None:
+        """Ask about one step; the advisor takes time for every worker named."""
         assert self.advisor is not None
-        result = await self.advisor.advise(*key, workers, seconds)
-        if result.is_ok():
-            self.scheduler.tickets[key] = result.ok
-        else:
-            await asyncio.sleep(RETRY_SECONDS)
-            self.scheduler.tickets.pop(key, None)
+        now = self.clock.monotonic()
+        service = self.scheduler.queues[queue_name].service
+        workers = [
+            worker.worker_id
+            for worker in self.scheduler.workers.values()
+            if worker.entry.service == service and self.scheduler.eligible(worker, now)
+        ][:ADVISOR_WORKERS]
+        seconds = policy.decision + policy.per_worker * len(workers)
+        # Calls of one entry are answered in turn.
+        seconds *= len(self.asked)
+        try:
+            result = await self.advisor.advise(*key, workers, seconds)
+            if result.is_ok():
+                expires = self.clock.monotonic() + policy.validity * VALIDITY_SHARE
+                self.scheduler.advice[key] = Advice(result.ok, expires)
+            else:
+                await asyncio.sleep(RETRY_SECONDS)
+        finally:
+            self.asked.discard(key)
 
     # Results
 
--- a/src/ebonyhub/scheduling/explain.py
+++ b/src/ebonyhub/scheduling/explain.py
@@ -31,7 +31,9 @@
     step = job.accepted.spec.steps[number]
     service = scheduler.service_of(job)
     key = (job.job_id, occurrence, number)
-    needs = StepNeeds(job.job_id, occurrence, number, step, scheduler.tickets.get(key))
+    advice = scheduler.advice.get(key)
+    tickets = advice.tickets if advice else None
+    needs = StepNeeds(job.job_id, occurrence, number, step, tickets)
     workers = [w for w in scheduler.workers.values() if w.entry.service == service]
     eligible = [worker for worker in workers if scheduler.eligible(worker, now)]
     allowed = [worker for worker in eligible if allows(needs, worker)]
--- a/src/ebonyhub/scheduling/health.py
+++ b/src/ebonyhub/scheduling/health.py
@@ -19,8 +19,9 @@
 # A worker is slow if its tasks take this many times as long as elsewhere, in proportion
 # to their estimates.
 SLOW_FACTOR = 3.0
-# Ends needed before a worker's pace is judged; estimates are off by half and more.
-ENDS_BEFORE_JUDGEMENT = 3
+# Jobs needed before a worker's pace is judged; the estimate of a job is off by half and
+# more, for all tasks of the job alike.
+JOBS_BEFORE_JUDGEMENT = 4
 # Weight of a new end in the averages.
 WEIGHT = 0.25
 
@@ -47,6 +48,7 @@
     failed_jobs: set[JobId] = field(default_factory=set)
     quarantined_until: float = float("-inf")
     pace: Pace = field(default_factory=Pace)
+    paced_jobs: set[JobId] = field(default_factory=set)
 
     def is_quarantined(self, now: float) -> bool:
         """Return whether the worker is set aside."""
@@ -66,17 +68,29 @@
         self.quarantine(now)
         return True
 
-    def note_success(self, seconds: float, estimate: float, usual: Pace) -> None:
-        """Count a task that ended well, with its run time and estimate in seconds."""
+    def note_success(
+        self, job: JobId, seconds: float, estimate: float, usual: Pace
+    ) -> None:
+        """Count a task that ended well, with its run time and estimate in seconds.
+
+        Only the first task of each job tells something about the worker's pace.
+        """
         self.failures_in_row = 0
         self.failed_jobs.clear()
-        if estimate > 0:
-            self.pace.add(seconds / estimate)
-            usual.add(seconds / estimate)
+        if estimate <= 0 or job in self.paced_jobs:
+            return
+        self.paced_jobs.add(job)
+        self.pace.add(seconds / estimate)
+        usual.add(seconds / estimate)
+
+    def forget_pace(self) -> None:
+        """Learn the pace anew."""
+        self.pace = Pace()
+        self.paced_jobs.clear()
 
     def is_slow(self, usual: Pace) -> bool:
         """Return whether tasks take much longer here than on the other workers."""
-        if self.pace.ends < ENDS_BEFORE_JUDGEMENT:
+        if self.pace.ends < JOBS_BEFORE_JUDGEMENT:
             return False
         return exp(self.pace.average - usual.average) > SLOW_FACTOR
 
--- a/src/ebonyhub/scheduling/placement.py
+++ b/src/ebonyhub/scheduling/placement.py
@@ -46,9 +46,9 @@
 
     Away from its data a task takes a multiple of its time, so this comes right after
     workers on which the task failed before. Long-running tasks of a step share two
-    workers, so that the loss of one leaves half of them. Everything packs tightly, which
-    leaves whole workers free to be moved; only fillers spread, since they live on what
-    others leave over.
+    workers, so that the loss of one leaves half of them. Everything packs tightly,
+    which leaves whole workers free to be moved; only fillers spread, as they live on
+    what the others leave.
     """
     step = needs.step
     failed_here = int(worker.worker_id in avoided)
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -66,7 +66,6 @@
     percent_changed_at: float = 0.0
     usage: float = 0.0
     pace: int = 100
-    over_target_since: float | None = None
     look_requested: bool = False
 
     @property
@@ -102,6 +101,7 @@
     # Ends whose records are not yet stored: sequence and the job versions to wait for.
     unstored_ends: list[tuple[int, dict[JobId, int]]] = field(default_factory=list)
     health: WorkerHealth = field(default_factory=WorkerHealth)
+    paced_at: float = float("-inf")
     # Its runs were given up after its lease had ended.
     expired: bool = False
 
--- a/src/ebonyhub/scheduling/scheduler.py
+++ b/src/ebonyhub/scheduling/scheduler.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from ..configuration import Configuration, Queue
 from ..events import Event, log_event
@@ -28,6 +29,7 @@
     WorkerReport,
 )
 from .orders import LookAtWorker, Order, PaceRun, StartRun, StopRun
+from .pacing import CHANGE_SECONDS, paces, worst_load
 from .placement import StepNeeds, allows, choose_gang_workers, choose_worker
 from .priority import urgency
 from .runs import Job, Run, RunPhase, StopReason, Worker
@@ -45,6 +47,23 @@
 BACKLOG_SECONDS = 1.0
 
 
+StepKey = tuple[JobId, int, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Advice:
+    """Workers that may run a step, with their tickets; times are monotonic seconds."""
+
+    tickets: dict[WorkerId, str]
+    expires_at: float
+
+    def is_useless(self, workers: Iterable[Worker], now: float) -> bool:
+        """Return whether it has expired or names no worker that takes tasks."""
+        if now >= self.expires_at:
+            return True
+        return not any(worker.worker_id in self.tickets for worker in workers)
+
+
 class Scheduler:
     """Owns jobs, workers and runs; one task drives it."""
 
@@ -60,9 +79,9 @@
         self.planned: list[Run] = []
         # Until then leases of earlier leaders may hold on workers that do not answer.
         self.inherited_leases_until = 0.0
-        # Tickets of the advisor by step: workers and the time they are valid until.
-        self.tickets: dict[tuple[JobId, int, int], dict[WorkerId, str]] = {}
-        self.steps_without_advice: dict[tuple[JobId, int, int], QueueName] = {}
+        # What the advisor said of each step, and the steps to ask it about.
+        self.advice: dict[StepKey, Advice] = {}
+        self.steps_without_advice: dict[StepKey, QueueName] = {}
         # How long tasks take against their estimates, on all workers.
         self.usual_pace = Pace()
         self.arrivals: dict[ServiceName, ArrivalMeter] = {}
@@ -157,8 +176,8 @@
         """Clean up after a job that has its final state."""
         self.active.pop(job.job_id, None)
         self._mark_dirty(job)
-        for key in [k for k in self.tickets if k[0] == job.job_id]:
-            del self.tickets[key]
+        for key in [k for k in self.advice if k[0] == job.job_id]:
+            del self.advice[key]
         for key in [k for k in self.steps_without_advice if k[0] == job.job_id]:
             del self.steps_without_advice[key]
         log_event(
@@ -204,7 +223,8 @@
                 continue
             run.phase = RunPhase.ORDERED
             key = (run.task.job, run.task.occurrence, run.task.step)
-            ticket = self.tickets.get(key, {}).get(run.worker, "")
+            advice = self.advice.get(key)
+            ticket = advice.tickets.get(run.worker, "") if advice else ""
             self.outbox.append(StartRun(run, ticket))
         self.planned = waiting
 
@@ -341,8 +361,27 @@
             self._handle_running(worker, row, now)
         if len(report.ended) < ENDS_PER_REPORT:
             self._handle_missing(worker, listed, sent_at, now)
+        self._pace_fillers(worker, now)
         self.advance_acknowledgements(worker)
 
+    def _pace_fillers(self, worker: Worker, now: float) -> None:
+        """Slow down or speed up the tasks that fill what serving tasks leave."""
+        if now - worker.paced_at < CHANGE_SECONDS:
+            return
+        for run, percent in paces(worker):
+            worker.paced_at = now
+            run.pace = percent
+            log_event(
+                Event.RUN_PACED,
+                job=run.task.job,
+                task=_short(run.task),
+                worker=worker.worker_id,
+                percent=percent,
+                load=round(worst_load(worker), 2),
+            )
+            order = PaceRun(worker.worker_id, run.task, run.number, percent)
+            self.outbox.append(order)
+
     def _handle_rebirth(self, worker: Worker, report: WorkerReport, now: float) -> None:
         """Forget what an earlier life under the same id listed.
 
@@ -428,7 +467,9 @@
             if run is not None and not run.inherited:
                 seconds = now - (run.confirmed_at or run.planned_at)
                 estimate = step.estimate_ms / 1000
-                worker.health.note_success(seconds, estimate, self.usual_pace)
+                worker.health.note_success(
+                    end.task.job, seconds, estimate, self.usual_pace
+                )
                 self._check_pace(worker, now)
         elif end.kind is EndKind.FAILED and worker.health.note_failure(
             end.task.job, now
@@ -439,7 +480,7 @@
         """Set a slow worker aside; its pace is learnt anew afterwards."""
         if worker.health.is_slow(self.usual_pace):
             worker.health.quarantine(now)
-            worker.health.pace = Pace()
+            worker.health.forget_pace()
             self._log_quarantine(worker, "slow")
 
     def _log_quarantine(self, worker: Worker, cause: str) -> None:
@@ -570,7 +611,7 @@
             return
         if failure is OrderFailure.TICKET:
             key = (run.task.job, run.task.occurrence, run.task.step)
-            self.tickets.pop(key, None)
+            self.advice.pop(key, None)
         if failure in (OrderFailure.REFUSED, OrderFailure.NOT_SENT):
             worker.health.quarantine(now, REFUSAL_PAUSE_SECONDS)
         self._give_up(run, worker)
@@ -630,7 +671,7 @@
             self._stop(run, StopReason.WORKER_LEAVES, now)
 
     def _may_interrupt(self, run: Run, now: float) -> bool:
-        """Return whether the step can do without the run, and another worker has room."""
+        """Return whether the step can do without the run and has room elsewhere."""
         job = self.jobs.get(run.task.job)
         if job is None or job.final:
             return True
@@ -681,14 +722,15 @@
     def _plan_job(self, job: Job, workers: list[Worker], now: float) -> None:
         for (occurrence, number), waiting in list(job.pending.items()):
             step = job.accepted.spec.steps[number]
-            tickets = None
             queue = self.queues.get(job.queue)
+            tickets: dict[WorkerId, str] | None = None
             if queue is not None and queue.advisor is not None:
                 key = (job.job_id, occurrence, number)
-                tickets = self.tickets.get(key)
-                if tickets is None:
+                advice = self.advice.get(key)
+                if advice is None or advice.is_useless(workers, now):
                     self.steps_without_advice[key] = job.queue
                     continue
+                tickets = advice.tickets
             needs = StepNeeds(job.job_id, occurrence, number, step, tickets)
             allowed = [worker for worker in workers if allows(needs, worker)]
             if step.gang:
@@ -833,6 +875,3 @@
 
 def _short(task: TaskId) -> str:
     return f"{task.occurrence}.{task.step}.{task.position}"
-
-
-__all__ = ["PaceRun", "Scheduler"]
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -29,7 +29,7 @@
 )
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources
 from ebonyhub.jobs.records import JobState, ProgressRecord
-from ebonyhub.scheduling.model import EndKind, OrderFailure, StartOrder
+from ebonyhub.scheduling.model import OrderFailure, StartOrder
 from ebonyhub.scheduling.orders import LookAtWorker, StartRun, StopRun
 from ebonyhub.scheduling.scheduler import Scheduler
 from standins.fake_worker import FakeWorker
--- a/standins/fake_worker.py
+++ b/standins/fake_worker.py
@@ -17,6 +17,7 @@
 
 # A worker shortens longer leases to this.
 MAX_HOLD_MS = 10_000
+NO_TOKEN = FencingToken(0)
 
 
 @dataclass(slots=True)
@@ -52,7 +53,7 @@
     registered: bool = True
     draining: bool = False
     clock_offset_ms: int = 0
-    token: FencingToken = FencingToken(0)
+    token: FencingToken = NO_TOKEN
     lease_ms: int = 0
     runs: dict[TaskId, FakeRun] = field(default_factory=dict)
     # Highest run number that was stopped or ended, or barred before it began.
