--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 demo: env
 	$(BIN)/python -m standins.demo
+	$(BIN)/python -m standins.job_demo
 
 test: env dist
 	$(BIN)/ruff format --check .
@@ -29,7 +30,7 @@
 
 dist: dist/ebonyhub
 
-dist/ebonyhub: requirements.txt $(wildcard src/ebonyhub/*.py) | env
+dist/ebonyhub: requirements.txt $(shell find src -name "*.py") | env
 	rm -rf build/site && mkdir -p build/site dist
 	$(BIN)/pip install --quiet --require-hashes --target build/site -r requirements.txt
 	cp -r src/ebonyhub build/site/
--- /dev/null
+++ b/src/ebonyhub/entry/leader_role.py
@@ -0,0 +1,358 @@
+"""This entry's part in leadership: follows the leader, stands for election, leads."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from expression import Error, Result
+
+from ..clock import Clock
+from ..cluster.leadership import (
+    DIRECTORY,
+    LEADER_KEY,
+    RENEW_SECONDS,
+    Elections,
+    Leader,
+    LeaderRecord,
+    Term,
+    decode_leader,
+)
+from ..cluster.metadata_store import (
+    ABSENT,
+    Batch,
+    Item,
+    MetadataStore,
+    StoreFailure,
+    Transaction,
+    Write,
+)
+from ..cluster.mirror import JobMirror
+from ..cluster.peers import PeerFailure, PeerServer, Stream, StreamEvents, connect
+from ..cluster.watches import PrefixWatch
+from ..events import Event, log_event
+from ..ids import EntryId, Revision
+from ..jobs.records import JOBS
+from ..node_settings import NodeSettings
+from ..scheduling.controller import Controller
+
+CLUSTER_PREFIX = "eb/n/"
+# Seconds that the watch on the leader's key waits; a silent connection hides a change
+# for this long and the call's own time limit.
+WATCH_SECONDS = 0.8
+# Seconds between attempts to become leader or to reach one.
+ELECTION_RETRY_SECONDS = 0.1
+ELECTION_SPREAD_SECONDS = 0.03
+# Seconds for which an entry uses any peer before it looks for the leader again.
+HELPER_SECONDS = 1.0
+REGISTER_RETRY_SECONDS = 1.0
+# Method of a call between peers: become leader in place of the caller.
+TAKE_OVER = "take_over"
+
+
+class LeaderRole:
+    """Knows who leads, keeps a stream to it, and leads when nobody does."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        store: MetadataStore,
+        mirror: JobMirror,
+        clock: Clock,
+        rng: random.Random,
+        events: StreamEvents,
+        may_lead: Callable[[], bool],
+        build_controller: Callable[[Term], Controller | None],
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.mirror = mirror
+        self.clock = clock
+        self.rng = rng
+        self.events = events
+        self.may_lead = may_lead
+        self.build_controller = build_controller
+        address = f"{settings.ip}:{settings.peer_port}"
+        started_ms = int(clock.wall() * 1000)
+        self.record = LeaderRecord(settings.entry, address, started_ms)
+        self.elections = Elections(store, clock, self.record)
+        self.peers = PeerServer(settings.ip, settings.peer_port, events)
+        # Peer addresses of the other entries, as they are registered in the store.
+        self.directory: dict[EntryId, str] = {}
+        self.leader: Leader | None = None
+        self.newest_leader = Revision(0)
+        self.leader_changed = asyncio.Event()
+        self.leader_stream: Stream | None = None
+        self.term: Term | None = None
+        self.controller: Controller | None = None
+        self.hand_over: asyncio.Task[None] | None = None
+        self.stopping = False
+        self.watch = PrefixWatch(
+            store, CLUSTER_PREFIX, clock, self.on_cluster_batch, WATCH_SECONDS
+        )
+
+    def leader_name(self) -> str:
+        """Return the leader's entry id for people, "nobody" if there is none."""
+        return self.leader.record.entry if self.leader else "nobody"
+
+    def on_cluster_batch(self, batch: Batch, full: bool) -> None:
+        """Follow the leader's key and the addresses of the entries."""
+        items = {item.key: item for item in batch.items}
+        if full or LEADER_KEY in items:
+            self.adopt_leader(items.get(LEADER_KEY))
+        for key, item in items.items():
+            if key.startswith(DIRECTORY):
+                entry = EntryId(key.removeprefix(DIRECTORY))
+                if item.value is None:
+                    self.directory.pop(entry, None)
+                else:
+                    self.directory[entry] = item.value.decode()
+
+    def on_peer_leader(self, revision: int, value: bytes) -> None:
+        """Take over a newer leader that a peer knows."""
+        if revision > self.newest_leader:
+            self.adopt_leader(Item(LEADER_KEY, value, Revision(revision)))
+
+    def adopt_leader(self, item: Item | None) -> None:
+        """Take over who leads."""
+        leader = decode_leader(item)
+        if leader is not None and leader.revision < self.newest_leader:
+            return
+        if leader != self.leader:
+            log_event(
+                Event.LEADER_CHANGED,
+                leader=leader.record.entry if leader else None,
+                token=leader.revision if leader else None,
+            )
+        self.leader = leader
+        if leader is not None and item is not None and item.value is not None:
+            self.newest_leader = leader.revision
+            self.peers.leader = (int(leader.revision), item.value)
+        term = self.term
+        if term is not None and (leader is None or leader.revision > int(term.token)):
+            self.end_term("key")
+        self.leader_changed.set()
+
+    def end_term(self, cause: str) -> None:
+        """Stop leading."""
+        if self.term is not None and not self.term.ended:
+            log_event(Event.LEADERSHIP_LOST, cause=cause, token=self.term.token)
+            self.term.ended = True
+            if self.controller is not None:
+                self.controller.wake.set()
+
+    async def call_peer(
+        self, method: str, argument: Any
+    ) -> Result[tuple[int, Any], PeerFailure]:
+        """Pass a call on to the leader, or to any entry that is connected."""
+        streams = [stream for stream in self.peers.streams if stream.is_open]
+        if self.leader_stream is not None:
+            streams = [self.leader_stream]
+        if not streams:
+            return Error(PeerFailure.NOT_SENT)
+        return await self.rng.choice(streams).call(method, argument)
+
+    async def follow_leader(self) -> None:
+        """Keep a stream to the leader; take over when there is none."""
+        while True:
+            self.leader_changed.clear()
+            leader = self.leader
+            if self.stopping or not self.watch.listed:
+                await asyncio.sleep(ELECTION_RETRY_SECONDS)
+            elif self.term is not None:
+                await self._wait_for_change(ELECTION_RETRY_SECONDS)
+            elif leader is None and self.store.failing:
+                await self.ask_any_peer()
+            elif leader is None:
+                await self.stand_for_election(ABSENT)
+            elif leader.record.entry != self.settings.entry:
+                await self.stay_connected(leader)
+            elif leader.record.started_ms != self.record.started_ms:
+                # An earlier life of this entry led; it can not come back.
+                await self.stand_for_election(leader.revision)
+            else:
+                await self.ask_any_peer()
+
+    async def ask_any_peer(self) -> None:
+        """Stay connected to some entry until it is known who leads."""
+        others = [a for e, a in self.directory.items() if e != self.settings.entry]
+        if not others:
+            await asyncio.sleep(ELECTION_RETRY_SECONDS)
+            return
+        host, _, port = self.rng.choice(others).rpartition(":")
+        opened = await connect(
+            host, int(port), self.settings.entry, self.record.started_ms
+        )
+        if opened.is_error():
+            await self._wait_for_change(ELECTION_RETRY_SECONDS)
+            return
+        await self._use_stream(opened.ok, HELPER_SECONDS)
+
+    async def _use_stream(self, stream: Stream, seconds: float | None) -> None:
+        """Run a stream until it breaks, the leader changes or the time is over."""
+        self.leader_stream = stream
+        running = asyncio.create_task(stream.run(self.events))
+        changed = asyncio.create_task(self.leader_changed.wait())
+        try:
+            await asyncio.wait(
+                {running, changed},
+                timeout=seconds,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            self.leader_stream = None
+            stream.close()
+            for task in (running, changed):
+                task.cancel()
+            await asyncio.gather(running, changed, return_exceptions=True)
+
+    async def _wait_for_change(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self.leader_changed.wait()
+        except TimeoutError:
+            return
+
+    async def stay_connected(self, leader: Leader) -> None:
+        """Hold a stream to the leader until it breaks or another one leads."""
+        host, _, port = leader.record.address.rpartition(":")
+        opened = await connect(
+            host, int(port), self.settings.entry, self.record.started_ms
+        )
+        if opened.is_error():
+            if isinstance(opened.error, ConnectionRefusedError):
+                # Nobody listens there, so the leader's process is gone.
+                log_event(Event.LEADER_DEAD, leader=leader.record.entry)
+                if self.leader == leader:
+                    await self.stand_for_election(leader.revision)
+                return
+            await self._wait_for_change(ELECTION_RETRY_SECONDS)
+            return
+        await self._use_stream(opened.ok, None)
+
+    async def take_over(self, replaced: Revision) -> tuple[int, Any]:
+        """Become leader at the request of one that the store turns away."""
+        known = self.leader.revision if self.leader else ABSENT
+        if self.store.failing or self.stopping or known != replaced:
+            return 1, None
+        result = await self.elections.acquire(replaced)
+        if result.is_error():
+            return 1, None
+        self.hand_over = asyncio.create_task(self.lead(result.ok))
+        return 0, None
+
+    async def stand_for_election(self, replaced: Revision) -> None:
+        """Try to become leader, and lead if it succeeds."""
+        await asyncio.sleep(self.rng.uniform(0.0, ELECTION_SPREAD_SECONDS))
+        if not self.may_lead():
+            await asyncio.sleep(ELECTION_RETRY_SECONDS)
+            return
+        current = self.leader.revision if self.leader else ABSENT
+        if current != replaced:
+            return
+        result = await self.elections.acquire(replaced)
+        if result.is_error():
+            if result.error is StoreFailure.CONFLICT:
+                await self._wait_for_change(ELECTION_RETRY_SECONDS)
+            else:
+                await asyncio.sleep(ELECTION_RETRY_SECONDS)
+            return
+        await self.lead(result.ok)
+
+    async def lead(self, term: Term) -> None:
+        """Run the controller for one term."""
+        self.term = term
+        value = msgspec.msgpack.encode(self.record)
+        self.adopt_leader(Item(LEADER_KEY, value, Revision(int(term.token))))
+        renewals = asyncio.create_task(self.renew(term))
+        try:
+            await self.catch_up(term)
+            controller = None if term.ended else self.build_controller(term)
+            if controller is None:
+                return
+            self.controller = controller
+            running = asyncio.create_task(controller.run())
+            await asyncio.wait({running})
+            if not running.cancelled() and running.exception() is not None:
+                log_event(
+                    Event.TASK_FAILED,
+                    task="controller",
+                    error=repr(running.exception()),
+                )
+        finally:
+            self.controller = None
+            self.term = None
+            renewals.cancel()
+            if self.leader is not None and int(self.leader.revision) == int(term.token):
+                self.leader = None
+                self.watch.listed = False
+            for stream in list(self.peers.streams):
+                stream.close()
+            await self.elections.resign(term)
+
+    async def catch_up(self, term: Term) -> None:
+        """Bring the mirror to the revision at which this term began."""
+        while not term.ended:
+            result = await self.store.list(JOBS)
+            if result.is_ok():
+                changed = self.mirror.replace_all(
+                    list(result.ok.items), result.ok.revision
+                )
+                log_event(
+                    Event.MIRROR_CAUGHT_UP,
+                    token=term.token,
+                    jobs=len(self.mirror.jobs),
+                    changed=len(changed),
+                )
+                return
+            await asyncio.sleep(ELECTION_RETRY_SECONDS)
+
+    async def renew(self, term: Term) -> None:
+        """Renew the lease of a term until it ends.
+
+        A leader that the store turns away asks another entry to take over, which is
+        sooner than the end of its lease.
+        """
+        next_at = self.clock.monotonic() + RENEW_SECONDS
+        while not term.ended:
+            await asyncio.sleep(RENEW_SECONDS / 5)
+            if self.clock.monotonic() < next_at and not self.store.failing:
+                continue
+            result = await self.elections.renew(term)
+            next_at = self.clock.monotonic() + RENEW_SECONDS
+            if result.is_ok():
+                continue
+            if result.error is StoreFailure.LEASE_ENDED:
+                self.end_term("lease")
+            elif await self._ask_to_take_over(term):
+                self.end_term("handed_over")
+
+    async def _ask_to_take_over(self, term: Term) -> bool:
+        """Ask the entry that started last; return whether it leads now.
+
+        Where entries are restarted in turn, that one stays longest.
+        """
+        streams = [stream for stream in self.peers.streams if stream.is_open]
+        if not streams:
+            return False
+        newest = max(streams, key=lambda stream: stream.peer_started_ms)
+        answer = await newest.call(TAKE_OVER, int(term.token))
+        return answer.is_ok() and answer.ok[0] == 0
+
+    async def register(self) -> None:
+        """Write this entry's address into the directory."""
+        key = DIRECTORY + self.settings.entry
+        write = Write(key, self.record.address.encode())
+        while True:
+            result = await self.store.commit(Transaction({}, (write,)))
+            if result.is_ok():
+                return
+            await asyncio.sleep(REGISTER_RETRY_SECONDS)
+
+    async def resign(self) -> None:
+        """Hand leadership over before this entry stops."""
+        self.stopping = True
+        if self.term is not None:
+            await self._ask_to_take_over(self.term)
+        self.end_term("shutdown")
--- a/src/ebonyhub/platform/config.py
+++ b/src/ebonyhub/platform/config.py
@@ -45,6 +45,8 @@
         )
     except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
         return Error(repr(error))
+    except AttributeError:
+        return Error("a queue or service is not an object")
 
 
 def _queue(row: dict[str, Any]) -> Queue:
--- a/src/ebonyhub/platform/submissions.py
+++ b/src/ebonyhub/platform/submissions.py
@@ -25,17 +25,19 @@
         steps = tuple(_step(row) for row in data["Steps"])
         if not steps:
             return Error("a job needs a step")
-        return Ok(
-            JobSpec(
-                text=data.get("Spec", ""),
-                steps=steps,
-                repeat_count=data.get("RepeatCount", 0),
-                first_run_ms=data.get("FirstRunMs", 0),
-                interval_ms=data.get("IntervalMs", 0),
-            )
+        spec = JobSpec(
+            text=data.get("Spec", ""),
+            steps=steps,
+            repeat_count=data.get("RepeatCount", 0),
+            first_run_ms=data.get("FirstRunMs", 0),
+            interval_ms=data.get("IntervalMs", 0),
         )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+        # Checks the type of every field.
+        return Ok(msgspec.convert(msgspec.to_builtins(spec), JobSpec))
+    except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as error:
         return Error(repr(error))
+    except AttributeError:
+        return Error("a step or the body is not an object")
 
 
 def _step(row: dict[str, Any]) -> StepSpec:
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -22,7 +22,8 @@
 from .orders import LookAtWorker, Order, PaceRun, StartRun, StopRun
 from .retention import Retention
 from .runs import SLOW_CLOCK_FACTOR, Worker
-from .scheduler import Advice, Scheduler, StepKey
+from .scheduler import Scheduler
+from .state import Advice, StepKey
 from .worker_link import HOLD_SECONDS, WorkerLink
 
 # Seconds between passes over everything that depends on time.
--- a/src/ebonyhub/scheduling/health.py
+++ b/src/ebonyhub/scheduling/health.py
@@ -22,21 +22,23 @@
 # Jobs needed before a worker's pace is judged; the estimate of a job is off by half and
 # more, for all tasks of the job alike.
 JOBS_BEFORE_JUDGEMENT = 4
-# Weight of a new end in the averages.
-WEIGHT = 0.25
+# Weight of a new end in the average of one worker, and of all workers.
+WORKER_WEIGHT = 0.25
+USUAL_WEIGHT = 0.02
 
 
 @dataclass(slots=True)
 class Pace:
     """Average of the logarithm of run time over estimate."""
 
+    weight: float = WORKER_WEIGHT
     average: float = 0.0
     ends: int = 0
 
     def add(self, ratio: float) -> None:
         """Take one end into the average."""
         self.ends += 1
-        weight = max(WEIGHT, 1 / self.ends)
+        weight = max(self.weight, 1 / self.ends)
         self.average += (log(max(ratio, 0.01)) - self.average) * weight
 
 
--- /dev/null
+++ b/src/ebonyhub/scheduling/intake.py
@@ -0,0 +1,117 @@
+"""Takes jobs over from their records, and ends them."""
+
+from ..events import Event, log_event
+from ..fleet.demand import ArrivalMeter
+from ..ids import JobId, TaskId
+from ..jobs.model import AcceptedJob, Resources
+from ..jobs.records import JobState, ProgressRecord
+from . import lifecycle
+from .model import (
+    WorkerEntry,
+)
+from .runs import Job, Run, RunPhase, StopReason, Worker
+from .state import SchedulerState
+
+
+class JobIntake(SchedulerState):
+    """Begins, cancels and finishes jobs."""
+
+    def load(
+        self,
+        accepted: AcceptedJob,
+        progress: ProgressRecord | None,
+        cancelled: bool,
+        now: float,
+        wall_ms: int,
+    ) -> None:
+        """Add a job from its records, with the runs that an earlier leader ordered."""
+        if accepted.job in self.jobs:
+            if cancelled:
+                self.cancel(accepted.job, now, wall_ms)
+            return
+        queue = self.queues.get(accepted.queue)
+        age = max(0.0, (wall_ms - accepted.accepted_ms) / 1000)
+        job = Job(
+            accepted=accepted,
+            progress=progress or ProgressRecord(),
+            queue=accepted.queue,
+            service=queue.service if queue else accepted.service,
+            arrived_at=now - min(age, 60.0),
+        )
+        self.jobs[accepted.job] = job
+        if job.final:
+            return
+        job.next_due = job.progress.next_occurrence
+        self.active[accepted.job] = job
+        if not accepted.spec.long_running:
+            meter = self.arrivals.setdefault(self.service_of(job), ArrivalMeter())
+            work = sum(step.core_seconds for step in accepted.spec.steps)
+            meter.add(job.arrived_at, work)
+        for number, steps in job.progress.occurrences.items():
+            if steps:
+                self._adopt_runs(job, number, now)
+                lifecycle.refresh_pending(job, number)
+        lifecycle.activate_due(job, wall_ms)
+        if cancelled:
+            self.cancel(accepted.job, now, wall_ms)
+
+    def _adopt_runs(self, job: Job, occurrence: int, now: float) -> None:
+        """Track the runs of a record until their workers tell what became of them."""
+        for step_number, state in enumerate(job.progress.occurrences[occurrence]):
+            step = job.accepted.spec.steps[step_number]
+            for index, record in state.runs.items():
+                task = TaskId(job.job_id, occurrence, step_number, index)
+                run = Run(
+                    task, record.number, record.worker, record.born_ms, step.reserved,
+                    step, RunPhase.UNCERTAIN, inherited=True, planned_at=now,
+                    checkpoint=record.checkpoint,
+                )  # fmt: skip
+                self._worker_of_record(run, job).add(run)
+
+    def _worker_of_record(self, run: Run, job: Job) -> Worker:
+        """Return the worker of an inherited run, also if the store lost its entry."""
+        worker = self.workers.get(run.worker)
+        if worker is None:
+            entry = WorkerEntry(
+                worker=run.worker, service=job.service, address="", zone="", labels=(),
+                rack=job.accepted.spec.steps[0].data_rack, capacity=Resources(),
+                draining=True, leaves_in=None, born_ms=run.born_ms, vm="",  # type: ignore[arg-type]
+            )  # fmt: skip
+            worker = Worker(entry, born_ms=run.born_ms, departed=True)
+            self.workers[run.worker] = worker
+        return worker
+
+    def cancel(self, job_id: JobId, now: float, wall_ms: int) -> None:
+        """End a job and stop its runs."""
+        job = self.jobs.get(job_id)
+        if job is None or job.final or job.cancelled:
+            return
+        job.cancelled = True
+        self.finish_job(job, JobState.CANCELLED, StopReason.CANCELLED, now, wall_ms)
+
+    def finish_job(
+        self, job: Job, state: JobState, reason: StopReason, now: float, wall_ms: int
+    ) -> None:
+        """Give a job its final state and stop its runs."""
+        if not job.final:
+            lifecycle.finish(job, state, wall_ms)
+        self.close_job(job, now, reason)
+
+    def close_job(self, job: Job, now: float, reason: StopReason) -> None:
+        """Clean up after a job that has its final state."""
+        self.active.pop(job.job_id, None)
+        self.mark_dirty(job)
+        for key in [k for k in self.advice if k[0] == job.job_id]:
+            del self.advice[key]
+        for key in [k for k in self.steps_without_advice if k[0] == job.job_id]:
+            del self.steps_without_advice[key]
+        log_event(
+            Event.JOB_ENDED,
+            job=job.job_id,
+            state=job.progress.state.name.lower(),
+            after=round(now - job.arrived_at, 3),
+        )
+        for worker in self.workers.values():
+            for run in list(worker.runs.values()):
+                if run.task.job == job.job_id:
+                    self.stop_run(run, reason, now)
--- /dev/null
+++ b/src/ebonyhub/scheduling/order_results.py
@@ -0,0 +1,88 @@
+"""Orders starts whose records are stored, and applies the answers."""
+
+from ..events import Event, log_event
+from .model import (
+    OrderFailure,
+)
+from .orders import LookAtWorker, StartRun, StopRun
+from .runs import Run, RunPhase
+from .state import SchedulerState, short_name
+
+# Seconds without new tasks for a worker that refused one.
+REFUSAL_PAUSE_SECONDS = 0.5
+
+
+class OrderResults(SchedulerState):
+    """Follows starts and stops from the decision to the answer."""
+
+    def release_starts(self, now: float) -> None:
+        """Order the starts whose records are stored."""
+        waiting: list[Run] = []
+        for run in self.planned:
+            job = self.jobs.get(run.task.job)
+            worker = self.workers.get(run.worker)
+            if job is None or worker is None or run.key not in worker.runs:
+                continue
+            if run.stop is not None:
+                worker.remove(run)
+                continue
+            if job.stored_version < run.job_version:
+                waiting.append(run)
+                continue
+            run.phase = RunPhase.ORDERED
+            key = (run.task.job, run.task.occurrence, run.task.step)
+            advice = self.advice.get(key)
+            ticket = advice.tickets.get(run.worker, "") if advice else ""
+            self.outbox.append(StartRun(run, ticket))
+        self.planned = waiting
+
+    def handle_start_result(
+        self, run: Run, failure: OrderFailure | None, now: float
+    ) -> None:
+        """Apply the answer to a start; None means that the run is there."""
+        worker = self.workers.get(run.worker)
+        if worker is None or run.key not in worker.runs:
+            return
+        if run.phase is not RunPhase.ORDERED:
+            return
+        if failure is None:
+            run.phase = RunPhase.CONFIRMED
+            run.confirmed_at = run.percent_changed_at = now
+            worker.contact_at = max(worker.contact_at or now, now)
+            log_event(
+                Event.RUN_STARTED,
+                job=run.task.job,
+                task=short_name(run.task),
+                run=run.number,
+                worker=run.worker,
+                contact_age=round(now - worker.clock_at, 3),
+            )
+            return
+        log_event(
+            Event.START_FAILED, job=run.task.job, task=short_name(run.task),
+            run=run.number, worker=run.worker, reason=failure.value,
+        )  # fmt: skip
+        if failure is OrderFailure.UNKNOWN:
+            run.phase = RunPhase.UNCERTAIN
+            run.look_requested = True
+            self.outbox.append(LookAtWorker(run.worker))
+            return
+        if failure is OrderFailure.TICKET:
+            key = (run.task.job, run.task.occurrence, run.task.step)
+            self.advice.pop(key, None)
+        if failure in (OrderFailure.REFUSED, OrderFailure.NOT_SENT):
+            worker.health.quarantine(now, REFUSAL_PAUSE_SECONDS)
+        self.give_up(run, worker)
+
+    def handle_stop_result(
+        self, order: StopRun, failure: OrderFailure | None, now: float
+    ) -> None:
+        """Note that a run can not start any more; its end is listed if it ran."""
+        worker = self.workers.get(order.worker)
+        run = worker.runs.get((order.task, order.number)) if worker else None
+        if run is None or failure is not None:
+            return
+        run.barred_at = now
+        if run.phase is not RunPhase.CONFIRMED:
+            run.phase = RunPhase.UNCERTAIN
+            self.outbox.append(LookAtWorker(order.worker))
--- /dev/null
+++ b/src/ebonyhub/scheduling/planning.py
@@ -0,0 +1,98 @@
+"""Chooses workers for ready tasks."""
+
+from ..ids import ServiceName, TaskId, WorkerId
+from . import lifecycle
+from .placement import StepNeeds, allows, choose_gang_workers, choose_worker
+from .priority import urgency
+from .runs import Job, Run, RunPhase, Worker
+from .state import SchedulerState
+
+
+class Planning(SchedulerState):
+    """Assigns tasks to workers, the most urgent jobs first."""
+
+    def plan(self, now: float) -> None:
+        """Choose workers for ready tasks."""
+        by_service: dict[ServiceName, list[Job]] = {}
+        for job in self.active.values():
+            if job.pending:
+                by_service.setdefault(self.service_of(job), []).append(job)
+        for service, jobs in by_service.items():
+            workers = [
+                worker
+                for worker in self.workers.values()
+                if worker.entry.service == service and self.eligible(worker, now)
+            ]
+            if not workers:
+                continue
+            jobs.sort(key=lambda job: urgency(job, self.queues.get(job.queue), now).key)
+            for job in jobs:
+                self._plan_job(job, workers, now)
+
+    def _plan_job(self, job: Job, workers: list[Worker], now: float) -> None:
+        for (occurrence, number), waiting in list(job.pending.items()):
+            step = job.accepted.spec.steps[number]
+            queue = self.queues.get(job.queue)
+            tickets: dict[WorkerId, str] | None = None
+            if queue is not None and queue.advisor is not None:
+                key = (job.job_id, occurrence, number)
+                advice = self.advice.get(key)
+                if advice is None or advice.is_useless(workers, now):
+                    self.steps_without_advice[key] = job.queue
+                    continue
+                tickets = advice.tickets
+            needs = StepNeeds(job.job_id, occurrence, number, step, tickets)
+            allowed = [worker for worker in workers if allows(needs, worker)]
+            if step.gang:
+                self._plan_gang(job, needs, allowed, sorted(waiting), now)
+                continue
+            for index in sorted(waiting):
+                task = TaskId(job.job_id, occurrence, number, index)
+                worker = choose_worker(needs, allowed, job.avoid.get(task, ()))
+                if worker is None:
+                    break
+                self._assign(job, task, worker, now)
+
+    def _plan_gang(
+        self,
+        job: Job,
+        needs: StepNeeds,
+        workers: list[Worker],
+        indexes: list[int],
+        now: float,
+    ) -> None:
+        chosen = choose_gang_workers(needs, workers, indexes)
+        if chosen is None:
+            return
+        state = job.progress.occurrences[needs.occurrence][needs.step_number]
+        number = max(state.numbers.values(), default=0) + 1
+        checkpoint = max(state.checkpoints.values(), default="")
+        for index, worker in chosen.items():
+            task = TaskId(job.job_id, needs.occurrence, needs.step_number, index)
+            self._assign(job, task, worker, now, number, checkpoint)
+
+    def _assign(
+        self,
+        job: Job,
+        task: TaskId,
+        worker: Worker,
+        now: float,
+        number: int | None = None,
+        checkpoint: str | None = None,
+    ) -> None:
+        state = lifecycle.progress_of(job, task)
+        assert state is not None
+        if number is None:
+            number = state.numbers.get(task.position, 0) + 1
+        if checkpoint is None:
+            checkpoint = state.checkpoints.get(task.position, "")
+        step = lifecycle.step_of(job, task)
+        run = Run(
+            task, number, worker.worker_id, worker.born_ms, step.reserved, step,
+            RunPhase.PLANNED, planned_at=now, checkpoint=checkpoint,
+        )  # fmt: skip
+        worker.add(run)
+        lifecycle.record_start(job, run)
+        run.job_version = job.version
+        self.planned.append(run)
+        self.mark_dirty(job)
--- /dev/null
+++ b/src/ebonyhub/scheduling/reports.py
@@ -0,0 +1,244 @@
+"""Applies what workers report: runs, ends and missing runs."""
+
+from collections.abc import Iterable
+
+from ..events import Event, log_event
+from ..ids import JobId, TaskId
+from ..jobs.model import Resources, StepSpec
+from . import lifecycle
+from .health import WorkerHealth
+from .intake import JobIntake
+from .model import (
+    EndedTask,
+    EndKind,
+    RunningTask,
+    WorkerReport,
+)
+from .orders import PaceRun
+from .pacing import CHANGE_SECONDS, paces, worst_load
+from .runs import Job, Run, RunPhase, StopReason, Worker
+from .state import short_name
+from .worker_watch import WorkerWatch
+
+# A worker returns this many ends at once at most; a full list may hide others.
+ENDS_PER_REPORT = 500
+
+
+class ReportHandling(JobIntake, WorkerWatch):
+    """Compares the lists of workers with what was ordered."""
+
+    def handle_report(
+        self,
+        worker: Worker,
+        report: WorkerReport,
+        sent_at: float,
+        now: float,
+        wall_ms: int,
+    ) -> None:
+        """Take over both lists of a worker; ``sent_at`` is when they were asked for."""
+        if report.born_ms and worker.born_ms and report.born_ms != worker.born_ms:
+            self._handle_rebirth(worker, report, now)
+        if report.born_ms:
+            worker.born_ms = report.born_ms
+        worker.contact_at = now
+        worker.failing = False
+        worker.clock_ms, worker.clock_at = report.clock_ms, now
+        worker.expired = False
+        self._handle_ends(worker, report.ended, now, wall_ms)
+        listed = set()
+        for row in report.running:
+            listed.add((row.task, row.number))
+            self._handle_running(worker, row, now)
+        if len(report.ended) < ENDS_PER_REPORT:
+            self._handle_missing(worker, listed, sent_at, now)
+        self._pace_fillers(worker, now)
+        self.advance_acknowledgements(worker)
+
+    def _handle_rebirth(self, worker: Worker, report: WorkerReport, now: float) -> None:
+        """Forget what an earlier life under the same id listed.
+
+        Its runs are missing from the new life's lists. A start that is under way may
+        reach the new life, so it is not given up here.
+        """
+        log_event(
+            Event.WORKER_REBORN, worker=worker.worker_id, born=report.born_ms,
+            runs=len(worker.runs),
+        )  # fmt: skip
+        worker.seen_sequence = 0
+        worker.acknowledged = 0
+        worker.unstored_ends.clear()
+        worker.lease_ms = 0
+        worker.health = WorkerHealth()
+
+    def _handle_ends(
+        self, worker: Worker, ended: Iterable[EndedTask], now: float, wall_ms: int
+    ) -> None:
+        touched: dict[JobId, int] = {}
+        last = 0
+        for end in ended:
+            if end.sequence <= worker.seen_sequence:
+                continue
+            worker.seen_sequence = last = end.sequence
+            job = self._handle_end(worker, end, now, wall_ms)
+            if job is not None:
+                touched[job.job_id] = job.version
+        if last:
+            worker.unstored_ends.append((last, touched))
+
+    def _handle_end(
+        self, worker: Worker, end: EndedTask, now: float, wall_ms: int
+    ) -> Job | None:
+        """Apply one end; returns the job whose record must be stored."""
+        run = worker.runs.get((end.task, end.number))
+        if run is not None:
+            worker.remove(run)
+        job = self.jobs.get(end.task.job)
+        if job is None:
+            return None
+        log_event(
+            Event.RUN_ENDED, job=end.task.job, task=short_name(end.task),
+            run=end.number, worker=worker.worker_id, how=end.kind.value,
+            after=round(now - run.planned_at, 3) if run else None,
+        )  # fmt: skip
+        if job.final or not lifecycle.is_current(job, end.task, end.number):
+            return job if job.version > job.stored_version else None
+        step = lifecycle.step_of(job, end.task)
+        self._judge_worker(worker, end, run, step, now)
+        if end.kind is EndKind.DONE and not step.long_running:
+            lifecycle.record_done(job, end.task, wall_ms)
+        elif end.kind is EndKind.FAILED and not step.long_running:
+            job.avoid.setdefault(end.task, set()).add(worker.worker_id)
+            attempts = self._max_attempts(job)
+            lifecycle.record_failure(job, end.task, attempts, wall_ms)
+        else:
+            if end.kind is EndKind.FAILED:
+                job.avoid.setdefault(end.task, set()).add(worker.worker_id)
+            checkpoint = "" if end.kind is EndKind.FAILED else end.checkpoint
+            lifecycle.drop_run(job, end.task, checkpoint)
+        self.mark_dirty(job)
+        if job.final:
+            self.close_job(job, now, StopReason.JOB_ENDED)
+        return job
+
+    def _max_attempts(self, job: Job) -> int:
+        queue = self.queues.get(job.queue)
+        return queue.max_attempts if queue else job.accepted.max_attempts
+
+    def _judge_worker(
+        self,
+        worker: Worker,
+        end: EndedTask,
+        run: Run | None,
+        step: StepSpec,
+        now: float,
+    ) -> None:
+        """Learn from an end how well the worker does."""
+        if step.long_running:
+            return
+        if end.kind is EndKind.DONE:
+            if run is not None and not run.inherited:
+                seconds = now - (run.confirmed_at or run.planned_at)
+                estimate = step.estimate_ms / 1000
+                worker.health.note_success(
+                    end.task.job, seconds, estimate, self.usual_pace
+                )
+                self._check_pace(worker, now)
+        elif end.kind is EndKind.FAILED and worker.health.note_failure(
+            end.task.job, now
+        ):
+            self.log_quarantine(worker, "failures")
+
+    def _check_pace(self, worker: Worker, now: float) -> None:
+        """Set a slow worker aside; its pace is learnt anew afterwards."""
+        if worker.health.is_slow(self.usual_pace):
+            worker.health.quarantine(now)
+            worker.health.forget_pace()
+            self.log_quarantine(worker, "slow")
+
+    def _handle_running(self, worker: Worker, row: RunningTask, now: float) -> None:
+        run = worker.runs.get((row.task, row.number))
+        if run is None:
+            run = self._track_unknown(worker, row, now)
+        if run.phase is not RunPhase.CONFIRMED:
+            run.phase = RunPhase.CONFIRMED
+            run.confirmed_at = now
+            run.percent_changed_at = now
+        if row.percent != run.percent:
+            run.percent = row.percent
+            run.percent_changed_at = now
+        run.checkpoint = row.checkpoint or run.checkpoint
+        run.usage = row.usage
+        job = self.jobs.get(row.task.job)
+        if job is None or job.final:
+            self.stop_run(run, StopReason.JOB_ENDED, now)
+        elif not lifecycle.is_current(job, row.task, row.number):
+            self.stop_run(run, StopReason.UNKNOWN_RUN, now)
+
+    def _track_unknown(self, worker: Worker, row: RunningTask, now: float) -> Run:
+        """Count a run that no record names, so that its capacity is not given out."""
+        job = self.jobs.get(row.task.job)
+        steps = job.accepted.spec.steps if job else ()
+        if row.task.step < len(steps):
+            step = steps[row.task.step]
+        else:
+            step = StepSpec(1, Resources())
+        run = Run(
+            row.task, row.number, worker.worker_id, worker.born_ms, step.reserved,
+            step, RunPhase.CONFIRMED, planned_at=now, confirmed_at=now,
+        )  # fmt: skip
+        worker.add(run)
+        return run
+
+    def _handle_missing(
+        self,
+        worker: Worker,
+        listed: set[tuple[TaskId, int]],
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Give up runs that are proved not to exist, and bar those that might start."""
+        for key, run in list(worker.runs.items()):
+            if key in listed or run.phase in (RunPhase.PLANNED, RunPhase.ORDERED):
+                continue
+            if run.phase is RunPhase.CONFIRMED:
+                gone = run.confirmed_at < sent_at
+            else:
+                barred = run.barred_at is not None and run.barred_at < sent_at
+                gone = run.inherited or barred
+            if gone:
+                log_event(
+                    Event.RUN_LOST, job=run.task.job, task=short_name(run.task),
+                    run=run.number, worker=worker.worker_id, phase=run.phase.value,
+                )  # fmt: skip
+                self.give_up(run, worker)
+            elif run.phase is RunPhase.UNCERTAIN and run.look_requested:
+                self.stop_run(run, StopReason.UNANSWERED, now)
+
+    def _pace_fillers(self, worker: Worker, now: float) -> None:
+        """Slow down or speed up the tasks that fill what serving tasks leave."""
+        if now - worker.paced_at < CHANGE_SECONDS:
+            return
+        for run, percent in paces(worker):
+            worker.paced_at = now
+            run.pace = percent
+            log_event(
+                Event.RUN_PACED,
+                job=run.task.job,
+                task=short_name(run.task),
+                worker=worker.worker_id,
+                percent=percent,
+                load=round(worst_load(worker), 2),
+            )
+            order = PaceRun(worker.worker_id, run.task, run.number, percent)
+            self.outbox.append(order)
+
+    def advance_acknowledgements(self, worker: Worker) -> None:
+        """Acknowledge the ends whose records are stored."""
+        while worker.unstored_ends:
+            sequence, versions = worker.unstored_ends[0]
+            for job_id, version in versions.items():
+                job = self.jobs.get(job_id)
+                if job is not None and job.stored_version < version:
+                    return
+            worker.acknowledged = sequence
+            worker.unstored_ends.pop(0)
--- /dev/null
+++ b/src/ebonyhub/scheduling/state.py
@@ -0,0 +1,145 @@
+"""What the scheduler believes: jobs, workers, runs and advice."""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ..configuration import Configuration, Queue
+from ..events import Event, log_event
+from ..fleet.demand import ArrivalMeter
+from ..ids import JobId, QueueName, ServiceName, TaskId, WorkerId
+from . import lifecycle
+from .health import USUAL_WEIGHT, Pace
+from .orders import Order, StopRun
+from .runs import Job, Run, RunPhase, StopReason, Worker
+
+# Seconds without an answer after which a worker gets no new tasks. Holds are long
+# polls of one second.
+CONTACT_LIMIT_SECONDS = 1.8
+# Seconds until an unconfirmed stop is ordered again.
+STOP_REPEAT_SECONDS = 0.6
+
+
+StepKey = tuple[JobId, int, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Advice:
+    """Workers that may run a step, with their tickets; times are monotonic seconds."""
+
+    tickets: dict[WorkerId, str]
+    expires_at: float
+
+    def is_useless(self, workers: Iterable[Worker], now: float) -> bool:
+        """Return whether it has expired or names no worker that takes tasks."""
+        if now >= self.expires_at:
+            return True
+        return not any(worker.worker_id in self.tickets for worker in workers)
+
+
+class SchedulerState:
+    """Jobs, workers and runs, and the basic changes to them."""
+
+    def __init__(self) -> None:
+        # Also queues that were dropped, since their jobs go on.
+        self.queues: dict[QueueName, Queue] = {}
+        self.jobs: dict[JobId, Job] = {}
+        self.active: dict[JobId, Job] = {}
+        self.workers: dict[WorkerId, Worker] = {}
+        self.dirty: dict[JobId, Job] = {}
+        self.outbox: deque[Order] = deque()
+        # Runs whose record is not yet stored.
+        self.planned: list[Run] = []
+        # Until then leases of earlier leaders may hold on workers that do not answer.
+        self.inherited_leases_until = 0.0
+        # What the advisor said of each step, and the steps to ask it about.
+        self.advice: dict[StepKey, Advice] = {}
+        self.steps_without_advice: dict[StepKey, QueueName] = {}
+        # How long tasks take against their estimates, on all workers.
+        self.usual_pace = Pace(USUAL_WEIGHT)
+        self.arrivals: dict[ServiceName, ArrivalMeter] = {}
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take over a newer configuration."""
+        self.queues.update(configuration.queues)
+
+    def service_of(self, job: Job) -> ServiceName:
+        """Return the service that runs the job under the present configuration."""
+        queue = self.queues.get(job.queue)
+        return queue.service if queue else job.service
+
+    def stored(self, job: Job, version: int) -> None:
+        """Note that a version of the job's record is stored."""
+        job.stored_version = max(job.stored_version, version)
+        if job.stored_version >= job.version:
+            self.dirty.pop(job.job_id, None)
+
+    def forget(self, job_id: JobId) -> None:
+        """Drop a finished job whose records were removed."""
+        self.jobs.pop(job_id, None)
+        self.dirty.pop(job_id, None)
+
+    def mark_dirty(self, job: Job) -> None:
+        """Have the job's record stored."""
+        self.dirty[job.job_id] = job
+
+    def is_answering(self, worker: Worker, now: float) -> bool:
+        """Return whether the worker answered this leader a moment ago."""
+        contact = worker.contact_at
+        return contact is not None and now - contact < CONTACT_LIMIT_SECONDS
+
+    def eligible(self, worker: Worker, now: float) -> bool:
+        """Return whether the worker may get new tasks."""
+        return (
+            not worker.departed
+            and not worker.entry.draining
+            and not worker.cordoned
+            and not worker.expired
+            and self.is_answering(worker, now)
+            and not worker.health.is_quarantined(now)
+        )
+
+    def give_up(self, run: Run, worker: Worker) -> None:
+        """Forget a run that does not exist any more, and let its task start again."""
+        worker.remove(run)
+        job = self.jobs.get(run.task.job)
+        if job is None or not lifecycle.is_current(job, run.task, run.number):
+            return
+        lifecycle.drop_run(job, run.task, run.checkpoint)
+        self.mark_dirty(job)
+
+    def expire(self, worker: Worker, cause: str) -> None:
+        """Give up all runs of a worker."""
+        worker.expired = True
+        log_event(
+            Event.WORKER_EXPIRED, worker=worker.worker_id, cause=cause,
+            runs=len(worker.runs),
+        )  # fmt: skip
+        for run in list(worker.runs.values()):
+            self.give_up(run, worker)
+
+    def stop_run(self, run: Run, reason: StopReason, now: float) -> None:
+        """Order a stop, again after a while if it is not confirmed."""
+        if run.stop is None:
+            run.stop = reason
+            log_event(
+                Event.RUN_STOPPED, job=run.task.job, task=short_name(run.task),
+                run=run.number, worker=run.worker, reason=reason.value,
+            )  # fmt: skip
+        if run.phase is RunPhase.PLANNED:
+            worker = self.workers[run.worker]
+            worker.remove(run)
+            return
+        if run.barred_at is None and now - run.stop_sent_at >= STOP_REPEAT_SECONDS:
+            run.stop_sent_at = now
+            self.outbox.append(StopRun(run.worker, run.task, run.number))
+
+
+def is_at_work(run: Run) -> bool:
+    """Return whether a long-running task is serving."""
+    return run.phase is RunPhase.CONFIRMED and run.stop is None and run.percent >= 100
+
+
+def short_name(task: TaskId) -> str:
+    """Return the task's name within its job, for log lines."""
+    return f"{task.occurrence}.{task.step}.{task.position}"
--- /dev/null
+++ b/src/ebonyhub/scheduling/views.py
@@ -0,0 +1,79 @@
+"""What the planner of the fleet asks the scheduler."""
+
+from ..fleet.demand import Demand
+from ..fleet.planner import VmLoad
+from ..ids import PoolName, ServiceName, VmId
+from .runs import Job
+from .state import SchedulerState
+
+# Seconds in which tasks that wait for a worker are to be worked off.
+BACKLOG_SECONDS = 1.0
+
+
+class FleetViews(SchedulerState):
+    """Loads of VMs and demand of services."""
+
+    def loads(self) -> dict[VmId, VmLoad]:
+        """Return what runs on each VM."""
+        loads: dict[VmId, VmLoad] = {}
+        for worker in self.workers.values():
+            if worker.expired or not worker.entry.vm:
+                continue
+            serving = [
+                run.reserved.cpu / 1000
+                for run in worker.runs.values()
+                if run.step.long_running
+            ]
+            loads[worker.entry.vm] = VmLoad(
+                worker.used.cpu / 1000, len(worker.runs), len(serving), sum(serving)
+            )
+        return loads
+
+    def demands(self, now: float) -> dict[PoolName, Demand]:
+        """Return the demand of each service."""
+        serving: dict[ServiceName, float] = {}
+        running: dict[ServiceName, float] = {}
+        waiting: dict[ServiceName, float] = {}
+        for job in self.active.values():
+            service = self.service_of(job)
+            for step in job.accepted.spec.steps:
+                if step.long_running:
+                    cores = step.count * step.reserved.cpu / 1000
+                    serving[service] = serving.get(service, 0.0) + cores
+            wanted = _waiting_cores(job)
+            waiting[service] = waiting.get(service, 0.0) + wanted
+        for worker in self.workers.values():
+            cores = sum(
+                run.reserved.cpu / 1000
+                for run in worker.runs.values()
+                if not run.step.long_running
+            )
+            service = worker.entry.service
+            running[service] = running.get(service, 0.0) + cores
+        found: dict[PoolName, Demand] = {}
+        for service in {*serving, *running, *waiting, *self.arrivals}:
+            meter = self.arrivals.get(service)
+            recent, before = meter.rates(now) if meter else (0.0, 0.0)
+            found[PoolName(service)] = Demand(
+                serving.get(service, 0.0),
+                running.get(service, 0.0),
+                waiting.get(service, 0.0),
+                recent,
+                before,
+            )
+        return found
+
+
+def _waiting_cores(job: Job) -> float:
+    """Return the cores that the job's ready tasks want at once.
+
+    A task that is shorter than the time allowed for a backlog needs only a part of a
+    core's time.
+    """
+    cores = 0.0
+    for (_, number), indexes in job.pending.items():
+        step = job.accepted.spec.steps[number]
+        if not step.long_running:
+            share = min(1.0, step.estimate_ms / 1000 / BACKLOG_SECONDS)
+            cores += len(indexes) * step.reserved.cpu / 1000 * share
+    return cores
--- /dev/null
+++ b/src/ebonyhub/scheduling/worker_watch.py
@@ -0,0 +1,159 @@
+"""Follows workers: entries in the store, silence, planned departures."""
+
+from collections.abc import Iterable
+
+from ..events import Event, log_event
+from ..fleet.model import Vm, VmState
+from ..ids import VmId, WorkerId
+from .health import is_stuck
+from .model import (
+    WorkerEntry,
+)
+from .placement import StepNeeds, allows, choose_worker
+from .runs import Run, RunPhase, StopReason, Worker
+from .state import CONTACT_LIMIT_SECONDS, SchedulerState, is_at_work
+
+
+class WorkerWatch(SchedulerState):
+    """Notices what becomes of workers, and moves tasks away from those that leave."""
+
+    def see_worker(self, entry: WorkerEntry, now: float) -> None:
+        """Take over what a worker says of itself in the store."""
+        worker = self.workers.get(entry.worker)
+        if worker is None:
+            worker = Worker(entry, born_ms=entry.born_ms, found_at=now)
+            self.workers[entry.worker] = worker
+            log_event(
+                Event.WORKER_FOUND, worker=entry.worker, service=entry.service,
+                address=entry.address, rack=entry.rack, draining=entry.draining,
+            )  # fmt: skip
+        if entry.draining and not worker.entry.draining:
+            log_event(
+                Event.WORKER_DRAINS, worker=entry.worker, leaves_in=entry.leaves_in
+            )
+        if entry.leaves_in is not None:
+            worker.leaves_at = now + entry.leaves_in
+        worker.entry = entry
+        worker.departed = False
+
+    def lose_worker(self, worker_id: WorkerId) -> None:
+        """Note that the store has no entry of the worker any more.
+
+        Its runs may go on until its lease ends, since it may only be cut off from the
+        store.
+        """
+        worker = self.workers.get(worker_id)
+        if worker is not None and not worker.departed:
+            worker.departed = True
+            log_event(Event.WORKER_GONE, worker=worker_id, runs=len(worker.runs))
+
+    def see_vms(self, vms: Iterable[Vm], now: float) -> None:
+        """Give up the runs of silent workers whose life the cloud's list denies.
+
+        A VM that moves, has its upkeep, is down or is not listed any more has ended
+        everything that ran on it.
+        """
+        by_id = {vm.vm: vm for vm in vms}
+        for worker in self.silent_workers(now):
+            vm = by_id.get(worker.entry.vm)
+            alive = vm is not None and vm.state is VmState.UP
+            if vm is not None and alive and vm.worker == worker.worker_id:
+                continue
+            state = vm.state.value if vm is not None else "gone"
+            self.expire(worker, f"vm_{state}")
+
+    def silent_workers(self, now: float) -> list[Worker]:
+        """Return the workers with runs that do not answer.
+
+        A worker that was found a moment ago may not have been asked yet.
+        """
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.runs
+            and not worker.expired
+            and worker.entry.vm
+            and now - worker.found_at > CONTACT_LIMIT_SECONDS
+            and (worker.failing or not self.is_answering(worker, now))
+        ]
+
+    def set_cordoned(self, vms: set[VmId]) -> None:
+        """Keep new tasks away from the workers on these VMs."""
+        for worker in self.workers.values():
+            worker.cordoned = worker.entry.vm in vms
+
+    def _check_worker(self, worker: Worker, now: float) -> None:
+        silent = not self.is_answering(worker, now)
+        open_runs = worker.runs and not worker.expired
+        if (
+            silent
+            and open_runs
+            and worker.lease_has_ended(now, self.inherited_leases_until)
+        ):
+            self.expire(worker, "lease_ended")
+        if worker.departed and not worker.runs and (silent or worker.expired):
+            del self.workers[worker.worker_id]
+            return
+        for run in list(worker.runs.values()):
+            if run.stop is not None:
+                self.stop_run(run, run.stop, now)
+            elif run.step.long_running and (worker.entry.draining or worker.cordoned):
+                self._evacuate(run, worker, now)
+            elif not run.step.long_running:
+                self.check_progress(run, worker, now)
+
+    def _evacuate(self, run: Run, worker: Worker, now: float) -> None:
+        """Stop a long-running task, so that it starts again on another worker.
+
+        Planned work keeps to the number of tasks that may be unavailable at once. A
+        worker that drains ends its tasks anyway.
+        """
+        if run.phase is not RunPhase.CONFIRMED:
+            return
+        if worker.entry.draining or self._may_interrupt(run, now):
+            self.stop_run(run, StopReason.WORKER_LEAVES, now)
+
+    def _may_interrupt(self, run: Run, now: float) -> bool:
+        """Return whether the step can do without the run and has room elsewhere."""
+        job = self.jobs.get(run.task.job)
+        if job is None or job.final:
+            return True
+        at_work = 0
+        for worker in self.workers.values():
+            for other in worker.runs.values():
+                same = other.task[:3] == run.task[:3] and other is not run
+                if same and is_at_work(other) and self.is_answering(worker, now):
+                    at_work += 1
+        away = run.step.count - 1 - at_work
+        if away >= max(1, run.step.max_unavailable):
+            return False
+        needs = StepNeeds(job.job_id, run.task.occurrence, run.task.step, run.step)
+        service = self.service_of(job)
+        others = [
+            worker
+            for worker in self.workers.values()
+            if worker.entry.service == service and self.eligible(worker, now)
+        ]
+        others = [worker for worker in others if allows(needs, worker)]
+        return choose_worker(needs, others) is not None
+
+    def check_progress(self, run: Run, worker: Worker, now: float) -> None:
+        """Stop a task that stands still, and set its worker aside.
+
+        Only time for which the worker was heard counts.
+        """
+        heard_at = worker.contact_at
+        if heard_at is None or run.phase is not RunPhase.CONFIRMED or run.pace < 100:
+            return
+        if is_stuck(max(run.percent_changed_at, run.confirmed_at), heard_at):
+            job = self.jobs.get(run.task.job)
+            if job is not None and not job.final:
+                job.avoid.setdefault(run.task, set()).add(worker.worker_id)
+            self.stop_run(run, StopReason.NO_PROGRESS, now)
+            if not worker.health.is_quarantined(now):
+                worker.health.quarantine(now)
+                self.log_quarantine(worker, "no_progress")
+
+    def log_quarantine(self, worker: Worker, cause: str) -> None:
+        """Log that a worker is set aside."""
+        log_event(Event.WORKER_QUARANTINED, worker=worker.worker_id, cause=cause)
--- /dev/null
+++ b/standins/job_cluster.py
@@ -0,0 +1,115 @@
+"""Entry processes on the platform's stand-in, each on its own loopback address."""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from ebonyhub.http_client import (
+    RequestHead,
+    SmallResponse,
+    exchange_small,
+    open_connection,
+    request_once,
+)
+from standins.job_platform import JobPlatform, node_settings_text
+from standins.network import LoopbackNetwork, claim_network
+
+ROOT = Path(__file__).parent.parent
+CALLER_PORT = 8624
+READY_PORT = 8622
+STORE_PORT = 8600
+FIRST_WORKER_PORT = 8700
+PEER_PORTS = (7060, 7075)
+# Seconds that a caller waits for an answer.
+CALL_SECONDS = 3.0
+HOST = b"plans.example"
+PREFIX = "/plans/"
+
+
+class JobCluster:
+    """A number of entry processes and the platform they run on."""
+
+    def __init__(self, entries: int, workers: int) -> None:
+        self.network: LoopbackNetwork = claim_network()
+        self.platform_ip = self.network.address(0, 1)
+        ports = list(range(FIRST_WORKER_PORT, FIRST_WORKER_PORT + workers))
+        self.platform = JobPlatform(self.platform_ip, STORE_PORT, ports)
+        self.folder = tempfile.TemporaryDirectory()
+        self.names = [f"entry-{number}" for number in range(1, entries + 1)]
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def ip(self, name: str) -> str:
+        """Return the address of an entry."""
+        return self.network.address(1, self.names.index(name) + 1)
+
+    def start_entry(self, name: str) -> None:
+        """Start the process of an entry."""
+        path = Path(self.folder.name) / f"{name}.yaml"
+        store = f"{self.platform_ip}:{STORE_PORT}"
+        path.write_text(node_settings_text(name, self.ip(name), store, PEER_PORTS))
+        log = (Path(self.folder.name) / f"{name}.log").open("ab")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "deploy/entry.py"],
+            cwd=ROOT,
+            env={**os.environ, "EBONYHUB_NODE_FILE": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def log_of(self, name: str) -> str:
+        """Return what an entry has logged."""
+        return (Path(self.folder.name) / f"{name}.log").read_text()
+
+    def leader(self) -> str | None:
+        """Return the entry that logged the newest take-over and still runs."""
+        found: tuple[int, str] | None = None
+        for name, process in self.processes.items():
+            if process.poll() is not None:
+                continue
+            for line in self.log_of(name).splitlines():
+                if "leadership taken" in line:
+                    token = int(line.rpartition("token=")[2].split()[0])
+                    found = max(found, (token, name)) if found else (token, name)
+        return found[1] if found else None
+
+    async def call(
+        self, name: str, method: str, job: str, body: object = None
+    ) -> SmallResponse | None:
+        """Make a caller's call at one entry; None without an answer."""
+        encoded = b"" if body is None else json.dumps(body).encode()
+        headers = [
+            (b"Host", HOST),
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", str(len(encoded)).encode()),
+            (b"Connection", b"close"),
+        ]
+        head = RequestHead(method.encode(), f"{PREFIX}{job}".encode(), headers)
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                opened = await open_connection(self.ip(name), CALLER_PORT, CALL_SECONDS)
+                if opened.is_error():
+                    return None
+                result = await exchange_small(opened.ok, head, encoded)
+        except TimeoutError:
+            return None
+        opened.ok.close()
+        return result.ok if result.is_ok() else None
+
+    async def is_ready(self, name: str) -> bool:
+        """Return whether the entry takes callers."""
+        result = await request_once(self.ip(name), READY_PORT, "GET", "/readiness")
+        return bool(result.is_ok() and result.ok.status == 200)
+
+    def close(self) -> None:
+        """Stop the entries that this cluster started."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        self.folder.cleanup()
+        self.network.close()
--- /dev/null
+++ b/tests/test_committer.py
@@ -0,0 +1,93 @@
+"""Group commits of progress records.
+
+Guards against a job in two commits at once, which conflict for ever, and against a
+leader that goes on writing after its term.
+"""
+
+import asyncio
+import contextlib
+
+from prometheus_client import CollectorRegistry
+
+from ebonyhub.clock import SystemClock
+from ebonyhub.cluster.leadership import Elections, LeaderRecord
+from ebonyhub.ids import EntryId, JobId, QueueName, ServiceName
+from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec
+from ebonyhub.jobs.records import progress_key
+from ebonyhub.metrics import Metrics
+from ebonyhub.scheduling.committer import JOBS_PER_COMMIT, Committer
+from ebonyhub.scheduling.scheduler import Scheduler
+from standins.memory_store import MemoryStore, StoreCore
+
+SPEC = JobSpec("text", (StepSpec(1, Resources(100, 1)),))
+
+
+class CountingStore(MemoryStore):
+    """Counts transactions, and lets others run before it carries one out."""
+
+    def __init__(self, core):
+        super().__init__(core)
+        self.commits = []
+
+    async def commit(self, transaction):
+        self.commits.append(transaction)
+        await asyncio.sleep(0.01)
+        return await super().commit(transaction)
+
+
+async def started_committer(jobs):
+    core = StoreCore(SystemClock().monotonic)
+    store = CountingStore(core)
+    record = LeaderRecord(EntryId("e"), "a:1", 1)
+    term = (await Elections(store, SystemClock(), record).acquire()).ok
+    scheduler = Scheduler()
+    for number in range(jobs):
+        accepted = AcceptedJob(
+            JobId(f"{number:016x}"), QueueName("q"), ServiceName("s"), 3, 0, SPEC
+        )
+        scheduler.load(accepted, None, False, 0.0, 1)
+        job = scheduler.jobs[accepted.job]
+        job.version = 1
+        scheduler.dirty[accepted.job] = job
+    committer = Committer(
+        store, scheduler, term, SystemClock(), Metrics(CollectorRegistry()),
+        lambda items: None,
+    )  # fmt: skip
+    store.commits.clear()
+    return core, store, scheduler, committer
+
+
+async def run_until(committer, condition):
+    task = asyncio.create_task(committer.run())
+    committer.work.set()
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.005)
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+async def test_each_job_is_in_one_commit():
+    _, store, scheduler, committer = await started_committer(40)
+    await run_until(committer, lambda: not scheduler.dirty)
+    keys = [write.key for commit in store.commits for write in commit.writes]
+    assert len(keys) == len(set(keys)) == 40
+    assert max(len(commit.writes) for commit in store.commits) == JOBS_PER_COMMIT
+    assert max(commit.rows for commit in store.commits) <= 32
+
+
+async def test_late_commit_of_the_past_is_overwritten():
+    core, _, scheduler, committer = await started_committer(1)
+    job = next(iter(scheduler.jobs.values()))
+    core.put(progress_key(job.job_id), b"late")
+    await run_until(committer, lambda: not scheduler.dirty)
+    assert core.items[progress_key(job.job_id)].value != b"late"
+
+
+async def test_lost_leadership_ends_the_term():
+    core, _, scheduler, committer = await started_committer(1)
+    core.put("eb/n/leader", b"another")
+    await run_until(committer, lambda: committer.term.ended)
+    job = next(iter(scheduler.jobs.values()))
+    assert progress_key(job.job_id) not in core.items
--- /dev/null
+++ b/tests/test_job_path.py
@@ -0,0 +1,78 @@
+"""The job path with real processes on the platform's stand-in.
+
+Guards against parts that work alone and not together: take-over after the leader's
+death, a planned stop, and an outage of the store.
+"""
+
+import asyncio
+import signal
+
+import pytest
+
+from standins.job_cluster import JobCluster
+from standins.job_demo import wait_until_ready
+from standins.job_load import run_jobs
+
+JOBS = 20
+GAP_SECONDS = 0.1
+# Seconds within which every job must be completed; generous, since the machine may be
+# busy.
+LIMIT_SECONDS = 60.0
+OUTAGE_SECONDS = 2.0
+
+
+async def kill_leader(cluster):
+    leader = cluster.leader()
+    cluster.processes[leader].kill()
+    await asyncio.sleep(0.5)
+    cluster.start_entry(leader)
+
+
+async def stop_leader(cluster):
+    leader = cluster.leader()
+    cluster.processes[leader].send_signal(signal.SIGTERM)
+    while cluster.processes[leader].poll() is None:
+        await asyncio.sleep(0.05)
+    assert cluster.processes[leader].returncode == 0
+    cluster.start_entry(leader)
+
+
+async def kill_all(cluster):
+    for name in cluster.names:
+        cluster.processes[name].kill()
+    for name in cluster.names:
+        cluster.start_entry(name)
+
+
+async def interrupt_store(cluster):
+    cluster.platform.store.down = True
+    await asyncio.sleep(OUTAGE_SECONDS)
+    cluster.platform.store.down = False
+
+
+async def leave_alone(cluster):
+    await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize(
+    "disturb", [leave_alone, kill_leader, stop_leader, kill_all, interrupt_store]
+)
+async def test_every_accepted_job_is_done_once(disturb):
+    cluster = JobCluster(3, 2)
+    try:
+        await cluster.platform.start()
+        for name in cluster.names:
+            cluster.start_entry(name)
+        await wait_until_ready(cluster)
+        load = asyncio.create_task(
+            run_jobs(cluster, JOBS, GAP_SECONDS, 7, LIMIT_SECONDS)
+        )
+        await asyncio.sleep(0.7)
+        await disturb(cluster)
+        report = await load
+        assert report.counts["completed"] == JOBS, report.counts
+        assert report.counts["accepted job unknown"] == 0
+        assert report.broken_promises(cluster) == []
+    finally:
+        await cluster.platform.stop()
+        cluster.close()
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,179 @@
+"""Moves and waves.
+
+Guards against pools that keep VMs which a surging pool needs, waves that take both VMs
+of a pool with long-running tasks, and moves at the start of a term.
+"""
+
+import pytest
+
+from ebonyhub.fleet.demand import ArrivalMeter, Demand
+from ebonyhub.fleet.model import Vm, VmState, Wave
+from ebonyhub.fleet.planner import (
+    CORDON_LIMIT_SECONDS,
+    HOLD_SECONDS,
+    SETTLE_SECONDS,
+    FleetPlanner,
+    Phase,
+    VmLoad,
+)
+from ebonyhub.ids import PoolName, RackId, VmId, WaveId, WorkerId
+from ebonyhub.jobs.model import Resources
+
+POOLS = ("a", "b", "spare")
+
+
+def vm(number, pool, state=VmState.UP):
+    name = f"m{number}"
+    return Vm(
+        VmId(name), PoolName(pool), state, "z", RackId("r"), Resources(10_000, 1, 0),
+        WorkerId(f"w-{name}"),
+    )  # fmt: skip
+
+
+def planner_with(sizes, now=0.0):
+    planner = FleetPlanner()
+    planner.declared = {PoolName(name) for name in POOLS}
+    planner.standby = {PoolName("spare")}
+    vms = []
+    for pool, size in zip(POOLS, sizes, strict=True):
+        vms += [vm(len(vms) + number, pool) for number in range(size)]
+    planner.see_vms(vms, now)
+    return planner
+
+
+def moves(planner):
+    return sorted(
+        (planner.vms[change.vm].pool, change.pool)
+        for change in planner.changes.values()
+        if change.wave is None
+    )
+
+
+def test_standby_vms_go_where_the_demand_is():
+    planner = planner_with((3, 3, 3))
+    planner.plan({PoolName("a"): Demand(running=45.0)}, 0.0)
+    assert moves(planner) == [("spare", "a"), ("spare", "a")]
+
+
+def test_reserve_is_lent_to_a_present_demand():
+    planner = planner_with((3, 3, 0))
+    planner.plan({PoolName("a"): Demand(running=60.0)}, 0.0)
+    assert moves(planner) == [("b", "a")]
+
+
+def test_pool_keeps_what_it_needs():
+    planner = planner_with((3, 3, 0))
+    busy = Demand(running=25.0)
+    planner.plan({PoolName("a"): Demand(running=60.0), PoolName("b"): busy}, 0.0)
+    assert moves(planner) == []
+
+
+def test_idle_vms_are_parked_after_the_start_of_a_term():
+    planner = planner_with((6, 3, 0))
+    planner.plan({}, SETTLE_SECONDS - 0.1)
+    assert moves(planner) == []
+    planner.plan({}, SETTLE_SECONDS + 0.1)
+    assert moves(planner) == [("a", "spare")] * 3
+
+
+def test_recent_demand_keeps_vms():
+    planner = planner_with((6, 3, 0))
+    planner.plan({PoolName("a"): Demand(running=52.0)}, SETTLE_SECONDS)
+    planner.plan({}, SETTLE_SECONDS + HOLD_SECONDS - 0.1)
+    assert moves(planner) == []
+    planner.plan({}, SETTLE_SECONDS + HOLD_SECONDS + 0.1)
+    assert moves(planner) != []
+
+
+def test_vms_with_long_running_tasks_stay():
+    planner = planner_with((6, 3, 0))
+    planner.loads = {
+        name: VmLoad(5.0, 1, 1, 5.0)
+        for name, item in planner.vms.items()
+        if item.pool == "a"
+    }
+    planner.plan({}, SETTLE_SECONDS + 1)
+    assert moves(planner) == []
+
+
+def test_move_waits_for_an_empty_vm_and_is_given_up():
+    planner = planner_with((3, 3, 0))
+    planner.loads = {name: VmLoad(1.0, 1) for name in planner.vms}
+    demand = {PoolName("a"): Demand(running=60.0)}
+    assert planner.plan(demand, 0.0) == []
+    assert ("b", "a") in moves(planner)
+    planner.plan({}, CORDON_LIMIT_SECONDS + 0.1)
+    assert ("b", "a") not in moves(planner)
+
+
+def test_empty_vm_is_ordered_once():
+    planner = planner_with((3, 3, 0))
+    demand = {PoolName("a"): Demand(running=60.0)}
+    ordered = planner.plan(demand, 0.0)
+    assert [change.phase for change in ordered] == [Phase.ORDERED]
+    assert planner.plan(demand, 0.2) == []
+
+
+def wave(vms, limit=2, duration=60.0):
+    return Wave(WaveId(1), tuple(VmId(name) for name in vms), duration, limit)
+
+
+def test_wave_keeps_its_limit():
+    planner = planner_with((3, 3, 3))
+    planner.see_wave(wave([f"m{n}" for n in range(9)]), 0.0)
+    planner.plan({}, 0.0)
+    assert len(planner.changes) == 2
+    assert {planner.vms[name].pool for name in planner.changes} == {"spare"}
+
+
+def test_wave_leaves_long_running_tasks_a_home():
+    """Both VMs of a pool went at once, so its long-running tasks had none."""
+    planner = planner_with((2, 2, 0))
+    planner.loads = {VmId(f"m{n}"): VmLoad(4.0, 1, 1, 4.0) for n in range(2)}
+    planner.see_wave(wave(["m0", "m1"], duration=1.0), 0.0)
+    planner.plan({}, 0.0)
+    assert len(planner.changes) == 1
+
+
+def test_wave_in_a_hurry_takes_busy_vms():
+    planner = planner_with((2, 2, 0))
+    demand = {PoolName("a"): Demand(running=15.0)}
+    planner.see_wave(wave(["m0"], duration=60.0), 0.0)
+    planner.plan(demand, 0.0)
+    assert not planner.changes
+    planner.plan(demand, 59.0)
+    assert VmId("m0") in planner.changes
+
+
+def test_wave_is_finished_once_every_vm_has_begun_or_is_gone():
+    planner = planner_with((2, 2, 2))
+    planner.see_wave(wave(["m4", "m5", "absent"]), 0.0)
+    assert planner.finished_waves() == []
+    for change in planner.plan({}, 0.0):
+        planner.accepted(change, 0.1)
+    assert len(planner.finished_waves()) == 1
+
+
+@pytest.mark.parametrize(
+    ("demand", "cores"),
+    [
+        (Demand(long_running=4.0), 4.0),
+        (Demand(running=5.0, waiting=2.0), 7.0),
+        (Demand(arriving=10.0, arrived_before=10.0), 0.0),
+    ],
+)
+def test_demand_is_what_tasks_can_use_at_once(demand, cores):
+    assert demand.cores == cores
+
+
+def test_rising_arrivals_raise_the_demand():
+    assert Demand(arriving=10.0, arrived_before=4.0).cores > 0
+
+
+def test_arrivals_are_averaged_over_two_windows():
+    meter = ArrivalMeter()
+    meter.add(0.0, 3.0)
+    meter.add(2.0, 6.0)
+    recent, before = meter.rates(2.5)
+    assert recent > before > 0
+    assert meter.rates(20.0) == (0.0, 0.0)
