--- a/src/ebonyhub/cluster/leadership.py
+++ b/src/ebonyhub/cluster/leadership.py
@@ -12,7 +12,7 @@
 
 from ..clock import Clock
 from ..events import Event, log_event
-from ..ids import EntryId, FencingToken, Revision, StoreLease
+from ..ids import EntryId, LeaderToken, Revision, StoreLease
 from .metadata_store import (
     ABSENT,
     Item,
@@ -53,7 +53,7 @@
 class Term:
     """This entry's own leadership; times are monotonic seconds."""
 
-    token: FencingToken
+    token: LeaderToken
     lease: StoreLease
     valid_until: float
     ended: bool = False
@@ -95,7 +95,7 @@
             # A commit that is still under way writes a key whose lease has ended.
             await self.store.end_lease(granted.ok)
             return Error(committed.error.kind)
-        token = FencingToken(int(committed.ok))
+        token = LeaderToken(int(committed.ok))
         log_event(Event.LEADERSHIP_TAKEN, token=token, replaced=replaced)
         return Ok(Term(token, granted.ok, sent_at + LEASE_SECONDS))
 
--- a/src/ebonyhub/cluster/peers.py
+++ b/src/ebonyhub/cluster/peers.py
@@ -19,6 +19,7 @@
 from ..ids import EntryId
 
 PROTOCOL_VERSION = 1
+GREETING_LENGTH = 3
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 CONNECT_TIMEOUT_SECONDS = 0.5
 # Seconds. A passed-on call takes one or two calls to the store.
@@ -114,6 +115,8 @@
                     return
                 self.unpacker.feed(data)
                 for message in self.unpacker:
+                    if not isinstance(message, list):
+                        raise ValueError("a message is no array")
                     self._handle(message, events)
         except (OSError, TimeoutError, msgpack.UnpackException, ValueError) as error:
             log_event(Event.PEER_STREAM_FAILED, error=repr(error))
@@ -239,8 +242,9 @@
                 raise ConnectionResetError("closed before its greeting")
             stream.unpacker.feed(data)
             for message in stream.unpacker:
-                greeting: list[Any] = message
-                return greeting
+                if not isinstance(message, list) or len(message) < GREETING_LENGTH:
+                    raise ValueError("no greeting of an entry")
+                return message
 
     def broadcast(self, records: list[Record]) -> None:
         """Send stored records to every connected entry."""
--- a/src/ebonyhub/errors.py
+++ b/src/ebonyhub/errors.py
@@ -34,11 +34,6 @@
     BACKEND_UNFRAMED = "backend_unframed"
     BACKEND_SURPLUS = "backend_surplus"
     CALLER_ABORTED = "caller_aborted"
-    KEY_INVALID = "key_invalid"
-    KEY_OWNERS_UNAVAILABLE = "key_owners_unavailable"
-    KEY_IN_PROGRESS = "key_in_progress"
-    KEY_OUTCOME_LOST = "key_outcome_lost"
-    KEY_REUSED = "key_reused"
     CONFIGURATION_MISSING = "configuration_missing"
     SHUTTING_DOWN = "shutting_down"
     UNKNOWN_JOB = "unknown_job"
@@ -77,11 +72,6 @@
     ErrorKind.BACKEND_UNFRAMED: ErrorAnswer(502, _UNKNOWN),
     ErrorKind.BACKEND_SURPLUS: ErrorAnswer(502, _UNKNOWN),
     ErrorKind.CALLER_ABORTED: ErrorAnswer(400, _UNKNOWN),
-    ErrorKind.KEY_INVALID: ErrorAnswer(400, _NOT_RUN),
-    ErrorKind.KEY_OWNERS_UNAVAILABLE: ErrorAnswer(503, _NOT_RUN, 2),
-    ErrorKind.KEY_IN_PROGRESS: ErrorAnswer(409, _UNKNOWN, 2),
-    ErrorKind.KEY_OUTCOME_LOST: ErrorAnswer(409, _UNKNOWN),
-    ErrorKind.KEY_REUSED: ErrorAnswer(422, _NOT_RUN),
     ErrorKind.CONFIGURATION_MISSING: ErrorAnswer(503, _NOT_RUN, 1),
     ErrorKind.SHUTTING_DOWN: ErrorAnswer(503, _NOT_RUN, 1),
     ErrorKind.UNKNOWN_JOB: ErrorAnswer(410, _NOT_RUN),
--- a/src/ebonyhub/ids.py
+++ b/src/ebonyhub/ids.py
@@ -19,7 +19,7 @@
 JobId = NewType("JobId", str)
 WorkerId = NewType("WorkerId", str)
 Revision = NewType("Revision", int)
-FencingToken = NewType("FencingToken", int)
+LeaderToken = NewType("FencingToken", int)
 StoreLease = NewType("StoreLease", int)
 WaveId = NewType("WaveId", int)
 
--- a/src/ebonyhub/metrics.py
+++ b/src/ebonyhub/metrics.py
@@ -11,89 +11,82 @@
 
     def __init__(self, registry: CollectorRegistry) -> None:
         self.registry = registry
-        self.requests = Counter(
+        self.requests = self._counter(
             "ebonyhub_requests_total",
             "Requests by service and result.",
-            ["service", "result"],
-            registry=registry,
+            "service",
+            "result",
         )
-        self.refusals = Counter(
+        self.refusals = self._counter(
             "ebonyhub_refusals_total",
             "Answers not from a backend server, by error kind and outcome.",
-            ["kind", "outcome"],
-            registry=registry,
+            "kind",
+            "outcome",
         )
-        self.retries = Counter(
+        self.retries = self._counter(
             "ebonyhub_retries_total",
             "Attempts repeated on another instance, by reason.",
-            ["reason"],
-            registry=registry,
+            "reason",
         )
-        self.retries_denied = Counter(
+        self.retries_denied = self._counter(
             "ebonyhub_retries_denied_total",
             "Retries that the policy or the budget did not allow, by reason.",
-            ["reason"],
-            registry=registry,
+            "reason",
         )
-        self.latency = Histogram(
+        self.latency = self._histogram(
             "ebonyhub_request_seconds",
             "Time from the request head to the head of the answer.",
-            ["service"],
-            buckets=LATENCY_BUCKETS,
-            registry=registry,
+            "service",
         )
-        self.queue_length = Gauge(
-            "ebonyhub_queue_length",
-            "Requests waiting for a slot.",
-            ["service"],
-            registry=registry,
+        self.queue_length = self._gauge(
+            "ebonyhub_queue_length", "Requests waiting for a slot.", "service"
         )
-        self.generation = Gauge(
+        self.generation = self._gauge(
             "ebonyhub_document_generation",
             "Generation in effect on this entry.",
-            ["document"],
-            registry=registry,
+            "document",
         )
-        self.store_calls = Counter(
+        self.store_calls = self._counter(
             "ebonyhub_store_calls_total",
             "Calls to the store by operation and result.",
-            ["operation", "result"],
-            registry=registry,
+            "operation",
+            "result",
         )
-        self.cloud_calls = Counter(
+        self.cloud_calls = self._counter(
             "ebonyhub_cloud_calls_total",
             "Calls to the cloud and the advisor by operation and result.",
-            ["operation", "result"],
-            registry=registry,
+            "operation",
+            "result",
         )
-        self.worker_orders = Counter(
-            "ebonyhub_worker_orders_total",
-            "Orders sent to workers.",
-            ["order"],
-            registry=registry,
+        self.worker_orders = self._counter(
+            "ebonyhub_worker_orders_total", "Orders sent to workers.", "order"
         )
-        self.order_failures = Counter(
+        self.order_failures = self._counter(
             "ebonyhub_order_failures_total",
             "Orders to workers that did not succeed, by reason.",
-            ["order", "reason"],
-            registry=registry,
+            "order",
+            "reason",
         )
-        self.commit_seconds = Histogram(
-            "ebonyhub_commit_seconds",
-            "Time of a commit of progress records.",
-            buckets=LATENCY_BUCKETS,
-            registry=registry,
+        self.commit_seconds = self._histogram(
+            "ebonyhub_commit_seconds", "Time of a commit of progress records."
         )
-        self.start_seconds = Histogram(
+        self.start_seconds = self._histogram(
             "ebonyhub_start_seconds",
             "Time from the decision to start a task to its worker's answer.",
-            buckets=LATENCY_BUCKETS,
-            registry=registry,
         )
-        self.call_seconds = Histogram(
+        self.call_seconds = self._histogram(
             "ebonyhub_call_seconds",
             "Time to answer a caller, by HTTP method.",
-            ["method"],
-            buckets=LATENCY_BUCKETS,
-            registry=registry,
+            "method",
+        )
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(name, text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(name, text, labels, registry=self.registry)
+
+    def _histogram(self, name: str, text: str, *labels: str) -> Histogram:
+        return Histogram(
+            name, text, labels, buckets=LATENCY_BUCKETS, registry=self.registry
         )
--- a/src/ebonyhub/platform/cloud.py
+++ b/src/ebonyhub/platform/cloud.py
@@ -11,7 +11,7 @@
 from ..fleet.model import Vm, VmState
 from ..http_client import SmallResponse
 from ..http_session import HttpSession
-from ..ids import EntryId, FencingToken, JobId, PoolName, RackId, VmId, WaveId, WorkerId
+from ..ids import EntryId, JobId, LeaderToken, PoolName, RackId, VmId, WaveId, WorkerId
 from ..jobs.model import Resources
 from ..metrics import Metrics
 
@@ -74,21 +74,21 @@
             target = f"/machines?PageToken={token}"
 
     async def move(
-        self, vm: VmId, pool: PoolName, token: FencingToken
+        self, vm: VmId, pool: PoolName, token: LeaderToken
     ) -> Result[None, CloudFailure]:
         """Move a VM to a pool; ends everything that runs on it."""
         body = {"Machine": vm, "Pool": pool}
         return await self._change("move", b"/machine-move", body, token)
 
     async def start_upkeep(
-        self, vm: VmId, wave: WaveId, token: FencingToken
+        self, vm: VmId, wave: WaveId, token: LeaderToken
     ) -> Result[None, CloudFailure]:
         """Begin the upkeep of a VM; ends everything that runs on it."""
         body = {"Machine": vm, "Wave": wave}
         return await self._change("upkeep", b"/machine-upkeep", body, token)
 
     async def _change(
-        self, operation: str, target: bytes, body: Any, token: FencingToken
+        self, operation: str, target: bytes, body: Any, token: LeaderToken
     ) -> Result[None, CloudFailure]:
         headers = (
             (b"X-Lease-Holder", self.entry.encode()),
--- a/src/ebonyhub/platform/workers.py
+++ b/src/ebonyhub/platform/workers.py
@@ -8,7 +8,7 @@
 from ..clock import Clock
 from ..http_client import SmallResponse
 from ..http_session import HttpSession
-from ..ids import FencingToken, JobId, TaskId, WorkerId
+from ..ids import JobId, LeaderToken, TaskId, WorkerId
 from ..scheduling.model import (
     EndedTask,
     EndKind,
@@ -90,14 +90,14 @@
         return _clock(await self._order(b"/run-start", body))
 
     async def stop(
-        self, task: TaskId, number: int, token: FencingToken
+        self, task: TaskId, number: int, token: LeaderToken
     ) -> Result[int, OrderFailure]:
         """Stop a run, or keep it from starting; returns the worker's clock in ms."""
         body = {"Task": task_name(task), "Run": number, "FencingToken": token}
         return _clock(await self._order(b"/run-stop", body))
 
     async def pace(
-        self, task: TaskId, number: int, percent: int, token: FencingToken
+        self, task: TaskId, number: int, percent: int, token: LeaderToken
     ) -> Result[int, OrderFailure]:
         """Let a run work at a share of its speed."""
         body = {
@@ -110,7 +110,7 @@
 
     async def hold(
         self,
-        token: FencingToken,
+        token: LeaderToken,
         acknowledged: int,
         lease_until_ms: int | None,
         wait_seconds: float,
@@ -134,7 +134,7 @@
         return Ok(_report(msgspec.json.decode(result.ok.body)))
 
     async def look(
-        self, token: FencingToken, lease_until_ms: int | None
+        self, token: LeaderToken, lease_until_ms: int | None
     ) -> Result[WorkerReport, OrderFailure]:
         """Read both lists beside a hold that waits; acknowledges nothing."""
         body: dict[str, Any] = {"FencingToken": token, "AckCursor": 0}
--- a/src/ebonyhub/scheduling/model.py
+++ b/src/ebonyhub/scheduling/model.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..ids import FencingToken, RackId, ServiceName, TaskId, VmId, WorkerId
+from ..ids import LeaderToken, RackId, ServiceName, TaskId, VmId, WorkerId
 from ..jobs.model import Resources
 
 
@@ -106,6 +106,6 @@
     text: str
     # On the worker's clock; the order is refused after it.
     deadline_ms: int
-    token: FencingToken
+    token: LeaderToken
     checkpoint: str = ""
     ticket: str = ""
--- a/src/ebonyhub/scheduling/worker_link.py
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -8,7 +8,7 @@
 
 from ..clock import Clock
 from ..events import Event, log_event
-from ..ids import FencingToken
+from ..ids import LeaderToken
 from ..metrics import Metrics
 from ..platform.workers import WorkerClient
 from .model import OrderFailure, StartOrder, WorkerReport
@@ -38,7 +38,7 @@
         self,
         worker: Worker,
         client: WorkerClient,
-        token: FencingToken,
+        token: LeaderToken,
         clock: Clock,
         rng: random.Random,
         metrics: Metrics,
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -19,8 +19,8 @@
     build_configuration,
 )
 from ebonyhub.ids import (
-    FencingToken,
     JobId,
+    LeaderToken,
     QueueName,
     RackId,
     ServiceName,
@@ -92,7 +92,7 @@
         self.cancelled: set[JobId] = set()
         self.records: dict[JobId, tuple[int, bytes]] = {}
         self.revision = 1
-        self.token = FencingToken(0)
+        self.token = LeaderToken(0)
         self.late: list[tuple[float, int, Callable[[], None]]] = []
         self.counter = 0
         self.workers = {
@@ -103,7 +103,7 @@
         self.scheduler: Scheduler | None = None
         self.valid_until = 0.0
         self.next_hold: dict[WorkerId, float] = {}
-        self.connected: dict[WorkerId, tuple[int, FencingToken]] = {}
+        self.connected: dict[WorkerId, tuple[int, LeaderToken]] = {}
         self.elect()
 
     def _new_worker(self, name: WorkerId, number: int) -> FakeWorker:
@@ -126,7 +126,7 @@
     def elect(self) -> None:
         """Let a new leader take over from the records."""
         self.revision += 1
-        self.token = FencingToken(self.revision)
+        self.token = LeaderToken(self.revision)
         scheduler = Scheduler()
         scheduler.configure(one_queue_configuration())
         scheduler.inherited_leases_until = (
@@ -273,7 +273,7 @@
             scheduler.advance_acknowledgements(worker)
 
     def _write_later(
-        self, job: JobId, expected: int, value: bytes, token: FencingToken
+        self, job: JobId, expected: int, value: bytes, token: LeaderToken
     ) -> None:
         """Carry a commit out after its answer was lost."""
 
@@ -283,7 +283,7 @@
         self._later(self.rng.uniform(1, 6), write)
 
     def _write(
-        self, job: JobId, expected: int, value: bytes, token: FencingToken
+        self, job: JobId, expected: int, value: bytes, token: LeaderToken
     ) -> bool:
         """Write a record if its revision and the leader are as expected."""
         current = self.records.get(job, (0, b""))[0]
--- a/standins/fake_worker.py
+++ b/standins/fake_worker.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ebonyhub.ids import FencingToken, RackId, ServiceName, TaskId, VmId, WorkerId
+from ebonyhub.ids import LeaderToken, RackId, ServiceName, TaskId, VmId, WorkerId
 from ebonyhub.jobs.model import Resources
 from ebonyhub.scheduling.model import (
     EndedTask,
@@ -17,7 +17,7 @@
 
 # A worker shortens longer leases to this.
 MAX_HOLD_MS = 10_000
-NO_TOKEN = FencingToken(0)
+NO_TOKEN = LeaderToken(0)
 
 
 @dataclass(slots=True)
@@ -53,7 +53,7 @@
     registered: bool = True
     draining: bool = False
     clock_offset_ms: int = 0
-    token: FencingToken = NO_TOKEN
+    token: LeaderToken = NO_TOKEN
     lease_ms: int = 0
     runs: dict[TaskId, FakeRun] = field(default_factory=dict)
     # Highest run number that was stopped or ended, or barred before it began.
@@ -133,7 +133,7 @@
         return None
 
     def stop(
-        self, task: TaskId, number: int, token: FencingToken, now: float
+        self, task: TaskId, number: int, token: LeaderToken, now: float
     ) -> OrderFailure | None:
         """Carry out a stop; it takes effect a little later."""
         if token < self.token:
@@ -147,7 +147,7 @@
         return None
 
     def hold(
-        self, token: FencingToken, acknowledged: int, lease_ms: int | None, now: float
+        self, token: LeaderToken, acknowledged: int, lease_ms: int | None, now: float
     ) -> WorkerReport | OrderFailure:
         """Carry out a hold."""
         if token < self.token:
@@ -178,7 +178,7 @@
         """Start a new life under the same id, which knows nothing of before."""
         self.up, self.cut, self.draining, self.registered = True, False, False, True
         self.born_ms = born_ms
-        self.token = FencingToken(0)
+        self.token = LeaderToken(0)
         self.lease_ms = 0
         self.barred.clear()
         self.ended.clear()
--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -15,7 +15,7 @@
 from blacksheep import Application, Content, Request, Response, Router
 
 from ebonyhub.cluster.metadata_store import Transaction, Write
-from ebonyhub.ids import FencingToken, RackId, Revision, ServiceName, WorkerId
+from ebonyhub.ids import LeaderToken, RackId, Revision, ServiceName, WorkerId
 from ebonyhub.jobs.model import Resources
 from ebonyhub.platform.workers import parse_task_name, task_name
 from ebonyhub.scheduling.model import EndKind, OrderFailure, StartOrder
@@ -231,7 +231,7 @@
             number=data["Run"],
             text=data["Spec"],
             deadline_ms=data["DeadlineMs"],
-            token=FencingToken(data["FencingToken"]),
+            token=LeaderToken(data["FencingToken"]),
         )
         duration = int(order.text) if order.text.isdigit() else DEFAULT_TASK_MS
         failure = self.fake.start(order, time.monotonic(), duration, EndKind.DONE)
@@ -243,14 +243,14 @@
         """Answer a stop."""
         data = await request.json()
         task = parse_task_name(data["Task"])
-        token = FencingToken(data["FencingToken"])
+        token = LeaderToken(data["FencingToken"])
         now = time.monotonic()
         return self._answer(self.fake.stop(task, data["Run"], token, now))
 
     async def hold(self, request: Request) -> Response:
         """Answer a hold, at once or with the next end."""
         data = await request.json()
-        token = FencingToken(data["FencingToken"])
+        token = LeaderToken(data["FencingToken"])
         end = time.monotonic() + data.get("WaitMs", 0) / 1000
         while True:
             now = time.monotonic()
--- /dev/null
+++ b/tests/test_mirror_and_records.py
@@ -0,0 +1,145 @@
+"""The mirror of job records, removal of old ones, watches and log output.
+
+Guards against an older record that replaces a newer one, a wrong number of waiting
+jobs, records that are removed while their state must be known, and a log that blocks.
+"""
+
+import os
+
+import msgspec
+import pytest
+
+from ebonyhub.clock import SystemClock
+from ebonyhub.cluster.metadata_store import Item
+from ebonyhub.cluster.mirror import JobMirror
+from ebonyhub.cluster.watches import PrefixWatch
+from ebonyhub.ids import JobId, QueueName, Revision, ServiceName
+from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec
+from ebonyhub.jobs.records import (
+    JobState,
+    ProgressRecord,
+    accepted_key,
+    cancelled_key,
+    progress_key,
+)
+from ebonyhub.log_output import MAX_WAITING_LINES, BufferedOutput
+from ebonyhub.scheduling.retention import MARGIN_SECONDS, expired_jobs
+from standins.memory_store import MemoryStore, StoreCore
+
+JOB = JobId("0123456789abcdef")
+QUEUE = QueueName("q")
+SPEC = JobSpec("t", (StepSpec(1, Resources(1, 1)),))
+
+
+def accepted_item(revision=1):
+    accepted = AcceptedJob(JOB, QUEUE, ServiceName("s"), 3, 0, SPEC)
+    value = msgspec.msgpack.encode(accepted)
+    return Item(accepted_key(JOB), value, Revision(revision))
+
+
+def progress_item(state, revision, finished_ms=0):
+    value = msgspec.msgpack.encode(ProgressRecord(state, finished_ms=finished_ms))
+    return Item(progress_key(JOB), value, Revision(revision))
+
+
+def test_newest_record_stays():
+    mirror = JobMirror()
+    mirror.apply(accepted_item())
+    mirror.apply(progress_item(JobState.COMPLETED, 7))
+    assert mirror.apply(progress_item(JobState.RUNNING, 5)) is None
+    assert mirror.jobs[JOB].shown_state is JobState.COMPLETED
+
+
+def test_records_may_arrive_in_any_order():
+    mirror = JobMirror()
+    mirror.apply(progress_item(JobState.RUNNING, 5))
+    mirror.apply(accepted_item())
+    assert mirror.jobs[JOB].shown_state is JobState.RUNNING
+    assert mirror.waiting.get(QUEUE, 0) == 0
+
+
+def test_waiting_jobs_are_counted():
+    mirror = JobMirror()
+    mirror.apply(accepted_item())
+    mirror.apply(accepted_item())
+    assert mirror.waiting[QUEUE] == 1
+    mirror.apply(Item(cancelled_key(JOB), b"\x01", Revision(3)))
+    assert mirror.waiting[QUEUE] == 0
+    mirror.apply(Item(accepted_key(JOB), None, Revision(9)))
+    assert mirror.waiting[QUEUE] == 0
+
+
+def test_full_listing_forgets_removed_jobs():
+    mirror = JobMirror()
+    mirror.apply(accepted_item())
+    mirror.apply(progress_item(JobState.COMPLETED, 7))
+    mirror.replace_all([], Revision(20))
+    assert JOB not in mirror.jobs
+
+
+@pytest.mark.parametrize(
+    ("state", "age_seconds", "removed"),
+    [
+        (JobState.COMPLETED, 100, False),
+        (JobState.COMPLETED, 120 + MARGIN_SECONDS + 1, True),
+        (JobState.RUNNING, 10_000, False),
+    ],
+)
+def test_only_old_ended_jobs_are_removed(state, age_seconds, removed):
+    now_ms = 10**9
+    mirror = JobMirror()
+    mirror.apply(accepted_item())
+    mirror.apply(progress_item(state, 7, now_ms - int(age_seconds * 1000)))
+    found = expired_jobs(mirror.jobs.items(), now_ms, 120)
+    assert found == ([JOB] if removed else [])
+
+
+async def test_watch_lists_again_after_a_dropped_history():
+    core = StoreCore(SystemClock().monotonic)
+    seen = []
+    watch = PrefixWatch(
+        MemoryStore(core), "a/", SystemClock(),
+        lambda batch, full: seen.append((full, [item.key for item in batch.items])),
+        0.0,
+    )  # fmt: skip
+    core.put("a/1", b"x")
+    assert await watch.step()
+    core.put("a/2", b"x")
+    assert await watch.step()
+    core.put("a/3", b"x")
+    core.drop_history()
+    assert await watch.step()
+    assert await watch.step()
+    assert seen == [
+        (True, ["a/1"]), (False, ["a/2"]), (True, ["a/1", "a/2", "a/3"]),
+    ]  # fmt: skip
+
+
+async def test_watch_reports_an_unreachable_store():
+    store = MemoryStore(StoreCore(SystemClock().monotonic))
+    watch = PrefixWatch(store, "a/", SystemClock(), lambda *_: None, 0.0)
+    store.down = True
+    assert not await watch.step()
+    assert not watch.reachable
+    store.down = False
+    assert await watch.step()
+    assert watch.reachable
+
+
+def test_log_output_never_blocks_and_counts_what_it_drops():
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    output = BufferedOutput(writer)
+    for number in range(MAX_WAITING_LINES + 7):
+        output.write(f"line {number} {'x' * 40}\n")
+    output.write_out()
+    assert output.unwritten
+    os.set_blocking(reader, False)
+    received = b""
+    while output.unwritten or not received.endswith(b"\n"):
+        received += os.read(reader, 65536)
+        output.write_out()
+    assert received.count(b"\n") == MAX_WAITING_LINES + 1
+    assert b"dropped=7 log lines" in received
+    os.close(reader)
+    os.close(writer)
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,114 @@
+"""Streams between entries.
+
+Guards against a foreign or silent connection that keeps an entry busy, and a call whose
+stream breaks and that is then called not sent.
+"""
+
+import asyncio
+import contextlib
+
+import msgpack
+import pytest
+
+from ebonyhub.cluster.peers import PROTOCOL_VERSION, PeerFailure, PeerServer, connect
+from ebonyhub.ids import EntryId
+from standins.network import claim_network
+
+PORT = 7060
+
+
+class Recorder:
+    """Keeps what arrives, and answers calls."""
+
+    def __init__(self):
+        self.records = []
+        self.leaders = []
+        self.hang = False
+
+    def on_peer_records(self, records):
+        self.records += records
+
+    def on_peer_leader(self, revision, value):
+        self.leaders.append((revision, value))
+
+    async def on_peer_call(self, method, argument):
+        if self.hang:
+            await asyncio.sleep(3600)
+        return 0, [method, argument]
+
+
+@pytest.fixture
+async def served():
+    network = claim_network()
+    events = Recorder()
+    server = PeerServer(network.address(0, 1), PORT, events)
+    server.leader = (7, b"leader")
+    task = asyncio.create_task(server.run())
+    await asyncio.sleep(0.05)
+    yield network.address(0, 1), server, events
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    network.close()
+
+
+async def until(condition):
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def test_records_calls_and_the_leader_pass(served):
+    address, server, _ = served
+    own = Recorder()
+    stream = (await connect(address, PORT, EntryId("e"), 5)).ok
+    running = asyncio.create_task(stream.run(own))
+    answer = await stream.call("read", ["x"])
+    assert answer.ok == (0, ["read", ["x"]])
+    assert own.leaders == [(7, b"leader")]
+    (accepted,) = server.streams
+    assert accepted.peer_started_ms == 5
+    server.broadcast([("key", 3, b"value")])
+    await until(lambda: own.records)
+    assert own.records == [("key", 3, b"value")]
+    assert (await accepted.call("take_over", 1)).ok == (0, ["take_over", 1])
+    running.cancel()
+
+
+async def test_call_on_a_broken_stream_has_an_unknown_outcome(served):
+    address, server, events = served
+    events.hang = True
+    stream = (await connect(address, PORT, EntryId("e"), 5)).ok
+    running = asyncio.create_task(stream.run(Recorder()))
+    call = asyncio.create_task(stream.call("submit", ["x"]))
+    await until(lambda: server.streams)
+    await asyncio.sleep(0.05)
+    next(iter(server.streams)).close()
+    assert (await call).error is PeerFailure.UNKNOWN
+    assert (await stream.call("submit", ["x"])).error is PeerFailure.NOT_SENT
+    await running
+
+
+@pytest.mark.parametrize(
+    "greeting",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        msgpack.packb(["x"]),
+        msgpack.packb([PROTOCOL_VERSION + 1, "e", 0]),
+    ],
+)
+async def test_foreign_connections_are_closed(served, greeting):
+    address, server, _ = served
+    reader, writer = await asyncio.open_connection(address, PORT)
+    writer.write(greeting)
+    async with asyncio.timeout(5):
+        with contextlib.suppress(ConnectionResetError):
+            assert await reader.read() == b""
+    assert not server.streams
+    writer.close()
+
+
+async def test_nobody_listening_is_an_error():
+    network = claim_network()
+    result = await connect(network.address(0, 9), PORT, EntryId("e"), 0)
+    assert isinstance(result.error, ConnectionRefusedError)
+    network.close()
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,273 @@
+"""Single decisions of the scheduler that once went wrong on a played day.
+
+Guards against runs of a dead worker that are never given up, against a stop that leaves
+too few serving tasks, and against a stuck task that holds its job.
+"""
+
+import pytest
+
+from ebonyhub.fleet.model import Vm, VmState
+from ebonyhub.ids import JobId, PoolName, RackId, ServiceName, VmId, WorkerId
+from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec
+from ebonyhub.jobs.records import JobState
+from ebonyhub.scheduling.explain import explain_job
+from ebonyhub.scheduling.model import (
+    EndedTask,
+    EndKind,
+    OrderFailure,
+    RunningTask,
+    WorkerEntry,
+    WorkerReport,
+)
+from ebonyhub.scheduling.orders import LookAtWorker, StartRun, StopRun
+from ebonyhub.scheduling.scheduler import Scheduler
+from ebonyhub.scheduling.state import CONTACT_LIMIT_SECONDS
+from standins.emulator import QUEUE, SERVICE, one_queue_configuration
+
+JOB = JobId("j")
+LASTING = JobSpec(
+    "t", (StepSpec(2, Resources(1000, 1), long_running=True, max_unavailable=1),)
+)
+
+
+def entry(name, draining=False, born=1):
+    return WorkerEntry(
+        WorkerId(name), ServiceName(SERVICE), "127.0.0.1:1", "z", ("a", "r"),
+        RackId("r"), Resources(8000, 8000, 0), draining, None, born, VmId(f"vm-{name}"),
+    )  # fmt: skip
+
+
+class Driver:
+    """A scheduler with workers that answer when asked."""
+
+    def __init__(self, names=("w1", "w2")):
+        self.scheduler = Scheduler()
+        self.scheduler.configure(one_queue_configuration())
+        self.now = 10.0
+        for name in names:
+            self.scheduler.see_worker(entry(name), self.now)
+            self.report(name)
+
+    def worker(self, name):
+        return self.scheduler.workers[WorkerId(name)]
+
+    def report(self, name, running=(), ended=(), born=1, sent_at=None):
+        report = WorkerReport(int(self.now * 1000), born, tuple(running), tuple(ended))
+        self.scheduler.handle_report(
+            self.worker(name), report, self.now if sent_at is None else sent_at,
+            self.now, int(self.now * 1000),
+        )  # fmt: skip
+
+    def submit(self, spec):
+        accepted = AcceptedJob(JOB, QUEUE, SERVICE, 3, int(self.now * 1000), spec)
+        self.scheduler.load(accepted, None, False, self.now, int(self.now * 1000))
+        return self.scheduler.jobs[JOB]
+
+    def start_all(self):
+        """Plan, store and confirm; return the runs."""
+        self.scheduler.plan(self.now)
+        for job in list(self.scheduler.dirty.values()):
+            self.scheduler.stored(job, job.version)
+        self.scheduler.release_starts(self.now)
+        runs = []
+        while self.scheduler.outbox:
+            order = self.scheduler.outbox.popleft()
+            if isinstance(order, StartRun):
+                self.scheduler.handle_start_result(order.run, None, self.now)
+                runs.append(order.run)
+        return runs
+
+    def wait(self, seconds):
+        self.now += seconds
+
+    def tick(self):
+        self.scheduler.tick(self.now, int(self.now * 1000))
+
+    def orders(self, kind):
+        found = [order for order in self.scheduler.outbox if isinstance(order, kind)]
+        self.scheduler.outbox.clear()
+        return found
+
+
+def listed(run, percent=100):
+    return RunningTask(run.task, run.number, "", percent, 0.0)
+
+
+def test_start_waits_for_its_record():
+    driver = Driver()
+    job = driver.submit(LASTING)
+    driver.scheduler.plan(driver.now)
+    driver.scheduler.release_starts(driver.now)
+    assert driver.orders(StartRun) == []
+    driver.scheduler.stored(job, job.version)
+    driver.scheduler.release_starts(driver.now)
+    assert len(driver.orders(StartRun)) == 2
+
+
+def test_end_is_acknowledged_once_its_record_is_stored():
+    driver = Driver(("w1",))
+    job = driver.submit(JobSpec("t", (StepSpec(1, Resources(1000, 1), 300),)))
+    (run,) = driver.start_all()
+    end = EndedTask(1, run.task, run.number, EndKind.DONE, "")
+    driver.report("w1", ended=[end])
+    assert job.progress.state is JobState.COMPLETED
+    assert driver.worker("w1").acknowledged == 0
+    driver.scheduler.stored(job, job.version)
+    driver.scheduler.advance_acknowledgements(driver.worker("w1"))
+    assert driver.worker("w1").acknowledged == 1
+
+
+def test_runs_of_a_silent_worker_are_given_up_with_its_lease():
+    driver = Driver()
+    job = driver.submit(LASTING)
+    runs = driver.start_all()
+    victim = runs[0].worker
+    driver.worker(victim).lease_ms = int((driver.now + 6) * 1000)
+    driver.wait(5)
+    driver.tick()
+    assert driver.worker(victim).runs
+    driver.wait(2)
+    driver.tick()
+    assert not driver.worker(victim).runs
+    assert job.pending
+
+
+@pytest.mark.parametrize(
+    ("state", "worker", "given_up"),
+    [
+        (VmState.UP, "same", False),
+        (VmState.UP, "other", True),
+        (VmState.DOWN, "", True),
+        (VmState.MOVING, "", True),
+        (None, "", True),
+    ],
+)
+def test_cloud_list_tells_of_a_silent_workers_end(state, worker, given_up):
+    driver = Driver()
+    driver.submit(LASTING)
+    victim = driver.start_all()[0].worker
+    driver.worker(victim).lease_ms = int((driver.now + 60) * 1000)
+    driver.wait(CONTACT_LIMIT_SECONDS + 0.1)
+    vms = []
+    if state is not None:
+        life = victim if worker == "same" else WorkerId(worker)
+        vm = VmId(f"vm-{victim}")
+        pool = PoolName("p")
+        vms.append(Vm(vm, pool, state, "z", RackId("r"), Resources(), life))
+    driver.scheduler.see_vms(vms, driver.now)
+    assert (not driver.worker(victim).runs) is given_up
+
+
+def test_answering_worker_is_never_given_up_by_the_list():
+    driver = Driver()
+    driver.submit(LASTING)
+    runs = driver.start_all()
+    driver.wait(CONTACT_LIMIT_SECONDS + 0.1)
+    for run in runs:
+        driver.report(run.worker, running=[listed(run)])
+    driver.scheduler.see_vms([], driver.now)
+    assert all(driver.worker(run.worker).runs for run in runs)
+
+
+def test_planned_work_interrupts_one_task_at_a_time():
+    driver = Driver(("w1", "w2", "w3"))
+    driver.submit(LASTING)
+    runs = driver.start_all()
+    for run in runs:
+        driver.report(run.worker, running=[listed(run)])
+    driver.scheduler.set_cordoned({VmId(f"vm-{run.worker}") for run in runs})
+    driver.tick()
+    assert len(driver.orders(StopRun)) == 1
+
+
+def test_tasks_on_a_silent_worker_do_not_count_as_serving():
+    """A stop beside a dark rack left a step with three of five tasks away."""
+    driver = Driver(("w1", "w2", "w3"))
+    driver.submit(LASTING)
+    first, second = driver.start_all()
+    assert first.worker != second.worker
+    driver.report(first.worker, running=[listed(first)])
+    driver.report(second.worker, running=[listed(second)])
+    driver.wait(CONTACT_LIMIT_SECONDS + 0.1)
+    driver.report(second.worker, running=[listed(second)])
+    driver.report("w3")
+    driver.scheduler.set_cordoned({VmId(f"vm-{second.worker}")})
+    driver.tick()
+    stops = [order for order in driver.orders(StopRun) if order.task == second.task]
+    assert stops == []
+
+
+def test_unanswered_start_is_barred_before_the_task_starts_again():
+    driver = Driver(("w1",))
+    job = driver.submit(JobSpec("t", (StepSpec(1, Resources(1000, 1), 300),)))
+    driver.scheduler.plan(driver.now)
+    driver.scheduler.stored(job, job.version)
+    driver.scheduler.release_starts(driver.now)
+    run = driver.orders(StartRun)[0].run
+    driver.scheduler.handle_start_result(run, OrderFailure.UNKNOWN, driver.now)
+    assert len(driver.orders(LookAtWorker)) == 1
+    driver.wait(0.1)
+    driver.report("w1")
+    (stop,) = driver.orders(StopRun)
+    assert not job.pending
+    driver.scheduler.handle_stop_result(stop, None, driver.now)
+    driver.wait(0.1)
+    driver.report("w1")
+    assert job.pending
+
+
+def test_stuck_task_is_stopped_and_its_worker_set_aside():
+    driver = Driver(("w1",))
+    driver.submit(JobSpec("t", (StepSpec(1, Resources(1000, 1), 300),)))
+    (run,) = driver.start_all()
+    driver.wait(0.5)
+    driver.report("w1", running=[listed(run, 10)])
+    driver.wait(1.0)
+    driver.report("w1", running=[listed(run, 10)])
+    driver.tick()
+    assert driver.orders(StopRun) == []
+    driver.wait(1.0)
+    driver.report("w1", running=[listed(run, 10)])
+    driver.tick()
+    assert len(driver.orders(StopRun)) == 1
+    assert not driver.scheduler.eligible(driver.worker("w1"), driver.now)
+
+
+def test_draining_worker_gets_no_tasks():
+    driver = Driver(("w1",))
+    driver.submit(LASTING)
+    driver.scheduler.see_worker(entry("w1", draining=True), driver.now)
+    assert driver.start_all() == []
+
+
+def test_cancel_stops_every_run():
+    driver = Driver()
+    job = driver.submit(LASTING)
+    driver.start_all()
+    driver.scheduler.cancel(JOB, driver.now, 1)
+    assert len(driver.orders(StopRun)) == 2
+    assert job.progress.state is JobState.CANCELLED
+
+
+def test_reasons_for_waiting_name_the_missing_room():
+    driver = Driver(("w1",))
+    driver.submit(JobSpec("t", (StepSpec(1, Resources(9000, 1), 300),)))
+    driver.scheduler.plan(driver.now)
+    (reason,) = explain_job(driver.scheduler, JOB, driver.now)
+    assert "1 worker(s), 1 take tasks, 1 may run the step, 0 have room" in reason
+    (unknown,) = explain_job(driver.scheduler, JobId("x"), driver.now)
+    assert "has not seen" in unknown
+
+
+def test_scheduled_occurrences_start_at_their_time():
+    driver = Driver(("w1",))
+    due = int(driver.now * 1000) + 1000
+    step = StepSpec(1, Resources(1000, 1), 300)
+    spec = JobSpec("t", (step,), repeat_count=2, first_run_ms=due, interval_ms=1000)
+    driver.submit(spec)
+    assert driver.start_all() == []
+    driver.wait(1.1)
+    driver.report("w1")
+    driver.tick()
+    (run,) = driver.start_all()
+    assert run.task.occurrence == 0
