--- a/src/ebonyhub/ids.py
+++ b/src/ebonyhub/ids.py
@@ -19,7 +19,7 @@
 JobId = NewType("JobId", str)
 WorkerId = NewType("WorkerId", str)
 Revision = NewType("Revision", int)
-LeaderToken = NewType("FencingToken", int)
+LeaderToken = NewType("LeaderToken", int)
 StoreLease = NewType("StoreLease", int)
 WaveId = NewType("WaveId", int)
 
