--- a/src/ebonyhub/app.py
+++ b/src/ebonyhub/app.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import signal
 
 from prometheus_client import CollectorRegistry
 
@@ -18,7 +17,7 @@
 from .servers import build_server, run_server
 from .settings import EntrySettings
 from .store import HttpStore
-from .supervisor import Supervisor
+from .supervisor import Supervisor, run_until_signal
 from .vm_list import VmList, VmListReader
 
 
@@ -87,10 +86,6 @@
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then shut down gracefully."""
         log_event(Event.ENTRY_STARTED, entry=self.settings.entry_id)
-        stop = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
         platform = Supervisor("platform", self.clock, self.rng)
         platform.add("config-watcher", self.watcher.run)
         platform.add("vm-list-reader", self.vm_reader.run)
@@ -98,16 +93,7 @@
         root.add("caller-server", lambda: run_server(self.caller_server))
         root.add("admin-server", lambda: run_server(self.admin_server))
         root.add("platform", platform.run)
-        tree = asyncio.create_task(root.run(), name="root")
-        stopped = asyncio.create_task(stop.wait(), name="stop-signal")
-        await asyncio.wait({tree, stopped}, return_when=asyncio.FIRST_COMPLETED)
-        if tree.done():
-            stopped.cancel()
-            await tree
-            return
-        await self.shut_down()
-        tree.cancel()
-        await asyncio.gather(tree, return_exceptions=True)
+        await run_until_signal(root, self.shut_down)
         log_event(Event.SHUTDOWN_DONE, entry=self.settings.entry_id)
 
     async def shut_down(self) -> None:
--- a/src/ebonyhub/entry/leader_role.py
+++ b/src/ebonyhub/entry/leader_role.py
@@ -1,6 +1,7 @@
 """This entry's part in leadership: follows the leader, stands for election, leads."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from typing import Any
@@ -47,6 +48,8 @@
 # Seconds for which an entry uses any peer before it looks for the leader again.
 HELPER_SECONDS = 1.0
 REGISTER_RETRY_SECONDS = 1.0
+# Seconds that a stopping leader waits for a successor; its lease ends soon anyway.
+RESIGN_SECONDS = 0.5
 # Method of a call between peers: become leader in place of the caller.
 TAKE_OVER = "take_over"
 
@@ -354,5 +357,7 @@
         """Hand leadership over before this entry stops."""
         self.stopping = True
         if self.term is not None:
-            await self._ask_to_take_over(self.term)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(RESIGN_SECONDS):
+                    await self._ask_to_take_over(self.term)
         self.end_term("shutdown")
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -33,7 +33,7 @@
 from ..scheduling.controller import Controller
 from ..servers import HttpServer, build_server, run_server
 from ..settings import Listener
-from ..supervisor import Supervisor
+from ..supervisor import Supervisor, run_until_signal
 from .job_api import JobApi, ReadyApi
 from .job_service import JobService
 from .leader_role import TAKE_OVER, WATCH_SECONDS, LeaderRole
@@ -46,8 +46,10 @@
 STATUS_PORT = 9464
 # Seconds that a stopping entry goes on serving, so that the balancer's checks notice
 # and callers with open connections get their answers.
-STOP_NOTICE_SECONDS = 3.0
-STOP_LIMIT_SECONDS = 1.5
+# Together with the hand-over they stay well below the 6 s after which the platform kills
+# a process.
+STOP_NOTICE_SECONDS = 2.7
+STOP_LIMIT_SECONDS = 1.2
 
 
 class PlatformEntry:
@@ -227,10 +229,7 @@
             Event.ENTRY_STARTED, entry=self.settings.entry,
             data_centre=self.settings.data_centre, ip=self.settings.ip,
         )  # fmt: skip
-        stop = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self.on_reload)
         root = Supervisor("root", self.clock, self.rng)
         root.add("caller-server", lambda: run_server(self.caller_server))
@@ -242,16 +241,7 @@
         root.add("job-watch", self.job_watch.run)
         root.add("leadership", self.role.follow_leader)
         root.add("registration", self.role.register)
-        tree = asyncio.create_task(root.run(), name="root")
-        stopped = asyncio.create_task(stop.wait(), name="stop-signal")
-        await asyncio.wait({tree, stopped}, return_when=asyncio.FIRST_COMPLETED)
-        if tree.done():
-            stopped.cancel()
-            await tree
-            return
-        await self.shut_down()
-        tree.cancel()
-        await asyncio.gather(tree, return_exceptions=True)
+        await run_until_signal(root, self.shut_down)
         log_event(Event.SHUTDOWN_DONE, entry=self.settings.entry)
 
     def on_reload(self) -> None:
--- a/src/ebonyhub/fleet/planner.py
+++ b/src/ebonyhub/fleet/planner.py
@@ -82,6 +82,14 @@
     keep: int
 
 
+@dataclass(frozen=True, slots=True)
+class Stock:
+    """VMs that may leave each pool, and the number that each pool can use."""
+
+    free: dict[PoolName, list[Vm]]
+    usable: dict[PoolName, int]
+
+
 @dataclass(slots=True)
 class PoolState:
     """What the planner remembers of a pool."""
@@ -282,46 +290,41 @@
         """Fill what is needed now, then what is held in reserve, and park the rest."""
         free = {pool: self._free_vms(pool) for pool in self.pools}
         usable = {pool: self.usable(pool) for pool in self.pools}
-        for pool in self._by_shortage(targets, usable, lambda target: target.least):
-            while usable[pool] < targets[pool].least:
-                source = self._donor(targets, usable, free, lend=True)
-                if source is None:
-                    break
-                self._move(free[source].pop(0), pool, now)
-                usable[source] -= 1
-                usable[pool] += 1
-        for pool in self._by_shortage(targets, usable, lambda target: target.keep):
-            while usable[pool] < targets[pool].keep:
-                source = self._donor(targets, usable, free, lend=False)
-                if source is None:
-                    break
-                self._move(free[source].pop(0), pool, now)
-                usable[source] -= 1
-                usable[pool] += 1
+        stock = Stock(free, usable)
+        self._fill(targets, stock, lambda target: target.least, True, now)
+        self._fill(targets, stock, lambda target: target.keep, False, now)
         if self.standby and now - self.started_at > SETTLE_SECONDS:
-            self._park(targets, usable, free, now)
+            self._park(targets, stock, now)
 
-    def _by_shortage(
+    def _fill(
         self,
         targets: dict[PoolName, Target],
-        usable: dict[PoolName, int],
+        stock: Stock,
         wanted: Callable[[Target], int],
-    ) -> list[PoolName]:
-        """Return the pools that have too few VMs, the worst first."""
+        lend: bool,
+        now: float,
+    ) -> None:
+        """Move VMs to the pools that have too few, the worst first."""
+        usable = stock.usable
         short = [pool for pool in targets if usable[pool] < wanted(targets[pool])]
-        return sorted(short, key=lambda pool: usable[pool] / wanted(targets[pool]))
+        short.sort(key=lambda pool: usable[pool] / wanted(targets[pool]))
+        for pool in short:
+            while usable[pool] < wanted(targets[pool]):
+                source = self._donor(targets, stock, lend)
+                if source is None:
+                    return
+                self._move(stock.free[source].pop(0), pool, now)
+                usable[source] -= 1
+                usable[pool] += 1
 
     def _donor(
-        self,
-        targets: dict[PoolName, Target],
-        usable: dict[PoolName, int],
-        free: dict[PoolName, list[Vm]],
-        lend: bool,
+        self, targets: dict[PoolName, Target], stock: Stock, lend: bool
     ) -> PoolName | None:
         """Return the pool that gives a VM: one with a surplus, then a standby pool.
 
         With ``lend`` also a pool that only holds its VMs in reserve.
         """
+        free, usable = stock.free, stock.usable
         surplus = [p for p in targets if free[p] and usable[p] > targets[p].keep]
         parked = [p for p in self.standby if free.get(p)]
         lent = [p for p in targets if free[p] and usable[p] > targets[p].least]
@@ -330,17 +333,12 @@
                 return max(group, key=lambda pool: (usable[pool], pool))
         return None
 
-    def _park(
-        self,
-        targets: dict[PoolName, Target],
-        usable: dict[PoolName, int],
-        free: dict[PoolName, list[Vm]],
-        now: float,
-    ) -> None:
+    def _park(self, targets: dict[PoolName, Target], stock: Stock, now: float) -> None:
         """Move the VMs that nobody wants to a standby pool."""
         home = min(self.standby)
         for pool, target in targets.items():
-            for vm in free[pool][: max(0, usable[pool] - target.keep)]:
+            surplus = max(0, stock.usable[pool] - target.keep)
+            for vm in stock.free[pool][:surplus]:
                 self._move(vm, home, now)
 
     def _move(self, vm: Vm, pool: PoolName, now: float) -> None:
--- a/src/ebonyhub/supervisor.py
+++ b/src/ebonyhub/supervisor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import signal
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -89,3 +90,26 @@
                 log_event(Event.TASK_RESTARTED, task=name, error=repr(error))
                 delay = self.policy.delay_seconds(len(failures), self.rng)
                 await asyncio.sleep(delay)
+
+
+async def run_until_signal(
+    root: Supervisor, shut_down: Callable[[], Awaitable[None]]
+) -> None:
+    """Run a tree until SIGTERM or SIGINT, then shut down and cancel what is left.
+
+    Raises what the tree raises if it ends before.
+    """
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    tree = asyncio.create_task(root.run(), name=root.name)
+    stopped = asyncio.create_task(stop.wait(), name="stop-signal")
+    await asyncio.wait({tree, stopped}, return_when=asyncio.FIRST_COMPLETED)
+    if tree.done():
+        stopped.cancel()
+        await tree
+        return
+    await shut_down()
+    tree.cancel()
+    await asyncio.gather(tree, return_exceptions=True)
