--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -45,9 +45,8 @@
 # Port of metrics and of the operators' reads, the one that deploy/system.toml names.
 STATUS_PORT = 9464
 # Seconds that a stopping entry goes on serving, so that the balancer's checks notice
-# and callers with open connections get their answers.
-# Together with the hand-over they stay well below the 6 s after which the platform kills
-# a process.
+# and callers with open connections get their answers. Together with the hand-over it
+# stays well below the 6 s after which the platform kills a process.
 STOP_NOTICE_SECONDS = 2.7
 STOP_LIMIT_SECONDS = 1.2
 
