Leave out waiting jobs whose smallest task fits nowhere; a bench for the leader's work

A planning pass over full workers sorted and tried every waiting job: 20 ms at 48 workers and 500 jobs, 7.2 s at 740 and 10,000. Now 0.2 ms and 4.9 ms (make bench, processor time, beside other load). make bench had named a module that does not exist.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 	  --python '/usr/bin/env python3.11' --output-file $@
 
 bench: env
-	$(BIN)/python -m bench.relay
+	$(BIN)/python -m bench.scheduling
 
 clean:
 	rm -rf $(VENV) build dist
--- a/src/ebonyhub/scheduling/lifecycle.py
+++ b/src/ebonyhub/scheduling/lifecycle.py
@@ -55,6 +55,10 @@
             continue
         if waiting:
             job.pending[key] = waiting
+    job.least_cpu = min(
+        (job.accepted.spec.steps[step].reserved.cpu for _, step in job.pending),
+        default=0,
+    )
 
 
 def is_ready(job: Job, occurrence: int, step: int) -> bool:
--- a/src/ebonyhub/scheduling/planning.py
+++ b/src/ebonyhub/scheduling/planning.py
@@ -25,9 +25,23 @@
             ]
             if not workers:
                 continue
-            jobs.sort(key=lambda job: urgency(job, self.queues.get(job.queue), now).key)
-            for job in jobs:
+            self._plan_service(jobs, workers, now)
+
+    def _plan_service(self, jobs: list[Job], workers: list[Worker], now: float) -> None:
+        """Place the tasks of one service.
+
+        Jobs whose smallest task fits on no worker are left out at once; in a surge
+        those are nearly all of them.
+        """
+        room = most_free_cpu(workers)
+        fitting = [job for job in jobs if job.least_cpu <= room]
+        fitting.sort(key=lambda job: urgency(job, self.queues.get(job.queue), now).key)
+        for job in fitting:
+            if job.least_cpu <= room:
+                planned = len(self.planned)
                 self._plan_job(job, workers, now)
+                if len(self.planned) > planned:
+                    room = most_free_cpu(workers)
 
     def _plan_job(self, job: Job, workers: list[Worker], now: float) -> None:
         for (occurrence, number), waiting in list(job.pending.items()):
@@ -96,3 +110,8 @@
         run.job_version = job.version
         self.planned.append(run)
         self.mark_dirty(job)
+
+
+def most_free_cpu(workers: list[Worker]) -> int:
+    """Return the most processor that is free on one worker."""
+    return max((worker.free.cpu for worker in workers), default=-1)
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -163,6 +163,8 @@
     stored_version: int = 0
     # Ready tasks without a run, by occurrence and step.
     pending: dict[tuple[int, int], set[int]] = field(default_factory=dict)
+    # Least that a waiting task takes (thousandths of a core); 0 if unknown.
+    least_cpu: int = 0
     avoid: dict[TaskId, set[WorkerId]] = field(default_factory=dict)
     next_due: int = 0
 
