--- a/src/ebonyhub/cluster/watches.py
+++ b/src/ebonyhub/cluster/watches.py
@@ -1,7 +1,7 @@
 """Follows a prefix of the store."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from ..clock import Clock
 from ..events import Event, log_event
@@ -40,7 +40,6 @@
         self.listed = False
         self.fresh_at = float("-inf")
         self.reachable = True
-        self.before_call: Callable[[], Awaitable[None]] | None = None
 
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
--- a/src/ebonyhub/documents.py
+++ b/src/ebonyhub/documents.py
@@ -13,8 +13,6 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
 CONFIG = "config"
-FLEET = "fleet"
-MEMBERS = "members"
 
 
 class Document(msgspec.Struct, frozen=True):
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -115,7 +115,7 @@
             )
         controller = Controller(
             term, self.store, self.mirror, advisor, self.clock, self.rng, self.metrics,
-            cloud, settings.bounds.status_retention, self.on_progress_stored,
+            cloud, settings.status_retention, self.on_progress_stored,
         )  # fmt: skip
         controller.configure(self.configuration)
         for wave in self.waves.values():
--- a/src/ebonyhub/fleet/planner.py
+++ b/src/ebonyhub/fleet/planner.py
@@ -428,10 +428,6 @@
             for other in self.vms.values()
         )
 
-    def _pool_of(self, vm_id: VmId) -> PoolName | None:
-        vm = self.vms.get(vm_id)
-        return vm.pool if vm else None
-
     def finished_waves(self) -> list[WaveState]:
         """Return the waves whose VMs have all begun their upkeep or are gone."""
         return [
--- a/src/ebonyhub/jobs/records.py
+++ b/src/ebonyhub/jobs/records.py
@@ -6,7 +6,6 @@
 
 from ..ids import JobId, WorkerId
 
-ROOT = "eb/"
 JOBS = "eb/jobs/"
 ACCEPTED = "eb/jobs/a/"
 CANCELLED = "eb/jobs/c/"
--- a/src/ebonyhub/platform/settings.py
+++ b/src/ebonyhub/platform/settings.py
@@ -8,9 +8,11 @@
 from expression import Error, Ok, Result
 
 from ..ids import DataCentre, EntryId
-from ..node_settings import Bounds, NodeSettings
+from ..node_settings import NodeSettings
 
 SETTINGS_VARIABLE = "EBONYHUB_NODE_FILE"
+# Seconds, where the platform names no time for which a state must be known.
+DEFAULT_RETENTION = 120.0
 DEFAULT_PATH = "/etc/ebonyhub/settings.yaml"
 
 
@@ -37,7 +39,6 @@
 
 def decode_node_settings(data: dict[str, Any]) -> NodeSettings:
     """Translate the fields of the file; raises KeyError, TypeError or ValueError."""
-    limits = data["Limits"]
     listen = data["Listen"]
     first_port, last_port = data["InternalPortRange"]
     cloud = data.get("Cloud") or {}
@@ -51,26 +52,5 @@
         store_address=data["platform"]["Address"],
         cloud_address=cloud.get("Address") or "",
         advisor_address=data.get("PlacementAdvisor") or "",
-        fenced_cloud=bool(data["Bounds"].get("RequireFencing", True)),
-        memory_megabytes=int(limits["MemoryMb"]),
-        cpu_cores=float(limits["CpuShare"]) * float(limits["Cores"]),
-        bounds=decode_bounds(data["Bounds"]),
-    )
-
-
-def decode_bounds(data: dict[str, Any]) -> Bounds:
-    """Translate the limits; names that end in Ms hold milliseconds."""
-    return Bounds(
-        max_hold=data.get("MaxHoldMs", 10_000) / 1000,
-        stop_timeout=data.get("StopTimeoutMs", 400) / 1000,
-        gang_timeout=data.get("GangTimeoutMs", 3000) / 1000,
-        status_retention=float(data.get("status_s", 120)),
-        early_start=data.get("early_ms", 250) / 1000,
-        shutdown_grace=float(data.get("GraceS", 6)),
-        duty_lease=data.get("LeaseMs", 3000) / 1000,
-        unavailable_after=data.get("NoticeMs", 4500) / 1000,
-        move_duration=float(data.get("MigrationS", 1.5)),
-        upkeep_duration=float(data.get("MaintenanceS", 2)),
-        harm_limit=data.get("HarmMs", 4000) / 1000,
-        remote_penalty=float(data.get("RemotePenalty", 1)),
+        status_retention=float(data["Bounds"].get("status_s", DEFAULT_RETENTION)),
     )
--- a/src/ebonyhub/scheduling/placement.py
+++ b/src/ebonyhub/scheduling/placement.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ..ids import JobId, WorkerId
-from ..jobs.model import Resources, StepSpec
+from ..jobs.model import StepSpec
 from .runs import Worker
 
 
@@ -114,11 +114,3 @@
         free[worker.worker_id] = free[worker.worker_id] - needs.step.reserved
         held[worker.worker_id] += 1
     return chosen
-
-
-def total_capacity(workers: Iterable[Worker]) -> Resources:
-    """Return the sum of the workers' capacities."""
-    total = Resources()
-    for worker in workers:
-        total = total + worker.entry.capacity
-    return total
--- a/src/ebonyhub/scheduling/priority.py
+++ b/src/ebonyhub/scheduling/priority.py
@@ -5,9 +5,6 @@
 from ..configuration import Queue
 from .runs import Job
 
-# A job that is later than this multiple of its objective earns nothing more.
-LATE_LIMIT = 3.0
-
 
 @dataclass(frozen=True, slots=True)
 class Urgency:
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -37,7 +37,6 @@
     WORKER_LEAVES = "worker_leaves"
     NO_PROGRESS = "no_progress"
     JOB_ENDED = "job_ended"
-    PREEMPTED = "preempted"
 
 
 @dataclass(eq=False, slots=True)
@@ -84,7 +83,6 @@
     departed: bool = False
     # Planned work is about to end it; it gets no new tasks.
     cordoned: bool = False
-    leaves_at: float | None = None
     runs: dict[tuple[TaskId, int], Run] = field(default_factory=dict)
     used: Resources = field(default_factory=Resources)
     found_at: float = 0.0
--- a/src/ebonyhub/scheduling/worker_watch.py
+++ b/src/ebonyhub/scheduling/worker_watch.py
@@ -31,8 +31,6 @@
             log_event(
                 Event.WORKER_DRAINS, worker=entry.worker, leaves_in=entry.leaves_in
             )
-        if entry.leaves_in is not None:
-            worker.leaves_at = now + entry.leaves_in
         worker.entry = entry
         worker.departed = False
 
