--- a/src/ebonyhub/fleet/planner.py
+++ b/src/ebonyhub/fleet/planner.py
@@ -17,6 +17,9 @@
 # VMs that a pool with long-running tasks keeps after its surge: two, so that the loss
 # of one leaves it served.
 BASE_VMS = 2
+# VMs that a pool keeps before its surge, so that the first jobs find room while others
+# are on their way.
+RESERVE_VMS = 3
 # Room above the forecast, since declared run times are rough.
 HEADROOM = 1.1
 # Seconds for which the highest recent target of a pool counts, so that a dip between
@@ -28,7 +31,7 @@
 CORDON_LIMIT_SECONDS = 6.0
 # Seconds an upkeep takes with draining, for the time that a wave still needs.
 UPKEEP_ROUND_SECONDS = 4.5
-# A pool is in a surge while it wants this multiple of its first size.
+# A pool is in a surge while it wants this multiple of an even share of all VMs.
 SURGE_FACTOR = 1.0
 
 
@@ -277,7 +280,7 @@
         Queues surge in turn, so a pool that had its surge lends its VMs until every
         other pool has had one.
         """
-        return min(BASE_VMS, state.share) if state.surged else BASE_VMS + 1
+        return min(BASE_VMS, state.share) if state.surged else RESERVE_VMS
 
     def _cores_per_vm(self, pool: PoolName) -> float:
         sizes = [vm.capacity.cpu for vm in self.vms.values() if vm.pool == pool]
