--- /dev/null
+++ b/tests/test_platform_clients.py
@@ -0,0 +1,183 @@
+"""The adapter's clients against the stand-ins, over HTTP on loopback.
+
+Guards against an answer that is taken for another one: refused for unknown, a conflict
+for an error, a fenced order for a failed one.
+"""
+
+import asyncio
+import time
+
+import pytest
+from prometheus_client import CollectorRegistry
+
+from ebonyhub.clock import SystemClock
+from ebonyhub.cluster.metadata_store import StoreFailure, Transaction, Write
+from ebonyhub.fleet.model import VmState
+from ebonyhub.ids import (
+    EntryId,
+    JobId,
+    LeaderToken,
+    PoolName,
+    Revision,
+    TaskId,
+    VmId,
+    WaveId,
+    WorkerId,
+)
+from ebonyhub.metrics import Metrics
+from ebonyhub.platform.cloud import AdvisorClient, CloudClient, CloudFailure
+from ebonyhub.platform.store import PlatformStore
+from ebonyhub.platform.workers import WorkerClient
+from ebonyhub.scheduling.model import EndKind, OrderFailure, StartOrder
+from ebonyhub.servers import run_server
+from ebonyhub.settings import Listener
+from standins.cloud_server import CHANGE_SECONDS, AdvisorServer, CloudServer
+from standins.job_platform import StoreServer, WorkerServer
+from standins.memory_store import StoreCore
+from standins.network import claim_network
+
+PORT = 8600
+TASK = TaskId(JobId("0123456789abcdef"), 0, 0, 0)
+
+
+class Served:
+    """Runs one stand-in's server for a test."""
+
+    def __init__(self):
+        self.network = claim_network()
+        self.listener = Listener(self.network.address(0, 1), PORT)
+        self.address = f"{self.listener.address}:{PORT}"
+        self.metrics = Metrics(CollectorRegistry())
+        self.tasks = []
+
+    async def start(self, standin):
+        self.standin = standin
+        self.tasks.append(asyncio.create_task(run_server(standin.server)))
+        while not standin.server.started:
+            await asyncio.sleep(0.005)
+        return standin
+
+    async def stop(self):
+        self.standin.server.should_exit = self.standin.server.force_exit = True
+        await asyncio.wait(self.tasks, timeout=5)
+        self.network.close()
+
+
+@pytest.fixture
+async def served():
+    holder = Served()
+    yield holder
+    await holder.stop()
+
+
+async def test_store_calls(served):
+    core = StoreCore(time.monotonic)
+    standin = await served.start(StoreServer(core, served.listener))
+    store = PlatformStore(served.address, SystemClock(), served.metrics)
+    assert (await store.get("eb/x")).ok is None
+    first = (
+        await store.commit(Transaction({"eb/x": Revision(0)}, (Write("eb/x", b"1"),)))
+    ).ok
+    assert (await store.get("eb/x")).ok.value == b"1"
+    failed = (
+        await store.commit(Transaction({"eb/x": Revision(0)}, (Write("eb/x", b"2"),)))
+    ).error
+    assert failed.kind is StoreFailure.CONFLICT
+    assert failed.current["eb/x"].revision == first
+    batch = (await store.list("eb/")).ok
+    assert [item.key for item in batch.items] == ["eb/x"]
+    watching = asyncio.create_task(store.watch("eb/", batch.revision, 5.0))
+    await store.commit(Transaction({}, removals=("eb/x",)))
+    event = (await watching).ok.items[0]
+    assert (event.key, event.value) == ("eb/x", None)
+    core.drop_history()
+    assert (await store.watch("eb/", first, 0.0)).error is StoreFailure.COMPACTED
+    lease = (await store.grant_lease(5.0)).ok
+    assert (await store.renew_lease(lease)).is_ok()
+    assert (await store.end_lease(lease)).is_ok()
+    assert (await store.renew_lease(lease)).error is StoreFailure.LEASE_ENDED
+    bound = Transaction({}, (Write("eb/y", b"", lease),))
+    assert (await store.commit(bound)).error.kind is StoreFailure.LEASE_ENDED
+    assert not store.failing
+    standin.down = True
+    assert (await store.get("eb/x")).error is StoreFailure.REFUSED
+    assert store.failing
+    standin.down = False
+    assert (await store.get("eb/x")).is_ok()
+    assert not store.failing
+
+
+async def test_nobody_at_the_stores_address_means_that_nothing_was_done():
+    network = claim_network()
+    address = f"{network.address(0, 7)}:{PORT}"
+    store = PlatformStore(address, SystemClock(), Metrics(CollectorRegistry()))
+    result = await store.commit(Transaction({}, (Write("a", b""),)))
+    assert result.error.kind is StoreFailure.REFUSED
+    network.close()
+
+
+async def test_worker_orders(served):
+    core = StoreCore(time.monotonic)
+    standin = await served.start(WorkerServer("w", "plans", served.listener, core))
+    living = asyncio.create_task(standin.live())
+    client = WorkerClient(WorkerId("w"), served.address, SystemClock())
+    token = LeaderToken(5)
+    report = (await client.hold(token, 0, None, 0.0)).ok
+    later = report.clock_ms + 5000
+    order = StartOrder(TASK, 1, "100", later, token)
+    assert (await client.start(order)).is_ok()
+    assert (await client.start(order)).is_ok()
+    ended = (await client.hold(token, 0, later, 2.0)).ok.ended
+    assert [(end.task, end.number, end.kind) for end in ended] == [
+        (TASK, 1, EndKind.DONE)
+    ]
+    assert (await client.hold(token, ended[0].sequence, later, 0.0)).ok.ended == ()
+    assert (await client.start(order)).error is OrderFailure.OLD_RUN
+    stale = StartOrder(TASK, 2, "100", report.clock_ms - 1, token)
+    assert (await client.start(stale)).error is OrderFailure.LATE
+    old = LeaderToken(4)
+    assert (await client.hold(old, 0, None, 0.0)).error is OrderFailure.FENCED
+    assert (await client.stop(TASK, 3, old)).error is OrderFailure.FENCED
+    assert (await client.stop(TASK, 3, token)).is_ok()
+    living.cancel()
+    client.close()
+
+
+async def test_first_hold_of_a_connection_acknowledges_nothing(served):
+    """An old life's number made a new life forget ends that nobody had stored."""
+    core = StoreCore(time.monotonic)
+    standin = await served.start(WorkerServer("w", "plans", served.listener, core))
+    for number in (1, 2):
+        client = WorkerClient(WorkerId("w"), served.address, SystemClock())
+        await client.hold(LeaderToken(number), 99, None, 0.0)
+        assert standin.fake.acknowledged == 0
+        client.close()
+
+
+async def test_cloud_calls(served):
+    pools = {"m1": "a", "m2": "a", "m3": "b"}
+    await served.start(CloudServer(served.listener, pools))
+    cloud = CloudClient(served.address, EntryId("e"), SystemClock(), served.metrics)
+    vms = (await cloud.list_vms()).ok
+    assert [(vm.vm, vm.pool, vm.state) for vm in vms] == [
+        (VmId(name), PoolName(pool), VmState.UP) for name, pool in pools.items()
+    ]
+    token = LeaderToken(7)
+    assert (await cloud.move(VmId("m1"), PoolName("b"), token)).is_ok()
+    assert (await cloud.move(VmId("m1"), PoolName("b"), token)).is_ok()
+    busy = await cloud.start_upkeep(VmId("m1"), WaveId(1), token)
+    assert busy.error is CloudFailure.BUSY
+    await asyncio.sleep(CHANGE_SECONDS * 1.5)
+    assert (await cloud.start_upkeep(VmId("m1"), WaveId(1), token)).is_ok()
+    fenced = await cloud.move(VmId("m1"), PoolName("a"), LeaderToken(6))
+    assert fenced.error is CloudFailure.FENCED
+    unknown = await cloud.move(VmId("zz"), PoolName("a"), token)
+    assert unknown.error is CloudFailure.INVALID
+
+
+async def test_advice_names_workers_with_tickets(served):
+    await served.start(AdvisorServer(served.listener, 0.01))
+    advisor = AdvisorClient(served.address, SystemClock(), served.metrics)
+    workers = [WorkerId("w1"), WorkerId("w2")]
+    tickets = (await advisor.advise(JobId("j"), 0, 1, workers, 0.1)).ok
+    assert tickets == {WorkerId("w2"): "j.0.1-w2"}
