--- a/src/ebonyhub/scheduling/intake.py
+++ b/src/ebonyhub/scheduling/intake.py
@@ -6,9 +6,7 @@
 from ..jobs.model import AcceptedJob, Resources
 from ..jobs.records import JobState, ProgressRecord
 from . import lifecycle
-from .model import (
-    WorkerEntry,
-)
+from .model import WorkerEntry
 from .runs import Job, Run, RunPhase, StopReason, Worker
 from .state import SchedulerState
 
--- a/src/ebonyhub/scheduling/order_results.py
+++ b/src/ebonyhub/scheduling/order_results.py
@@ -1,9 +1,7 @@
 """Orders starts whose records are stored, and applies the answers."""
 
 from ..events import Event, log_event
-from .model import (
-    OrderFailure,
-)
+from .model import OrderFailure
 from .orders import LookAtWorker, StartRun, StopRun
 from .runs import Run, RunPhase
 from .state import SchedulerState, short_name
--- a/src/ebonyhub/scheduling/worker_watch.py
+++ b/src/ebonyhub/scheduling/worker_watch.py
@@ -6,9 +6,7 @@
 from ..fleet.model import Vm, VmState
 from ..ids import VmId, WorkerId
 from .health import is_stuck
-from .model import (
-    WorkerEntry,
-)
+from .model import WorkerEntry
 from .placement import StepNeeds, allows, choose_worker
 from .runs import Run, RunPhase, StopReason, Worker
 from .state import CONTACT_LIMIT_SECONDS, SchedulerState, is_at_work
