Fault soak: real processes behind a loopback proxy, with seeded faults

Real entry processes on loopback; signals, a proxy that delays, holds, silences or resets links, and faults of the stand-in store. The oracle of the emulator watches the workers; callers check acceptance, refusals, cancels, open connections and configurations.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: env demo test format dist bench capacity clean
+.PHONY: env demo test format dist bench soak clean
 
 env: $(VENV)/.installed
 
@@ -40,5 +40,8 @@
 bench: env
 	$(BIN)/python -m bench.scheduling
 
+soak: env
+	$(BIN)/python -m soak.run --seeds 1-50
+
 clean:
 	rm -rf $(VENV) build dist
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real entry processes on loopback, with faults injected from outside."""
--- /dev/null
+++ b/soak/injector.py
@@ -0,0 +1,162 @@
+"""Carries faults out on processes, links, the store and the workers."""
+
+import asyncio
+import json
+import signal
+import time
+from dataclasses import dataclass
+
+from standins.job_cluster import JobCluster
+from standins.job_platform import WorkerServer, demo_configuration
+
+from .proxy import LinkMode, Proxy
+from .schedule import Fault, FaultKind
+
+SLOW_STORE_SECONDS = 0.25
+CONFIGURATION_KEY = "op/config"
+
+
+@dataclass
+class Injector:
+    """Knows what can be disturbed; faults overlap, each ends by itself."""
+
+    cluster: JobCluster
+    store_links: dict[str, Proxy]
+    worker_links: dict[str, Proxy]
+    version: int = 1
+
+    async def carry_out(self, fault: Fault) -> None:
+        """Begin a fault, wait for its time, and end it."""
+        entry = self._entry(fault)
+        workers = self.cluster.platform.workers
+        worker = workers[fault.target % len(workers)]
+        match fault.kind:
+            case FaultKind.KILL:
+                await self._restart([entry], signal.SIGKILL, fault.seconds)
+            case FaultKind.KILL_ALL:
+                names = list(self.cluster.names)
+                await self._restart(names, signal.SIGKILL, fault.seconds)
+            case FaultKind.STOP:
+                await self._restart([entry], signal.SIGTERM, fault.seconds)
+            case FaultKind.PAUSE:
+                await self._pause(entry, fault.seconds)
+            case FaultKind.RELOAD:
+                self.cluster.processes[entry].send_signal(signal.SIGHUP)
+            case FaultKind.STORE_LINK:
+                await self._disturb(self.store_links[entry], fault)
+            case FaultKind.WORKER_LINK:
+                link = self.worker_links[worker.fake.worker]
+                worker.fake.cut = True
+                await self._disturb(link, fault)
+                worker.fake.cut = link.mode is not LinkMode.PASS
+            case FaultKind.WORKER_CRASH:
+                await self._crash(worker, fault.seconds)
+            case FaultKind.WORKER_ENTRY:
+                self.cluster.platform.core.delete(f"servers/{worker.fake.worker}")
+                await asyncio.sleep(fault.seconds)
+                worker.register()
+            case FaultKind.CONFIGURE:
+                self.configure()
+            case _:
+                await self._disturb_store(fault)
+
+    def _entry(self, fault: Fault) -> str:
+        leader = self.cluster.leader() if fault.at_leader else None
+        names = self.cluster.names
+        return leader or names[fault.target % len(names)]
+
+    async def _restart(
+        self, names: list[str], how: signal.Signals, pause: float
+    ) -> None:
+        """End processes with a signal and start them again after a pause."""
+        ended = [(name, self.cluster.processes[name]) for name in names]
+        for _, process in ended:
+            process.send_signal(how)
+            # A paused process takes SIGTERM only once it goes on.
+            process.send_signal(signal.SIGCONT)
+        for name, process in ended:
+            while process.poll() is None:
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(pause)
+            # Another fault may have started it again in the meantime.
+            if self.cluster.processes[name] is process:
+                self.cluster.start_entry(name)
+
+    async def _pause(self, name: str, seconds: float) -> None:
+        process = self.cluster.processes[name]
+        process.send_signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            process.send_signal(signal.SIGCONT)
+
+    async def _disturb(self, link: Proxy, fault: Fault) -> None:
+        link.set_mode(fault.mode)
+        await asyncio.sleep(fault.seconds)
+        link.set_mode(LinkMode.PASS)
+
+    async def _crash(self, worker: WorkerServer, seconds: float) -> None:
+        """End a worker's life; another begins under the same id."""
+        if not worker.fake.up:
+            return
+        worker.fake.crash()
+        await asyncio.sleep(seconds)
+        worker.fake.rebirth(int(time.time() * 1000))
+        worker.register()
+
+    async def _disturb_store(self, fault: Fault) -> None:
+        store, core = self.cluster.platform.store, self.cluster.platform.core
+        match fault.kind:
+            case FaultKind.STORE_DROPS_HISTORY:
+                core.drop_history()
+            case FaultKind.REVOKE_LEASES:
+                for lease in list(core.leases):
+                    core.end_lease(lease)
+            case FaultKind.STORE_DOWN:
+                store.down = True
+            case FaultKind.STORE_SLOW:
+                store.delay = SLOW_STORE_SECONDS
+            case FaultKind.STORE_LOSES_ANSWERS:
+                store.loses_answers = True
+        await asyncio.sleep(fault.seconds)
+        match fault.kind:
+            case FaultKind.STORE_DOWN:
+                store.down = False
+            case FaultKind.STORE_SLOW:
+                store.delay = 0.0
+            case FaultKind.STORE_LOSES_ANSWERS:
+                store.loses_answers = False
+
+    def configure(self) -> str:
+        """Write a newer configuration with one more queue; return its prefix."""
+        self.version += 1
+        configuration = demo_configuration()
+        configuration["Version"] = self.version
+        prefix = extra_prefix(self.version)
+        route = {**configuration["Routes"][0], "Name": f"r{self.version}"}
+        configuration["Routes"].append({**route, "PathPrefix": prefix})
+        value = json.dumps(configuration).encode()
+        self.cluster.platform.core.put(CONFIGURATION_KEY, value)
+        return prefix
+
+    def heal(self) -> None:
+        """End what may still be disturbed."""
+        store = self.cluster.platform.store
+        store.down, store.delay, store.loses_answers = False, 0.0, False
+        for link in [*self.store_links.values(), *self.worker_links.values()]:
+            link.set_mode(LinkMode.PASS)
+        for worker in self.cluster.platform.workers:
+            worker.fake.cut = False
+            if not worker.fake.up:
+                worker.fake.rebirth(int(time.time() * 1000))
+            worker.register()
+        for name, process in list(self.cluster.processes.items()):
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+            else:
+                self.cluster.start_entry(name)
+
+
+def extra_prefix(version: int) -> str:
+    """Return the path of the queue that only this version has."""
+    return f"/extra-{version}/"
--- a/standins/job_cluster.py
+++ b/standins/job_cluster.py
@@ -41,6 +41,8 @@
         self.folder = tempfile.TemporaryDirectory()
         self.names = [f"entry-{number}" for number in range(1, entries + 1)]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        # Address of the store as each entry sees it, where it is not the store's own.
+        self.store_addresses: dict[str, str] = {}
 
     def ip(self, name: str) -> str:
         """Return the address of an entry."""
@@ -49,7 +51,8 @@
     def start_entry(self, name: str) -> None:
         """Start the process of an entry."""
         path = Path(self.folder.name) / f"{name}.yaml"
-        store = f"{self.platform_ip}:{STORE_PORT}"
+        own = f"{self.platform_ip}:{STORE_PORT}"
+        store = self.store_addresses.get(name, own)
         path.write_text(node_settings_text(name, self.ip(name), store, PEER_PORTS))
         log = (Path(self.folder.name) / f"{name}.log").open("ab")
         self.processes[name] = subprocess.Popen(
@@ -78,7 +81,12 @@
         return found[1] if found else None
 
     async def call(
-        self, name: str, method: str, job: str, body: object = None
+        self,
+        name: str,
+        method: str,
+        job: str,
+        body: object = None,
+        prefix: str = PREFIX,
     ) -> SmallResponse | None:
         """Make a caller's call at one entry; None without an answer."""
         encoded = b"" if body is None else json.dumps(body).encode()
@@ -88,7 +96,7 @@
             (b"Content-Length", str(len(encoded)).encode()),
             (b"Connection", b"close"),
         ]
-        head = RequestHead(method.encode(), f"{PREFIX}{job}".encode(), headers)
+        head = RequestHead(method.encode(), f"{prefix}{job}".encode(), headers)
         try:
             async with asyncio.timeout(CALL_SECONDS):
                 opened = await open_connection(self.ip(name), CALLER_PORT, CALL_SECONDS)
--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -28,6 +28,10 @@
 WORKER_STEP_SECONDS = 0.02
 DEFAULT_TASK_MS = 200
 STOP_SECONDS = 5.0
+# Seconds after which nobody waits for an answer any more.
+LOST_ANSWER_SECONDS = 8.0
+# Text of a job whose tasks run until they are stopped.
+LASTING_TEXT = "lasts"
 
 _REASONS = {
     OrderFailure.FENCED: "fence",
@@ -85,6 +89,10 @@
     def __init__(self, core: StoreCore, listener: Listener) -> None:
         self.core = core
         self.down = False
+        # Seconds that each answer takes.
+        self.delay = 0.0
+        # Whether transactions are carried out without an answer.
+        self.loses_answers = False
         handlers: dict[str, Handler] = {
             "GET /kv-key": self.get,
             "GET /kv-range": self.list,
@@ -98,8 +106,13 @@
         self.server = build_server(JsonApp(guarded), listener)
 
     def _guard(self, handler: Handler) -> Handler:
-        def guarded(request: Request) -> Any:
-            return reply(503, {}) if self.down else handler(request)
+        async def guarded(request: Request) -> Any:
+            if self.down:
+                return reply(503, {})
+            if self.delay:
+                await asyncio.sleep(self.delay)
+            result = handler(request)
+            return await result if asyncio.iscoroutine(result) else result
 
         return guarded
 
@@ -141,6 +154,8 @@
                 data["Remove"],
             )
         )
+        if self.loses_answers:
+            await asyncio.sleep(LOST_ANSWER_SECONDS)
         if result.is_ok():
             return reply(200, {"Revision": result.ok})
         items = [item_row(item) for item in result.error.current.values()]
@@ -163,6 +178,13 @@
         return reply(200, {})
 
 
+def run_time_ms(text: str) -> int | None:
+    """Return the run time that a job's text names, None for tasks that last."""
+    if text == LASTING_TEXT:
+        return None
+    return int(text) if text.isdigit() else DEFAULT_TASK_MS
+
+
 class WorkerServer:
     """The HTTP interface of one worker; records every start."""
 
@@ -178,6 +200,8 @@
         )
         self.core = core
         self.listener = listener
+        # Address that the entry in the store names.
+        self.advertised = f"{listener.address}:{listener.port}"
         self.starts: list[str] = []
         self.done: list[str] = []
         self.fake.on_end = self._note_end
@@ -196,7 +220,7 @@
         """Write the worker's entry into the store."""
         entry = {
             "Service": self.fake.service,
-            "Address": f"{self.listener.address}:{self.listener.port}",
+            "Address": self.advertised,
             "Zone": "a",
             "Version": "v1",
             "Slots": 8,
@@ -233,7 +257,7 @@
             deadline_ms=data["DeadlineMs"],
             token=LeaderToken(data["FencingToken"]),
         )
-        duration = int(order.text) if order.text.isdigit() else DEFAULT_TASK_MS
+        duration = run_time_ms(order.text)
         failure = self.fake.start(order, time.monotonic(), duration, EndKind.DONE)
         if failure is None:
             self.starts.append(data["Task"])
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,128 @@
+"""The fault soak: its proxy and schedule, and a short run of it.
+
+Guards against a soak that injects nothing, and against promises that break only with
+real processes, sockets and signals.
+"""
+
+import asyncio
+from itertools import pairwise
+
+import pytest
+
+from soak.proxy import LinkMode, Proxy
+from soak.run import parse_seeds, run_seed
+from soak.schedule import FaultKind, draw_faults
+from standins.network import claim_network
+
+ECHO_PORT = 8901
+PROXY_PORT = 8902
+# Seconds in which an answer on loopback has surely arrived.
+WAIT_SECONDS = 0.6
+# Each seed that ever failed, with its cause, stays here.
+SHORT_SEEDS = [
+    # A caller that waits for its answer when the load ends was counted as refused.
+    4,
+]
+SHORT_SECONDS = 6.0
+
+
+class Echo:
+    """Answers each chunk with the same bytes, and keeps what it received."""
+
+    def __init__(self):
+        self.received = b""
+
+    async def serve(self, reader, writer):
+        while chunk := await reader.read(100):
+            self.received += chunk
+            writer.write(chunk)
+        writer.close()
+
+
+@pytest.fixture
+async def linked():
+    network = claim_network()
+    host = network.address(0, 1)
+    echo = Echo()
+    server = await asyncio.start_server(echo.serve, host, ECHO_PORT)
+    proxy = Proxy((host, ECHO_PORT))
+    await proxy.start(host, PROXY_PORT)
+    yield proxy, echo, host
+    await proxy.stop()
+    server.close()
+    network.close()
+
+
+async def ask(stream, text):
+    """Return the answer to some bytes, None without one."""
+    reader, writer = stream
+    try:
+        writer.write(text)
+        async with asyncio.timeout(WAIT_SECONDS):
+            return await reader.read(100)
+    except (TimeoutError, ConnectionError):
+        return None
+
+
+@pytest.mark.parametrize(
+    ("mode", "answer", "received", "later"),
+    [
+        (LinkMode.PASS, b"1", b"1", b"2"),
+        (LinkMode.DELAY, b"1", b"1", b"2"),
+        # The held bytes arrive in front of the later ones.
+        (LinkMode.HOLD, None, b"", b"1"),
+        (LinkMode.SILENT, None, b"", None),
+        (LinkMode.LOSE_ANSWERS, None, b"1", None),
+        (LinkMode.RESET, None, b"", None),
+    ],
+)
+async def test_link_modes(linked, mode, answer, received, later):
+    proxy, echo, host = linked
+    stream = await asyncio.open_connection(host, PROXY_PORT)
+    assert await ask(stream, b"0") == b"0"
+    echo.received = b""
+    proxy.set_mode(mode)
+    assert await ask(stream, b"1") in (answer, answer or b"")
+    assert echo.received == received
+    proxy.set_mode(LinkMode.PASS)
+    assert (await ask(stream, b"2") or None) in (later, b"12" if later else None)
+    stream[1].close()
+
+
+async def test_new_connections_work_after_a_link_went_silent(linked):
+    proxy, _, host = linked
+    stream = await asyncio.open_connection(host, PROXY_PORT)
+    proxy.set_mode(LinkMode.SILENT)
+    await ask(stream, b"1")
+    proxy.set_mode(LinkMode.PASS)
+    fresh = await asyncio.open_connection(host, PROXY_PORT)
+    assert await ask(fresh, b"2") == b"2"
+    for _, writer in (stream, fresh):
+        writer.close()
+
+
+def test_a_seed_draws_the_same_faults_again():
+    assert draw_faults(3, 15.0) == draw_faults(3, 15.0)
+    assert draw_faults(3, 15.0) != draw_faults(4, 15.0)
+
+
+def test_fifty_seeds_draw_every_kind_and_overlap():
+    runs = [draw_faults(seed, 15.0) for seed in range(1, 51)]
+    assert {fault.kind for run in runs for fault in run} == set(FaultKind)
+    overlapping = [
+        run for run in runs if any(a.at + a.seconds > b.at for a, b in pairwise(run))
+    ]
+    assert len(overlapping) == len(runs)
+
+
+def test_seeds_are_a_number_or_a_range():
+    assert parse_seeds("7") == [7]
+    assert parse_seeds("2-4") == [2, 3, 4]
+
+
+@pytest.mark.parametrize("seed", SHORT_SEEDS)
+async def test_promises_hold_in_a_short_soak(seed):
+    report = await run_seed(seed, SHORT_SECONDS, entries=3, workers=3)
+    assert report.faults > 0
+    assert report.starts > 0
+    assert report.problems == ()
