Send states of jobs between entries instead of whole records; prefer strong leaders; let large responses take their time

Cause: on the grown sites every entry received every progress record twice, by the leader's stream and by a watch of its own, so that messages grew with entries times records.

Ruled out: the store's rates (no 429 in the figures), placement (the pass is under 2 ms).

Change: the leader gathers changed states for 30 ms and sends job, queue and state only; the others keep no records, and watch the store only while no leader tells them. Progress lies under a prefix of its own that is read at a take-over. Entries greet with their strength; weak ones stand for election later and hand over. A response that has begun may take longer as long as its parts arrive.

--- a/src/ebonyhub/cluster/mirror.py
+++ b/src/ebonyhub/cluster/mirror.py
@@ -1,9 +1,11 @@
-"""Copy of the job records that every entry keeps.
+"""What an entry knows of the jobs.
 
-Records reach it from the entry's own commits, from the leader's stream and from a
-watch; whichever is newest by revision stays.
+The leader keeps whole records. The other entries keep the state of each job, which the
+leader sends them; that is all that callers ask for.
 """
 
+from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -19,21 +21,38 @@
 )
 from .metadata_store import ABSENT, Item
 
+# Seconds for which an entry that does not lead keeps the state of a finished job.
+# Later questions are answered from the store.
+KEEP_FINISHED_SECONDS = 60.0
+
 _decode_accepted = msgspec.msgpack.Decoder(AcceptedJob).decode
 _decode_progress = msgspec.msgpack.Decoder(ProgressRecord).decode
 
+# Job, queue, whether it runs by schedule, and the state that callers are told.
+StateRow = tuple[JobId, QueueName, bool, int]
+
 
 @dataclass(slots=True)
 class MirroredJob:
-    """The records of one job; ``accepted`` is None while only later ones are known."""
+    """One job; ``queue`` is None while its acceptance is not known."""
 
-    accepted: AcceptedJob | None = None
+    queue: QueueName | None = None
+    scheduled: bool = False
     cancelled: bool = False
     state: JobState = JobState.QUEUED
     finished_ms: int = 0
+    counted: QueueName | None = None
+    # State that was last handed out as a change.
+    noted: JobState | None = None
+    # Records, kept by the leader only.
+    accepted: AcceptedJob | None = None
     progress: bytes = b""
     progress_revision: Revision = ABSENT
-    counted: QueueName | None = None
+
+    @property
+    def known(self) -> bool:
+        """Return whether the job was accepted."""
+        return self.queue is not None
 
     @property
     def shown_state(self) -> JobState:
@@ -48,12 +67,27 @@
 
 
 class JobMirror:
-    """All job records, with the number of waiting jobs of each queue."""
+    """All jobs, with the number of waiting jobs of each queue."""
 
     def __init__(self) -> None:
         self.jobs: dict[JobId, MirroredJob] = {}
         self.revision = ROOT_REVISION
         self.waiting: dict[QueueName, int] = {}
+        self.keeps_records = False
+        # Jobs whose shown state changed since it was last taken.
+        self.changes: dict[JobId, None] = {}
+        # Finished jobs by the time at which this entry learned of it.
+        self.finished: deque[tuple[float, JobId]] = deque()
+
+    def keep_records(self, keep: bool) -> None:
+        """Begin or end to keep whole records; those that are kept are dropped."""
+        self.keeps_records = keep
+        if not keep:
+            for job in self.jobs.values():
+                job.accepted, job.progress = None, b""
+                job.progress_revision = ABSENT
+
+    # Records
 
     def apply(self, item: Item) -> JobId | None:
         """Take over a record; return the job if it changed."""
@@ -70,10 +104,14 @@
             self.forget(job_id)
             return None
         job = self.jobs.setdefault(job_id, MirroredJob())
-        if job.accepted is not None:
+        if job.accepted is not None or (job.known and not self.keeps_records):
             return None
-        job.accepted = _decode_accepted(item.value)
-        self._count(job)
+        accepted = _decode_accepted(item.value)
+        job.queue = accepted.queue
+        job.scheduled = bool(accepted.spec.repeat_count)
+        if self.keeps_records:
+            job.accepted = accepted
+        self._note(job_id, job)
         return job_id
 
     def _apply_cancelled(self, job_id: JobId, item: Item) -> JobId | None:
@@ -83,37 +121,96 @@
         if job.cancelled:
             return None
         job.cancelled = True
-        self._count(job)
+        self._note(job_id, job)
         return job_id
 
     def _apply_progress(self, job_id: JobId, item: Item) -> JobId | None:
         if item.value is None:
             return None
         job = self.jobs.setdefault(job_id, MirroredJob())
-        if item.revision <= job.progress_revision:
-            return None
         record = _decode_progress(item.value)
+        if self.keeps_records:
+            if item.revision <= job.progress_revision:
+                return None
+            job.progress, job.progress_revision = item.value, item.revision
+        elif record.state <= job.state:
+            return None
         job.state = record.state
         job.finished_ms = record.finished_ms
-        job.progress = item.value
-        job.progress_revision = item.revision
-        self._count(job)
+        self._note(job_id, job)
         return job_id
 
-    def _count(self, job: MirroredJob) -> None:
-        """Keep the number of waiting jobs; scheduled jobs are not counted."""
-        accepted = job.accepted
-        waits = (
-            accepted is not None
-            and not accepted.spec.repeat_count
-            and job.shown_state is JobState.QUEUED
-        )
-        if waits and accepted is not None and job.counted is None:
-            job.counted = accepted.queue
-            self.waiting[accepted.queue] = self.waiting.get(accepted.queue, 0) + 1
+    def _note(self, job_id: JobId, job: MirroredJob) -> None:
+        """Keep the number of waiting jobs, and what has changed.
+
+        Scheduled jobs are not counted.
+        """
+        if not job.known:
+            return
+        waits = not job.scheduled and job.shown_state is JobState.QUEUED
+        if waits and job.queue is not None and job.counted is None:
+            job.counted = job.queue
+            self.waiting[job.queue] = self.waiting.get(job.queue, 0) + 1
         elif not waits and job.counted is not None:
             self.waiting[job.counted] -= 1
             job.counted = None
+        if job.shown_state is not job.noted:
+            job.noted = job.shown_state
+            self.changes[job_id] = None
+
+    # States
+
+    def take_changes(self) -> list[StateRow]:
+        """Return the states that changed since the last call."""
+        rows = [row for job_id in self.changes if (row := self._row(job_id))]
+        self.changes.clear()
+        return rows
+
+    def open_states(self) -> list[StateRow]:
+        """Return the states of all jobs that have not ended."""
+        return [
+            row
+            for job_id, job in self.jobs.items()
+            if not job.shown_state.final and (row := self._row(job_id))
+        ]
+
+    def _row(self, job_id: JobId) -> StateRow | None:
+        job = self.jobs.get(job_id)
+        if job is None or job.queue is None:
+            return None
+        return (job_id, job.queue, job.scheduled, int(job.shown_state))
+
+    def apply_states(self, rows: Iterable[StateRow], full: bool, now: float) -> None:
+        """Take over states from the leader.
+
+        A full list names every job that has not ended. Others that this entry holds
+        for open are dropped: the store tells what became of them.
+        """
+        listed = set()
+        for job_id, queue, scheduled, state in rows:
+            listed.add(job_id)
+            self._apply_state(job_id, queue, scheduled, JobState(state), now)
+        if full:
+            open_jobs = [j for j, job in self.jobs.items() if not job.shown_state.final]
+            for job_id in open_jobs:
+                if job_id not in listed:
+                    self.forget(job_id)
+        while self.finished and self.finished[0][0] < now - KEEP_FINISHED_SECONDS:
+            self.forget(self.finished.popleft()[1])
+        self.changes.clear()
+
+    def _apply_state(
+        self, job_id: JobId, queue: QueueName, scheduled: bool, state: JobState,
+        now: float,
+    ) -> None:  # fmt: skip
+        job = self.jobs.setdefault(job_id, MirroredJob())
+        # A state only moves on, so an older message changes nothing.
+        if job.known and state <= job.shown_state:
+            return
+        job.queue, job.scheduled, job.state = queue, scheduled, state
+        if state.final:
+            self.finished.append((now, job_id))
+        self._note(job_id, job)
 
     def forget(self, job_id: JobId) -> None:
         """Drop a job whose records were removed."""
@@ -124,7 +221,7 @@
     def replace_all(self, items: list[Item], revision: Revision) -> list[JobId]:
         """Take over a full listing; return the jobs that changed."""
         listed = {item.key for item in items if item.key.startswith(ACCEPTED)}
-        known = {job_id for job_id, job in self.jobs.items() if job.accepted}
+        known = {job_id for job_id, job in self.jobs.items() if job.known}
         for job_id in known:
             if ACCEPTED + job_id not in listed and self.revision < revision:
                 self.drop_if_old(job_id)
--- a/src/ebonyhub/cluster/peers.py
+++ b/src/ebonyhub/cluster/peers.py
@@ -1,10 +1,10 @@
 """Streams between entries: msgpack arrays over TCP.
 
 An entry keeps one stream to the leader, or to any peer while it does not know who
-leads. It tells the leader what it has stored and receives every record that the leader
-stores. Either side passes calls on that it can not carry out itself. The first array on
-a stream is ``[PROTOCOL_VERSION, entry id, start in ms since 1970]``; the accepting side
-answers with the leader that it knows.
+leads. It tells the leader what it has stored and receives the states of all jobs from
+the leader. Either side passes calls on that it can not carry out itself. The first
+array on a stream is a greeting: protocol version, entry id, start in ms since 1970, and
+strength as a leader; the accepting side answers with the leader that it knows.
 """
 
 import asyncio
@@ -18,8 +18,8 @@
 from ..events import Event, log_event
 from ..ids import EntryId
 
-PROTOCOL_VERSION = 1
-GREETING_LENGTH = 3
+PROTOCOL_VERSION = 2
+GREETING_LENGTH = 4
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 CONNECT_TIMEOUT_SECONDS = 0.5
 # Seconds. A passed-on call takes one or two calls to the store.
@@ -43,6 +43,9 @@
     REPLY = 3
     # [kind, revision, value]: the leader's key, as the sender last saw it.
     LEADER = 4
+    # [kind, revision, [[job, queue, scheduled, state], ...], full]: states of jobs, by
+    # the leader. All submissions and cancels up to the revision are known to it.
+    STATES = 5
 
 
 class PeerFailure(IntEnum):
@@ -63,6 +66,12 @@
     def on_peer_records(self, records: list[Record]) -> None:
         """Take over records that a peer stored."""
 
+    def on_peer_states(self, revision: int, rows: list[Any], full: bool) -> None:
+        """Take over the states of jobs from the leader."""
+
+    def first_states(self) -> list[Any] | None:
+        """Return the message for an entry that connects; None if this one follows."""
+
     def on_peer_leader(self, revision: int, value: bytes) -> None:
         """Take over who leads, as a peer sees it."""
 
@@ -84,6 +93,8 @@
         self.background: set[asyncio.Task[None]] = set()
         # Start of the connecting entry's process, ms since 1970.
         self.peer_started_ms = 0
+        # Cores that the connecting entry could use as a leader.
+        self.peer_strength = 0.0
 
     @property
     def is_open(self) -> bool:
@@ -140,6 +151,8 @@
             future = self.replies.pop(message[1], None)
             if future is not None and not future.done():
                 future.set_result((message[2], message[3]))
+        elif kind == Kind.STATES:
+            events.on_peer_states(message[1], message[2], message[3])
         elif kind == Kind.LEADER:
             events.on_peer_leader(message[1], message[2])
 
@@ -181,7 +194,7 @@
 
 
 async def connect(
-    address: str, port: int, entry: EntryId, started_ms: int
+    address: str, port: int, entry: EntryId, started_ms: int, strength: float
 ) -> Result[Stream, OSError]:
     """Open a stream to another entry."""
     try:
@@ -190,12 +203,12 @@
     except OSError as error:
         return Error(error)
     stream = Stream(reader, writer)
-    stream.send([PROTOCOL_VERSION, entry, started_ms])
+    stream.send([PROTOCOL_VERSION, entry, started_ms, strength])
     return Ok(stream)
 
 
 class PeerServer:
-    """Accepts streams of other entries and sends them what this entry stores."""
+    """Accepts streams of other entries."""
 
     def __init__(self, ip: str, port: int, events: StreamEvents) -> None:
         self.ip = ip
@@ -227,9 +240,13 @@
             stream.close()
             return
         stream.peer_started_ms = int(greeting[2])
+        stream.peer_strength = float(greeting[3])
         self.streams.add(stream)
         if self.leader is not None:
             stream.send([Kind.LEADER, *self.leader])
+        states = self.events.first_states()
+        if states is not None:
+            stream.send(states)
         try:
             await stream.run(self.events)
         finally:
@@ -246,10 +263,10 @@
                     raise ValueError("no greeting of an entry")
                 return message
 
-    def broadcast(self, records: list[Record]) -> None:
-        """Send stored records to every connected entry."""
+    def broadcast(self, message: list[Any]) -> None:
+        """Send a message to every connected entry."""
         if not self.streams:
             return
-        packed = msgpack.packb([Kind.RECORDS, records])
+        packed = msgpack.packb(message)
         for stream in list(self.streams):
             stream.send_packed(packed)
--- a/src/ebonyhub/cluster/watches.py
+++ b/src/ebonyhub/cluster/watches.py
@@ -9,6 +9,8 @@
 from .metadata_store import Batch, MetadataStore, StoreFailure
 
 RETRY_SECONDS = 0.2
+# Seconds between looks whether the watch is needed.
+IDLE_SECONDS = 0.1
 
 BatchHandler = Callable[[Batch, bool], None]
 
@@ -29,6 +31,7 @@
         on_batch: BatchHandler,
         wait_seconds: float,
         pause_seconds: float = 0.0,
+        is_needed: Callable[[], bool] = lambda: True,
     ) -> None:
         self.store = store
         self.prefix = prefix
@@ -36,6 +39,8 @@
         self.on_batch = on_batch
         self.wait_seconds = wait_seconds
         self.pause_seconds = pause_seconds
+        # While it returns False, the owner learns of changes in another way.
+        self.is_needed = is_needed
         self.revision = ROOT_REVISION
         self.listed = False
         self.fresh_at = float("-inf")
@@ -44,11 +49,18 @@
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
         while True:
-            if not await self.step():
+            if not self.is_needed():
+                await asyncio.sleep(IDLE_SECONDS)
+            elif not await self.step():
                 await asyncio.sleep(RETRY_SECONDS)
             elif self.pause_seconds:
                 await asyncio.sleep(self.pause_seconds)
 
+    def skip_to(self, revision: Revision) -> None:
+        """Go on from a revision up to which the owner knows every change."""
+        if revision >= self.revision:
+            self.revision, self.listed = revision, True
+
     async def step(self) -> bool:
         """Make one call; return whether it succeeded."""
         sent_at = self.clock.monotonic()
--- a/src/ebonyhub/entry/job_service.py
+++ b/src/ebonyhub/entry/job_service.py
@@ -27,7 +27,7 @@
 from ..events import Event, log_event
 from ..ids import JobId, QueueName, Revision
 from ..jobs.model import AcceptedJob, JobSpec
-from ..jobs.records import JobState, accepted_key, cancelled_key
+from ..jobs.records import JobState, accepted_key, cancelled_key, progress_key
 from ..metrics import Metrics
 
 # Seconds without news from the watch and the leader after which reads ask a peer.
@@ -135,30 +135,31 @@
         """Return the state of a job."""
         stale = self.clock.monotonic() - self.fresh_at > STALE_SECONDS
         mirrored = self.mirror.jobs.get(job_id)
-        if mirrored is not None and mirrored.accepted is not None:
-            if not stale or mirrored.shown_state.final:
-                return JobAnswer(mirrored.shown_state)
-            answer = await self._pass_on("read", [job_id], job_id)
-            if answer.state is not None:
-                return answer
+        if mirrored is not None and not mirrored.known:
+            mirrored = None
+        if mirrored is not None and (not stale or mirrored.shown_state.final):
             return JobAnswer(mirrored.shown_state)
         if not self.store.failing:
             answer = await self.read_store(job_id)
             if answer is not NOT_STORED:
                 return answer
-        return await self._pass_on("read", [job_id], job_id)
+        answer = await self._pass_on("read", [job_id], job_id)
+        if answer.state is None and mirrored is not None:
+            return JobAnswer(mirrored.shown_state)
+        return answer
 
     async def read_store(self, job_id: JobId) -> JobAnswer:
-        """Look for a job that the mirror does not know."""
-        key = accepted_key(job_id)
-        found = await self.store.get(key)
-        if found.is_error():
-            return NOT_STORED
-        if found.ok is None:
-            return NOT_FOUND
-        self.on_stored([found.ok])
-        mirrored = self.mirror.jobs[job_id]
-        return JobAnswer(mirrored.shown_state)
+        """Look in the store for a job whose state is not known here."""
+        for key in (accepted_key(job_id), cancelled_key(job_id), progress_key(job_id)):
+            found = await self.store.get(key)
+            if found.is_error():
+                return NOT_STORED
+            if found.ok is not None:
+                # A leader that reads a new job for a caller has to schedule it, too.
+                self.on_stored([found.ok])
+            elif key == accepted_key(job_id):
+                return NOT_FOUND
+        return JobAnswer(self.mirror.jobs[job_id].shown_state)
 
     def waiting(self, queue: QueueName) -> int:
         """Return the number of accepted jobs for which nothing has started."""
@@ -195,13 +196,13 @@
         if method == "cancel":
             return encode_peer_answer(await self.store_cancel(job_id))
         mirrored = self.mirror.jobs.get(job_id)
-        if mirrored is not None and mirrored.accepted is not None:
+        if mirrored is not None and mirrored.known:
             return encode_peer_answer(JobAnswer(mirrored.shown_state))
         return encode_peer_answer(await self.read_store(job_id))
 
     def _known(self, job_id: JobId) -> bool:
         mirrored = self.mirror.jobs.get(job_id)
-        return mirrored is not None and mirrored.accepted is not None
+        return mirrored is not None and mirrored.known
 
 
 def encode_peer_answer(answer: JobAnswer) -> tuple[int, Any]:
--- a/src/ebonyhub/entry/leader_role.py
+++ b/src/ebonyhub/entry/leader_role.py
@@ -34,7 +34,7 @@
 from ..cluster.watches import PrefixWatch
 from ..events import Event, log_event
 from ..ids import EntryId, Revision
-from ..jobs.records import JOBS
+from ..jobs.records import JOBS, PROGRESS
 from ..node_settings import NodeSettings
 from ..scheduling.controller import Controller
 
@@ -45,6 +45,14 @@
 # Seconds between attempts to become leader or to reach one.
 ELECTION_RETRY_SECONDS = 0.1
 ELECTION_SPREAD_SECONDS = 0.03
+# Cores that a leader should have. A weaker entry stands for election later by this many
+# seconds for each core that it lacks, and hands over to a stronger one.
+ENOUGH_STRENGTH = 1.0
+HANDICAP_SECONDS = 0.3
+# Least multiple of its own strength to which a weak leader hands over, and the seconds
+# that it leads before, so that a role that moves does not stop all starts.
+STRONGER_FACTOR = 1.5
+WEAK_TERM_SECONDS = 1.0
 # Seconds for which an entry uses any peer before it looks for the leader again.
 HELPER_SECONDS = 1.0
 REGISTER_RETRY_SECONDS = 1.0
@@ -183,15 +191,20 @@
         if not others:
             await asyncio.sleep(ELECTION_RETRY_SECONDS)
             return
-        host, _, port = self.rng.choice(others).rpartition(":")
-        opened = await connect(
-            host, int(port), self.settings.entry, self.record.started_ms
-        )
+        address = self.rng.choice(others)
+        opened = await self._connect(address)
         if opened.is_error():
             await self._wait_for_change(ELECTION_RETRY_SECONDS)
             return
         await self._use_stream(opened.ok, HELPER_SECONDS)
 
+    async def _connect(self, address: str) -> Result[Stream, OSError]:
+        host, _, port = address.rpartition(":")
+        return await connect(
+            host, int(port), self.settings.entry, self.record.started_ms,
+            self.settings.strength,
+        )  # fmt: skip
+
     async def _use_stream(self, stream: Stream, seconds: float | None) -> None:
         """Run a stream until it breaks, the leader changes or the time is over."""
         self.leader_stream = stream
@@ -219,10 +232,7 @@
 
     async def stay_connected(self, leader: Leader) -> None:
         """Hold a stream to the leader until it breaks or another one leads."""
-        host, _, port = leader.record.address.rpartition(":")
-        opened = await connect(
-            host, int(port), self.settings.entry, self.record.started_ms
-        )
+        opened = await self._connect(leader.record.address)
         if opened.is_error():
             if isinstance(opened.error, ConnectionRefusedError):
                 # Nobody listens there, so the leader's process is gone.
@@ -247,7 +257,9 @@
 
     async def stand_for_election(self, replaced: Revision) -> None:
         """Try to become leader, and lead if it succeeds."""
-        await asyncio.sleep(self.rng.uniform(0.0, ELECTION_SPREAD_SECONDS))
+        handicap = max(0.0, ENOUGH_STRENGTH - self.settings.strength)
+        pause = handicap * HANDICAP_SECONDS
+        await asyncio.sleep(pause + self.rng.uniform(0.0, ELECTION_SPREAD_SECONDS))
         if not self.may_lead():
             await asyncio.sleep(ELECTION_RETRY_SECONDS)
             return
@@ -269,6 +281,7 @@
         value = msgspec.msgpack.encode(self.record)
         self.adopt_leader(Item(LEADER_KEY, value, Revision(int(term.token))))
         renewals = asyncio.create_task(self.renew(term))
+        self.mirror.keep_records(True)
         try:
             await self.catch_up(term)
             controller = None if term.ended else self.build_controller(term)
@@ -286,6 +299,7 @@
         finally:
             self.controller = None
             self.term = None
+            self.mirror.keep_records(False)
             renewals.cancel()
             if self.leader is not None and int(self.leader.revision) == int(term.token):
                 self.leader = None
@@ -297,10 +311,11 @@
     async def catch_up(self, term: Term) -> None:
         """Bring the mirror to the revision at which this term began."""
         while not term.ended:
-            result = await self.store.list(JOBS)
-            if result.is_ok():
+            asked = await self.store.list(JOBS)
+            progress = await self.store.list(PROGRESS)
+            if asked.is_ok() and progress.is_ok():
                 changed = self.mirror.replace_all(
-                    list(result.ok.items), result.ok.revision
+                    [*asked.ok.items, *progress.ok.items], asked.ok.revision
                 )
                 log_event(
                     Event.MIRROR_CAUGHT_UP,
@@ -317,9 +332,15 @@
         A leader that the store turns away asks another entry to take over, which is
         sooner than the end of its lease.
         """
-        next_at = self.clock.monotonic() + RENEW_SECONDS
+        began_at = self.clock.monotonic()
+        next_at = began_at + RENEW_SECONDS
         while not term.ended:
             await asyncio.sleep(RENEW_SECONDS / 5)
+            if self.clock.monotonic() - began_at > WEAK_TERM_SECONDS:
+                began_at = self.clock.monotonic()
+                if self.is_weak() and await self._ask_to_take_over(term):
+                    self.end_term("weak")
+                    return
             if self.clock.monotonic() < next_at and not self.store.failing:
                 continue
             result = await self.elections.renew(term)
@@ -331,16 +352,22 @@
             elif await self._ask_to_take_over(term):
                 self.end_term("handed_over")
 
+    def is_weak(self) -> bool:
+        """Return whether a much stronger entry could lead instead of this one."""
+        own = self.settings.strength
+        best = max((s.peer_strength for s in self.peers.streams), default=0.0)
+        return own < ENOUGH_STRENGTH and best >= own * STRONGER_FACTOR
+
     async def _ask_to_take_over(self, term: Term) -> bool:
-        """Ask the entry that started last; return whether it leads now.
+        """Ask a strong entry that started late; return whether it leads now.
 
         Where entries are restarted in turn, that one stays longest.
         """
         streams = [stream for stream in self.peers.streams if stream.is_open]
         if not streams:
             return False
-        newest = max(streams, key=lambda stream: stream.peer_started_ms)
-        answer = await newest.call(TAKE_OVER, int(term.token))
+        chosen = max(streams, key=_suitability)
+        answer = await chosen.call(TAKE_OVER, int(term.token))
         return answer.is_ok() and answer.ok[0] == 0
 
     async def register(self) -> None:
@@ -361,3 +388,8 @@
                 async with asyncio.timeout(RESIGN_SECONDS):
                     await self._ask_to_take_over(self.term)
         self.end_term("shutdown")
+
+
+def _suitability(stream: Stream) -> tuple[float, int]:
+    """Return the sort key of a peer that could lead; the highest is best."""
+    return (min(stream.peer_strength, ENOUGH_STRENGTH), stream.peer_started_ms)
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -10,7 +10,7 @@
 from ..clock import SystemClock
 from ..cluster.leadership import Term
 from ..cluster.metadata_store import Batch, Item
-from ..cluster.mirror import JobMirror
+from ..cluster.mirror import JobMirror, StateRow
 from ..cluster.peers import Kind, Record
 from ..cluster.watches import PrefixWatch
 from ..configuration import Configuration
@@ -42,6 +42,12 @@
 # Seconds between calls of the watch on jobs; the leader's stream is faster.
 JOB_WATCH_PAUSE_SECONDS = 0.5
 JOB_WATCH_SECONDS = 1.0
+# Seconds for which the leader gathers changed states of jobs, and between two messages
+# without any.
+STATES_GATHER_SECONDS = 0.03
+STATES_REPEAT_SECONDS = 0.4
+# Seconds without states from a leader after which an entry reads the store itself.
+STATES_LIMIT_SECONDS = 1.0
 # Port of metrics and of the operators' reads, the one that deploy/system.toml names.
 STATUS_PORT = 9464
 # Seconds that a stopping entry goes on serving, so that the balancer's checks notice
@@ -88,8 +94,11 @@
         )  # fmt: skip
         self.job_watch = PrefixWatch(
             self.store, JOBS, self.clock, self.on_job_batch,
-            JOB_WATCH_SECONDS, JOB_WATCH_PAUSE_SECONDS,
+            JOB_WATCH_SECONDS, JOB_WATCH_PAUSE_SECONDS, self.needs_job_watch,
         )  # fmt: skip
+        # When the leader last sent states, and whether some wait to be sent.
+        self.states_at = self.clock.monotonic()
+        self.states_wait = False
 
     def build_status_server(self) -> HttpServer:
         """Return the server of metrics and of the operators' reads."""
@@ -117,6 +126,8 @@
             term, self.store, self.mirror, advisor, self.clock, self.rng, self.metrics,
             cloud, settings.status_retention, self.on_progress_stored,
         )  # fmt: skip
+        self.mirror.take_changes()
+        self.role.peers.broadcast(self.states_message(self.mirror.open_states(), True))
         controller.configure(self.configuration)
         for wave in self.waves.values():
             controller.see_wave(wave)
@@ -177,6 +188,8 @@
             self.mirror.revision = Revision(max(self.mirror.revision, batch.revision))
         self.service.fresh_at = self.clock.monotonic()
         self.tell_controller(changed)
+        if self.role.controller is not None:
+            self.send_states_soon()
 
     def tell_controller(self, changed: list[JobId]) -> None:
         """Hand changed jobs to the scheduler if this entry leads."""
@@ -184,31 +197,74 @@
             for job_id in changed:
                 self.role.controller.see_job(job_id)
 
+    def needs_job_watch(self) -> bool:
+        """Return whether no leader tells this entry about jobs."""
+        if self.role.term is not None:
+            return True
+        return self.clock.monotonic() - self.states_at > STATES_LIMIT_SECONDS
+
     def on_own_records(self, items: list[Item]) -> None:
         """Take over what this entry stored for a caller, and tell the leader."""
         changed = [job for item in items if (job := self.mirror.apply(item))]
         self.tell_controller(changed)
-        records = [(item.key, int(item.revision), item.value or b"") for item in items]
         if self.role.controller is not None:
-            self.role.peers.broadcast(records)
+            self.send_states_soon()
         elif self.role.leader_stream is not None:
+            records = [(i.key, int(i.revision), i.value or b"") for i in items]
             self.role.leader_stream.send([Kind.RECORDS, records])
 
     def on_peer_records(self, records: list[Record]) -> None:
         """Take over what a peer stored."""
         items = [Item(key, value, Revision(rev)) for key, rev, value in records]
         changed = [job for item in items if (job := self.mirror.apply(item))]
-        self.service.fresh_at = self.clock.monotonic()
         self.tell_controller(changed)
         if self.role.controller is not None:
-            self.role.peers.broadcast(records)
+            self.send_states_soon()
 
-    def on_progress_stored(self, items: list[Item]) -> None:
-        """Send what the controller stored to the other entries."""
-        self.service.fresh_at = self.clock.monotonic()
-        self.role.peers.broadcast(
-            [(item.key, int(item.revision), item.value or b"") for item in items]
-        )
+    def on_progress_stored(self) -> None:
+        """Tell the other entries about progress that the controller stored."""
+        self.send_states_soon()
+
+    def send_states_soon(self) -> None:
+        """Send the changed states after a moment, so that bursts share a message."""
+        if self.states_wait or not self.mirror.changes:
+            return
+        self.states_wait = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(STATES_GATHER_SECONDS, self.send_states)
+
+    def send_states(self) -> None:
+        """Send the changed states to every connected entry."""
+        self.states_wait = False
+        if self.role.controller is not None:
+            self.service.fresh_at = self.clock.monotonic()
+            rows = self.mirror.take_changes()
+            self.role.peers.broadcast(self.states_message(rows, False))
+
+    def states_message(self, rows: list[StateRow], full: bool) -> list[Any]:
+        """Return a message with the states of jobs."""
+        return [Kind.STATES, int(self.job_watch.revision), rows, full]
+
+    async def repeat_states(self) -> None:
+        """Show the other entries that the leader still tells them of all changes."""
+        while True:
+            await asyncio.sleep(STATES_REPEAT_SECONDS)
+            self.send_states()
+
+    def first_states(self) -> list[Any] | None:
+        """Return the states for an entry that connects; None if this one follows."""
+        if self.role.controller is None:
+            return None
+        return self.states_message(self.mirror.open_states(), True)
+
+    def on_peer_states(self, revision: int, rows: list[Any], full: bool) -> None:
+        """Take over the states of jobs from the leader."""
+        if self.role.term is not None:
+            return
+        now = self.clock.monotonic()
+        self.mirror.apply_states(rows, full, now)
+        self.states_at = self.service.fresh_at = now
+        self.job_watch.skip_to(Revision(revision))
 
     async def on_peer_call(self, method: str, argument: Any) -> tuple[int, Any]:
         """Carry out a call of a peer."""
@@ -238,6 +294,7 @@
         root.add("operator-watch", self.operator_watch.run)
         root.add("cluster-watch", self.role.watch.run)
         root.add("job-watch", self.job_watch.run)
+        root.add("states", self.repeat_states)
         root.add("leadership", self.role.follow_leader)
         root.add("registration", self.role.register)
         await run_until_signal(root, self.shut_down)
--- a/src/ebonyhub/entry/status_api.py
+++ b/src/ebonyhub/entry/status_api.py
@@ -50,28 +50,28 @@
         return [
             {
                 "job": job_id,
-                "queue": job.accepted.queue,
+                "queue": job.queue,
                 "state": job.shown_state.name.lower(),
-                "accepted_ms": job.accepted.accepted_ms,
             }
             for job_id, job in self.sources.mirror.jobs.items()
-            if job.accepted is not None
+            if job.known
         ]
 
     def _describe(self, job_id: JobId) -> Response:
         job = self.sources.mirror.jobs.get(job_id)
-        if job is None or job.accepted is None:
+        if job is None or not job.known:
             return _json(404, {"error": "not_found", "reasons": [f"no job {job_id}"]})
         data: dict[str, Any] = {
             "job": job_id,
-            "queue": job.accepted.queue,
+            "queue": job.queue,
             "state": job.shown_state.name.lower(),
-            "accepted_ms": job.accepted.accepted_ms,
             "leader": self.sources.leader(),
         }
         controller = self.sources.controller()
         if controller is not None:
             now = controller.clock.monotonic()
+            if job.accepted is not None:
+                data["accepted_ms"] = job.accepted.accepted_ms
             data["waits_because"] = explain_job(controller.scheduler, job_id, now)
         return _json(200, data)
 
--- a/src/ebonyhub/http_client.py
+++ b/src/ebonyhub/http_client.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 
@@ -343,9 +343,15 @@
 
 
 async def exchange_small(
-    connection: HttpConnection, head: RequestHead, body: bytes | None
+    connection: HttpConnection,
+    head: RequestHead,
+    body: bytes | None,
+    on_progress: Callable[[], None] = lambda: None,
 ) -> Result[SmallResponse, ExchangeError]:
-    """Send one request and read its whole response."""
+    """Send one request and read its whole response.
+
+    ``on_progress`` is called for each part of the body.
+    """
     sent = await connection.send(head, body)
     if sent.is_error():
         return Error(sent.error)
@@ -360,6 +366,7 @@
             return Error(chunk.error)
         if not chunk.ok:
             break
+        on_progress()
         parts.append(chunk.ok)
     return Ok(
         SmallResponse(response_head.status, response_head.headers, b"".join(parts))
--- a/src/ebonyhub/http_session.py
+++ b/src/ebonyhub/http_session.py
@@ -19,6 +19,8 @@
 # swallow the next request.
 IDLE_SECONDS = 10.0
 CONNECT_TIMEOUT_SECONDS = 0.5
+# Seconds without a further part of a response that has begun.
+STALL_SECONDS = 0.7
 
 
 class HttpSession:
@@ -46,7 +48,11 @@
         timeout_seconds: float,
         headers: tuple[Header, ...] = (),
     ) -> Result[SmallResponse, ExchangeError]:
-        """Make one exchange within ``timeout_seconds``; it is never repeated."""
+        """Make one exchange; it is never repeated.
+
+        The response must begin within ``timeout_seconds``. A large one may take longer
+        on a slow link, as long as its parts keep arriving.
+        """
         all_headers = [self.host_header, *headers]
         if body is not None:
             all_headers.append((b"Content-Type", b"application/json"))
@@ -54,14 +60,19 @@
         head = RequestHead(method, target, all_headers)
         written = False
         try:
-            async with asyncio.timeout(timeout_seconds), self.slots:
+            async with asyncio.timeout(timeout_seconds) as limit, self.slots:
+
+                def extend() -> None:
+                    end = asyncio.get_running_loop().time() + STALL_SECONDS
+                    limit.reschedule(max(end, limit.when() or end))
+
                 acquired = await self.pool.acquire()
                 if acquired.is_error():
                     return Error(acquired.error)
                 connection = acquired.ok
                 written = True
                 try:
-                    return await exchange_small(connection, head, body)
+                    return await exchange_small(connection, head, body, extend)
                 finally:
                     self.pool.release(connection)
         except TimeoutError:
--- a/src/ebonyhub/jobs/records.py
+++ b/src/ebonyhub/jobs/records.py
@@ -6,10 +6,12 @@
 
 from ..ids import JobId, WorkerId
 
+# What callers asked for; followed by the leader.
 JOBS = "eb/jobs/"
 ACCEPTED = "eb/jobs/a/"
 CANCELLED = "eb/jobs/c/"
-PROGRESS = "eb/jobs/p/"
+# Only read at a take-over, since nobody but the leader writes it.
+PROGRESS = "eb/progress/"
 
 
 class JobState(IntEnum):
--- a/src/ebonyhub/node_settings.py
+++ b/src/ebonyhub/node_settings.py
@@ -4,6 +4,9 @@
 
 from .ids import DataCentre, EntryId
 
+# Mbit/s that a leader uses while it keeps one core busy with orders and reports.
+LINK_MBPS_PER_CORE = 25.0
+
 
 @dataclass(frozen=True, slots=True)
 class NodeSettings:
@@ -21,8 +24,16 @@
     advisor_address: str
     # Seconds for which the state of a finished job must be known.
     status_retention: float
+    # Cores of usual speed, and Mbit/s of the VM's own link.
+    cores: float
+    link_mbps: float
 
     @property
     def peer_port(self) -> int:
         """Return the port of the peer listener, the same on every entry."""
         return self.internal_ports[0]
+
+    @property
+    def strength(self) -> float:
+        """Return the cores that a leader could use; a slow link makes them fewer."""
+        return min(self.cores, self.link_mbps / LINK_MBPS_PER_CORE)
--- a/src/ebonyhub/platform/settings.py
+++ b/src/ebonyhub/platform/settings.py
@@ -13,6 +13,8 @@
 SETTINGS_VARIABLE = "EBONYHUB_NODE_FILE"
 # Seconds, where the platform names no time for which a state must be known.
 DEFAULT_RETENTION = 120.0
+# Mbit/s, where the platform names no limit of the VM's link.
+DEFAULT_LINK_MBPS = 1000.0
 DEFAULT_PATH = "/etc/ebonyhub/settings.yaml"
 
 
@@ -42,6 +44,7 @@
     listen = data["Listen"]
     first_port, last_port = data["InternalPortRange"]
     cloud = data.get("Cloud") or {}
+    limits = data["Limits"]
     return NodeSettings(
         entry=EntryId(data["Node"]),
         ip=data["Ip"],
@@ -53,4 +56,7 @@
         cloud_address=cloud.get("Address") or "",
         advisor_address=data.get("PlacementAdvisor") or "",
         status_retention=float(data["Bounds"].get("status_s", DEFAULT_RETENTION)),
+        # The platform's "Cores" is a speed, and "CpuShare" the share of such a core.
+        cores=float(limits["CpuShare"]) * float(limits["Cores"]),
+        link_mbps=float(limits.get("LinkMbps", DEFAULT_LINK_MBPS)),
     )
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -56,7 +56,7 @@
         metrics: Metrics,
         cloud: CloudClient | None,
         retention_seconds: float,
-        on_stored: Callable[[list[Item]], None],
+        on_stored: Callable[[], None],
     ) -> None:
         self.term = term
         self.store = store
@@ -382,7 +382,7 @@
     def _on_stored(self, items: list[Item]) -> None:
         for item in items:
             self.mirror.apply(item)
-        self.publish(items)
+        self.publish()
         self.scheduler.release_starts(self.clock.monotonic())
         for worker_id, link in self.links.items():
             worker = self.scheduler.workers.get(worker_id)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from ebonyhub.clock import SystemClock
 from ebonyhub.errors import ErrorKind
 from ebonyhub.http_client import RequestHead, exchange_small, open_connection
+from ebonyhub.http_session import HttpSession
 from standins.backend import BackendState, InstanceProtocol
 
 
@@ -77,3 +79,27 @@
     result = await open_connection("127.0.0.1", 1, 5.0)
     assert result.error.kind is ErrorKind.CONNECT_FAILED
     assert not result.error.bytes_written
+
+
+@pytest.mark.parametrize(
+    ("pauses", "arrives"), [([0.3, 0.3, 0.3, 0.3], True), ([0.3, 2.0], False)]
+)
+async def test_large_response_may_take_longer_than_its_first_part(pauses, arrives):
+    """Guards against a configuration that never arrives over a slow link."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        length = len(pauses)
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n".encode())
+        for pause in pauses:
+            await asyncio.sleep(pause)
+            writer.write(b"x")
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    session = HttpSession(f"127.0.0.1:{port}", SystemClock(), 1)
+    result = await session.call(b"GET", b"/", None, 0.5)
+    assert result.is_ok() == arrives
+    session.close()
+    server.close()
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -130,3 +130,16 @@
 )
 def test_peer_answers_are_read_back(answer):
     assert decode_peer_answer(*encode_peer_answer(answer)) == answer
+
+
+async def test_record_of_an_unknown_job_is_handed_on(core):
+    """Guards against a leader that reads a new job for a caller and never starts it."""
+    first, second = Entry(core), Entry(core)
+    await first.service.submit(QUEUE, JOB, SPEC)
+    handed_on = []
+    second.service.on_stored = lambda items: (
+        handed_on.extend(items),
+        second.adopt(items),
+    )
+    assert (await second.service.read(JOB)).state is JobState.QUEUED
+    assert [item.key for item in handed_on] == [accepted_key(JOB)]
--- a/tests/test_mirror_and_records.py
+++ b/tests/test_mirror_and_records.py
@@ -4,6 +4,7 @@
 jobs, records that are removed while their state must be known, and a log that blocks.
 """
 
+import asyncio
 import os
 
 import msgspec
@@ -11,7 +12,7 @@
 
 from ebonyhub.clock import SystemClock
 from ebonyhub.cluster.metadata_store import Item
-from ebonyhub.cluster.mirror import JobMirror
+from ebonyhub.cluster.mirror import KEEP_FINISHED_SECONDS, JobMirror
 from ebonyhub.cluster.watches import PrefixWatch
 from ebonyhub.ids import JobId, QueueName, Revision, ServiceName
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec
@@ -143,3 +144,90 @@
     assert b"dropped=7 log lines" in received
     os.close(reader)
     os.close(writer)
+
+
+def test_entry_that_read_a_state_knows_the_record_once_it_leads():
+    """Guards against a leader that starts tasks again which have ended."""
+    mirror = JobMirror()
+    mirror.apply(accepted_item())
+    mirror.apply(progress_item(JobState.RUNNING, 7))
+    assert mirror.jobs[JOB].decode_progress() is None
+    mirror.keep_records(True)
+    mirror.replace_all(
+        [accepted_item(), progress_item(JobState.RUNNING, 7)], Revision(9)
+    )
+    assert mirror.jobs[JOB].accepted is not None
+    assert mirror.jobs[JOB].decode_progress().state is JobState.RUNNING
+    mirror.keep_records(False)
+    assert mirror.jobs[JOB].accepted is None
+    mirror.keep_records(True)
+    mirror.replace_all([progress_item(JobState.RUNNING, 7)], Revision(9))
+    assert mirror.jobs[JOB].decode_progress() is not None
+
+
+@pytest.mark.parametrize(
+    ("told", "state", "waiting"),
+    [
+        ([], JobState.QUEUED, 1),
+        ([JobState.RUNNING], JobState.RUNNING, 0),
+        ([JobState.RUNNING, JobState.QUEUED], JobState.RUNNING, 0),
+        ([JobState.COMPLETED, JobState.RUNNING], JobState.COMPLETED, 0),
+        ([JobState.CANCELLED], JobState.CANCELLED, 0),
+    ],
+)
+def test_states_of_the_leader_only_move_on(told, state, waiting):
+    mirror = JobMirror()
+    mirror.apply_states([(JOB, QUEUE, False, 0)], False, 0.0)
+    for each in told:
+        mirror.apply_states([(JOB, QUEUE, False, int(each))], False, 1.0)
+    assert mirror.jobs[JOB].shown_state is state
+    assert mirror.waiting[QUEUE] == waiting
+
+
+def test_full_states_drop_jobs_that_the_leader_does_not_hold_for_open():
+    mirror = JobMirror()
+    mirror.apply_states([(JOB, QUEUE, False, 1)], False, 0.0)
+    mirror.apply_states([], True, 1.0)
+    assert JOB not in mirror.jobs
+
+
+def test_finished_jobs_are_forgotten_after_a_while():
+    mirror = JobMirror()
+    mirror.apply_states([(JOB, QUEUE, False, 2)], False, 0.0)
+    mirror.apply_states([], False, KEEP_FINISHED_SECONDS - 1)
+    assert JOB in mirror.jobs
+    mirror.apply_states([], False, KEEP_FINISHED_SECONDS + 1)
+    assert JOB not in mirror.jobs
+
+
+def test_only_changed_states_are_handed_out():
+    mirror = JobMirror()
+    mirror.keep_records(True)
+    mirror.apply(accepted_item())
+    assert mirror.take_changes() == [(JOB, QUEUE, False, 0)]
+    mirror.apply(progress_item(JobState.RUNNING, 5))
+    mirror.apply(progress_item(JobState.RUNNING, 6))
+    assert mirror.take_changes() == [(JOB, QUEUE, False, 1)]
+    mirror.apply(progress_item(JobState.RUNNING, 7))
+    assert mirror.take_changes() == []
+    assert mirror.open_states() == [(JOB, QUEUE, False, 1)]
+
+
+async def test_watch_that_is_not_needed_makes_no_call():
+    store = MemoryStore(StoreCore(lambda: 0.0))
+    needed = False
+    batches = []
+    watch = PrefixWatch(
+        store, "a/", SystemClock(), lambda batch, full: batches.append(full), 0.05,
+        is_needed=lambda: needed,
+    )  # fmt: skip
+    running = asyncio.create_task(watch.run())
+    await asyncio.sleep(0.25)
+    assert batches == []
+    watch.skip_to(Revision(5))
+    needed = True
+    await asyncio.sleep(0.25)
+    running.cancel()
+    # It goes on from the revision without a listing.
+    assert batches
+    assert not any(batches)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,7 +10,13 @@
 import msgpack
 import pytest
 
-from ebonyhub.cluster.peers import PROTOCOL_VERSION, PeerFailure, PeerServer, connect
+from ebonyhub.cluster.peers import (
+    PROTOCOL_VERSION,
+    Kind,
+    PeerFailure,
+    PeerServer,
+    connect,
+)
 from ebonyhub.ids import EntryId
 from standins.network import claim_network
 
@@ -23,11 +29,18 @@
     def __init__(self):
         self.records = []
         self.leaders = []
+        self.states = []
         self.hang = False
 
     def on_peer_records(self, records):
         self.records += records
 
+    def on_peer_states(self, revision, rows, full):
+        self.states.append((revision, rows, full))
+
+    def first_states(self):
+        return [Kind.STATES, 3, [["a", "q", False, 1]], True]
+
     def on_peer_leader(self, revision, value):
         self.leaders.append((revision, value))
 
@@ -60,16 +73,22 @@
 async def test_records_calls_and_the_leader_pass(served):
     address, server, _ = served
     own = Recorder()
-    stream = (await connect(address, PORT, EntryId("e"), 5)).ok
+    stream = (await connect(address, PORT, EntryId("e"), 5, 1.5)).ok
     running = asyncio.create_task(stream.run(own))
     answer = await stream.call("read", ["x"])
     assert answer.ok == (0, ["read", ["x"]])
     assert own.leaders == [(7, b"leader")]
     (accepted,) = server.streams
     assert accepted.peer_started_ms == 5
-    server.broadcast([("key", 3, b"value")])
-    await until(lambda: own.records)
-    assert own.records == [("key", 3, b"value")]
+    assert accepted.peer_strength == 1.5
+    stream.send([Kind.RECORDS, [("key", 3, b"value")]])
+    server.broadcast([Kind.STATES, 4, [["a", "q", False, 2]], False])
+    await until(lambda: len(own.states) == 2 and served[2].records)
+    assert served[2].records == [("key", 3, b"value")]
+    assert own.states == [
+        (3, [["a", "q", False, 1]], True),
+        (4, [["a", "q", False, 2]], False),
+    ]
     assert (await accepted.call("take_over", 1)).ok == (0, ["take_over", 1])
     running.cancel()
 
@@ -77,7 +96,7 @@
 async def test_call_on_a_broken_stream_has_an_unknown_outcome(served):
     address, server, events = served
     events.hang = True
-    stream = (await connect(address, PORT, EntryId("e"), 5)).ok
+    stream = (await connect(address, PORT, EntryId("e"), 5, 1.5)).ok
     running = asyncio.create_task(stream.run(Recorder()))
     call = asyncio.create_task(stream.call("submit", ["x"]))
     await until(lambda: server.streams)
@@ -93,7 +112,7 @@
     [
         b"GET / HTTP/1.1\r\n\r\n",
         msgpack.packb(["x"]),
-        msgpack.packb([PROTOCOL_VERSION + 1, "e", 0]),
+        msgpack.packb([PROTOCOL_VERSION + 1, "e", 0, 1.0]),
     ],
 )
 async def test_foreign_connections_are_closed(served, greeting):
@@ -109,6 +128,6 @@
 
 async def test_nobody_listening_is_an_error():
     network = claim_network()
-    result = await connect(network.address(0, 9), PORT, EntryId("e"), 0)
+    result = await connect(network.address(0, 9), PORT, EntryId("e"), 0, 1.0)
     assert isinstance(result.error, ConnectionRefusedError)
     network.close()
