Give pools the VMs that their tasks must be spread over; free a wave's place when the cloud refuses a VM

Cause: demand counted cores only, but lasting tasks of a step may have a limit per worker. On the grown sites VMs were parked while such tasks waited: 14 of 20 tasks of a job began 11 s after it was accepted, and tasks on VMs due for upkeep found no other home. A crashed VM of a wave kept its place and was asked for again every 0.2 s.

Ruled out: placement itself (it placed the tasks as soon as a surge brought VMs).

Change: demand carries the number of VMs that the limit asks for, and a pool keeps as many. A refused change is dropped and not planned again for a second, unless an earlier call without an answer may be the reason for the refusal.

--- a/src/ebonyhub/fleet/controller.py
+++ b/src/ebonyhub/fleet/controller.py
@@ -25,7 +25,7 @@
 # Key prefix of the VMs of each wave whose upkeep has begun.
 WAVE_PROGRESS = "eb/w/"
 
-_RETRY = frozenset({CloudFailure.REFUSED, CloudFailure.UNKNOWN, CloudFailure.BUSY})
+_RETRY = frozenset({CloudFailure.REFUSED, CloudFailure.UNKNOWN})
 
 LoadReader = Callable[[], Mapping[VmId, VmLoad]]
 DemandReader = Callable[[], Mapping[PoolName, Demand]]
@@ -155,7 +155,11 @@
             return
         if result.error is CloudFailure.FENCED:
             self.term.ended = True
-        self.planner.refused(change, result.error.value, result.error in _RETRY, now)
+        change.uncertain = change.uncertain or result.error is CloudFailure.UNKNOWN
+        # A VM that is not up would hold a place of its wave until it comes back, unless
+        # the earlier call without an answer is what makes it busy.
+        retry = result.error in _RETRY or change.uncertain
+        self.planner.refused(change, result.error.value, retry, now)
 
     async def _store_progress(self) -> None:
         """Store which upkeep has begun, and tell operators how waves stand."""
--- a/src/ebonyhub/fleet/demand.py
+++ b/src/ebonyhub/fleet/demand.py
@@ -25,6 +25,8 @@
     # Kept busy by the work that arrived in the last window, and in the one before.
     arriving: float = 0.0
     arrived_before: float = 0.0
+    # VMs that long-running tasks need because only so many of a step may share one.
+    spread_vms: int = 0
 
     @property
     def cores(self) -> float:
--- a/src/ebonyhub/fleet/planner.py
+++ b/src/ebonyhub/fleet/planner.py
@@ -29,6 +29,9 @@
 SETTLE_SECONDS = 3.0
 # Seconds that a cordoned VM may take to become empty before a move is given up.
 CORDON_LIMIT_SECONDS = 6.0
+# Seconds without a new attempt at a VM whose change the cloud refused. Longer than the
+# pause between two readings of the list, which then shows a VM that is not up.
+REFUSAL_PAUSE_SECONDS = 1.0
 # Seconds an upkeep takes with draining, for the time that a wave still needs.
 UPKEEP_ROUND_SECONDS = 4.5
 # A pool is in a surge while it wants this multiple of an even share of all VMs.
@@ -55,6 +58,8 @@
     since: float
     pool: PoolName | None = None
     wave: WaveId | None = None
+    # A call for it had no answer, so that the cloud may carry it out.
+    uncertain: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +130,8 @@
         self.standby: set[PoolName] = set()
         self.loads: Mapping[VmId, VmLoad] = {}
         self.started_at = 0.0
+        # Until then no change of a VM is planned, since the cloud refused one.
+        self.paused: dict[VmId, float] = {}
         self.logged: dict[PoolName, tuple[int, int, int]] = {}
 
     # Facts
@@ -244,8 +251,13 @@
         if retry:
             change.phase, change.since = Phase.CORDONED, now
         else:
+            self.paused[change.vm] = now + REFUSAL_PAUSE_SECONDS
             self._drop(change, reason)
 
+    def _is_paused(self, vm: VmId, now: float) -> bool:
+        """Return whether the cloud refused a change of the VM a moment ago."""
+        return now < self.paused.get(vm, now)
+
     def _targets(
         self, demands: Mapping[PoolName, Demand], now: float
     ) -> dict[PoolName, Target]:
@@ -259,7 +271,7 @@
             held = state.note_target(now, need)
             self._note_surge(state, held)
             keep = max(held, self._reserve(state))
-            least = max(need, min(BASE_VMS, state.share))
+            least = max(need, min(BASE_VMS, state.share), demand.spread_vms)
             targets[pool] = Target(least, max(keep, least))
         return targets
 
@@ -291,7 +303,7 @@
 
     def _plan_moves(self, targets: dict[PoolName, Target], now: float) -> None:
         """Fill what is needed now, then what is held in reserve, and park the rest."""
-        free = {pool: self._free_vms(pool) for pool in self.pools}
+        free = {pool: self._free_vms(pool, now) for pool in self.pools}
         usable = {pool: self.usable(pool) for pool in self.pools}
         stock = Stock(free, usable)
         self._fill(targets, stock, lambda target: target.least, True, now)
@@ -348,7 +360,7 @@
         self.changes[vm.vm] = Change(vm.vm, Phase.CORDONED, now, pool=pool)
         log_event(Event.MOVE_PLANNED, vm=vm.vm, source=vm.pool, pool=pool)
 
-    def _free_vms(self, pool: PoolName) -> list[Vm]:
+    def _free_vms(self, pool: PoolName, now: float) -> list[Vm]:
         """Return the VMs of a pool that may leave it, the emptiest first."""
         free = [
             vm
@@ -356,6 +368,7 @@
             if vm.pool == pool and vm.state is VmState.UP and vm.vm not in self.changes
         ]
         free = [vm for vm in free if not self._load(vm).long_running]
+        free = [vm for vm in free if not self._is_paused(vm.vm, now)]
         return sorted(free, key=lambda vm: (self._load(vm).used_cores, vm.vm))
 
     def _load(self, vm: Vm) -> VmLoad:
@@ -378,7 +391,9 @@
             candidates = [
                 vm
                 for vm in waiting
-                if vm.vm not in self.changes and vm.state is VmState.UP
+                if vm.vm not in self.changes
+                and vm.state is VmState.UP
+                and not self._is_paused(vm.vm, now)
             ]
             candidates.sort(key=self._upkeep_order)
             for vm in candidates:
--- a/src/ebonyhub/scheduling/views.py
+++ b/src/ebonyhub/scheduling/views.py
@@ -1,8 +1,11 @@
 """What the planner of the fleet asks the scheduler."""
 
+from math import ceil
+
 from ..fleet.demand import Demand
 from ..fleet.planner import VmLoad
 from ..ids import PoolName, ServiceName, VmId
+from ..jobs.model import StepSpec
 from .runs import Job
 from .state import SchedulerState
 
@@ -34,12 +37,14 @@
         serving: dict[ServiceName, float] = {}
         running: dict[ServiceName, float] = {}
         waiting: dict[ServiceName, float] = {}
+        spread: dict[ServiceName, int] = {}
         for job in self.active.values():
             service = self.service_of(job)
             for step in job.accepted.spec.steps:
                 if step.long_running:
                     cores = step.count * step.reserved.cpu / 1000
                     serving[service] = serving.get(service, 0.0) + cores
+                    spread[service] = max(spread.get(service, 0), _spread_vms(step))
             wanted = _waiting_cores(job)
             waiting[service] = waiting.get(service, 0.0) + wanted
         for worker in self.workers.values():
@@ -60,10 +65,16 @@
                 waiting.get(service, 0.0),
                 recent,
                 before,
+                spread.get(service, 0),
             )
         return found
 
 
+def _spread_vms(step: StepSpec) -> int:
+    """Return the number of VMs that a step's limit per worker asks for."""
+    return ceil(step.count / step.max_per_worker) if step.max_per_worker else 0
+
+
 def _waiting_cores(job: Job) -> float:
     """Return the cores that the job's ready tasks want at once.
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -177,3 +177,25 @@
     recent, before = meter.rates(2.5)
     assert recent > before > 0
     assert meter.rates(20.0) == (0.0, 0.0)
+
+
+def test_tasks_that_must_not_share_a_worker_get_their_vms():
+    """Guards against lasting tasks that wait although VMs are parked."""
+    planner = planner_with((1, 1, 8))
+    planner.plan({PoolName("a"): Demand(long_running=5.0, spread_vms=5)}, 0.0)
+    assert moves(planner) == [("spare", "a")] * 4 + [("spare", "b")] * 2
+
+
+def test_refused_upkeep_leaves_its_place_to_another_vm():
+    """Guards against a wave that a crashed VM holds up."""
+    planner = planner_with((3, 3, 3))
+    planner.see_wave(Wave(WaveId(1), (VmId("m6"), VmId("m7")), 20.0, 1), 0.0)
+    (change,) = planner.plan({}, 0.0)
+    planner.refused(change, "busy", False, 0.1)
+    (other,) = planner.plan({}, 0.2)
+    assert (change.vm, other.vm) == ("m6", "m7")
+    planner.accepted(other, 0.2)
+    assert planner.plan({}, 0.3) == []
+    planner.see_vms(list(planner.vms.values()), 3.0)
+    (again,) = planner.plan({}, 3.0)
+    assert again.vm == "m6"
