--- a/soak/run.py
+++ b/soak/run.py
@@ -4,6 +4,7 @@
 import asyncio
 import random
 import shutil
+import signal
 import sys
 import time
 from dataclasses import dataclass
@@ -143,6 +144,8 @@
     parser.add_argument("--entries", type=int, default=4)
     parser.add_argument("--workers", type=int, default=4)
     arguments = parser.parse_args()
+    # A stopped soak ends the processes that it started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     broken = 0
     for seed in arguments.seeds:
         report = asyncio.run(
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -83,6 +83,8 @@
     faults: Faults = field(default_factory=Faults)
     now: float = 100.0
     store_up: bool = True
+    # Seconds by which the leader's time of day is ahead of the true time.
+    clock_error: float = 0.0
 
     def __post_init__(self) -> None:
         """Create workers and the first leader."""
@@ -160,7 +162,12 @@
         self.scheduler = None
 
     def _wall_ms(self) -> int:
-        return int(self.now * 1000)
+        """Return the leader's time of day, which may be off."""
+        return int((self.now + self.clock_error) * 1000)
+
+    def jump_clock(self, seconds: float) -> None:
+        """Set the time of day of the leader's machine off by some seconds."""
+        self.clock_error = seconds
 
     # Callers
 
--- a/standins/oracle.py
+++ b/standins/oracle.py
@@ -37,6 +37,8 @@
     specs: dict[JobId, JobSpec] = field(default_factory=dict)
     cancels: dict[JobId, float] = field(default_factory=dict)
     tasks: dict[TaskId, TaskHistory] = field(default_factory=dict)
+    # Seconds that a task may start before its time; more where clocks jump.
+    early_seconds: float = 0.25
     # Share of runs that end as failed, and jobs that always fail.
     failure_share: float = 0.0
     poisoned: set[JobId] = field(default_factory=set)
@@ -74,6 +76,7 @@
         if history.failures >= self.max_attempts and not self._step(task).long_running:
             raise PromiseBroken(f"BUDGET: {task} run {number}")
         self._check_order(task)
+        self._check_due(task)
         self._check_capacity(worker)
         self._check_spread(worker, task)
         cancelled_at = self.cancels.get(task.job)
@@ -93,6 +96,13 @@
                 if history is None or not history.done_on:
                     raise PromiseBroken(f"ORDER: {task} before {earlier}")
 
+    def _check_due(self, task: TaskId) -> None:
+        due = self.specs[task.job].due_ms(task.occurrence) / 1000
+        if due and self.clock() < due - self.early_seconds:
+            raise PromiseBroken(
+                f"ORDER: {task} starts {due - self.clock():.2f} s early"
+            )
+
     def _check_capacity(self, worker: FakeWorker) -> None:
         used = Resources()
         for task in worker.runs:
--- a/tests/test_scheduler_fuzz.py
+++ b/tests/test_scheduler_fuzz.py
@@ -14,6 +14,8 @@
 
 SEEDS = range(60)
 CALM_SECONDS = 30.0
+# Seconds by which the leader's time of day jumps.
+CLOCK_JUMP = 2.4
 
 
 def random_spec(rng: random.Random) -> JobSpec:
@@ -42,11 +44,18 @@
     return JobSpec("text", (step,))
 
 
+def scheduled_spec(rng: random.Random, now: float) -> JobSpec:
+    step = StepSpec(rng.randint(1, 3), Resources(500, 500, 0), 300)
+    first = int((now + rng.uniform(0.5, 8.0)) * 1000)
+    count = rng.randint(1, 4)
+    return JobSpec("text", (step,), count, first, rng.choice([300, 1500]))
+
+
 def disturb(emulator: Emulator, rng: random.Random) -> None:
     """Do one random thing to the emulated platform."""
     name = rng.choice(list(emulator.workers))
     worker = emulator.workers[name]
-    match rng.randrange(9):
+    match rng.randrange(10):
         case 0:
             emulator.kill_leader()
         case 1 | 2:
@@ -65,6 +74,8 @@
             jobs = list(emulator.accepted)
             if jobs:
                 emulator.cancel(rng.choice(jobs))
+        case 9:
+            emulator.jump_clock(rng.choice([0.0, -CLOCK_JUMP, CLOCK_JUMP]))
 
 
 def heal(emulator: Emulator) -> None:
@@ -72,6 +83,7 @@
     emulator.faults = Faults()
     emulator.oracle.failure_share = 0.0
     emulator.store_up = True
+    emulator.jump_clock(0.0)
     for name, worker in emulator.workers.items():
         worker.cut = False
         emulator.reborn(name)
@@ -91,11 +103,14 @@
     )
     emulator = Emulator(seed, faults=faults)
     emulator.oracle.failure_share = rng.choice([0.0, 0.05])
+    emulator.oracle.early_seconds += CLOCK_JUMP
     jobs = [emulator.submit(long_running_spec(rng))]
     for _ in range(60):
         emulator.run(rng.uniform(0.05, 1.5))
         if rng.random() < 0.7:
-            jobs.append(emulator.submit(random_spec(rng)))
+            scheduled = rng.random() < 0.2
+            spec = scheduled_spec(rng, emulator.now) if scheduled else random_spec(rng)
+            jobs.append(emulator.submit(spec))
         if rng.random() < 0.4:
             disturb(emulator, rng)
         if emulator.scheduler is None and rng.random() < 0.5:
@@ -124,3 +139,18 @@
     emulator.run(10)
     assert emulator.state(job) is JobState.FAILED
     assert all(history.starts <= 3 for history in emulator.oracle.tasks.values())
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_scheduled_jobs_start_at_their_time(seed: int):
+    """Guards against an occurrence that starts early while clocks are right."""
+    rng = random.Random(seed)
+    emulator = Emulator(seed)
+    jobs = []
+    for _ in range(10):
+        jobs.append(emulator.submit(scheduled_spec(rng, emulator.now)))
+        emulator.run(rng.uniform(0.1, 1.0))
+        if rng.random() < 0.3:
+            emulator.elect()
+    emulator.run(CALM_SECONDS)
+    assert all(emulator.state(job) is JobState.COMPLETED for job in jobs)
