--- a/soak/callers.py
+++ b/soak/callers.py
@@ -118,10 +118,14 @@
     async def use_open_connection(self, entry: str) -> None:
         """Call on one connection until the entry announces its end, then open anew.
 
-        A request that was read is answered also while the entry stops.
+        A request on an open connection is answered also while the entry stops. As
+        behind the platform's balancer, new connections go to ready entries only.
         """
         head = RequestHead(b"GET", PREFIX.encode(), [(b"Host", HOST)])
         while True:
+            if not await self.cluster.is_ready(entry):
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
             host = self.cluster.ip(entry)
             opened = await open_connection(host, CALLER_PORT, 1.0)
             if opened.is_error():
--- a/soak/run.py
+++ b/soak/run.py
@@ -76,7 +76,10 @@
 
 
 async def run_seed(seed: int, seconds: float, entries: int, workers: int) -> Report:
-    """Run one seed on a cluster of its own."""
+    """Run one seed on a cluster of its own; SIGTERM ends it with all processes."""
+    running = asyncio.current_task()
+    assert running is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)
     cluster = JobCluster(entries, workers)
     oracle = Oracle(time.monotonic, MAX_ATTEMPTS)
     callers = Callers(cluster, oracle, random.Random(seed))
@@ -144,13 +147,15 @@
     parser.add_argument("--entries", type=int, default=4)
     parser.add_argument("--workers", type=int, default=4)
     arguments = parser.parse_args()
-    # A stopped soak ends the processes that it started.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
     broken = 0
     for seed in arguments.seeds:
-        report = asyncio.run(
-            run_seed(seed, arguments.seconds, arguments.entries, arguments.workers)
-        )
+        try:
+            report = asyncio.run(
+                run_seed(seed, arguments.seconds, arguments.entries, arguments.workers)
+            )
+        except asyncio.CancelledError:
+            print(f"seed {seed}: stopped", flush=True)
+            return 1
         broken += bool(report.problems)
         verdict = "broken" if report.problems else "kept"
         print(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -131,6 +131,7 @@
     settings = load_node_settings(path).ok
     assert (settings.entry, settings.peer_port) == ("e1", 7060)
     assert settings.status_retention == 120.0
+    assert (settings.cores, settings.link_mbps) == (1.0, 1000.0)
 
 
 @pytest.mark.parametrize("text", ["Node: x", "- 1", "a: [", ""])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,8 @@
     # A caller that waits for its answer when the load ends was counted as refused; one
     # that waits for the answer to a cancel, as not having cancelled.
     4,
+    # A caller opened a new connection to an entry that had said it was not ready.
+    5,
 ]
 SHORT_SECONDS = 6.0
 
