Forget every finished job on entries that do not lead; close the log output at exit

Cause: jobs that an entry learned of by a read of the store, by a cancel of its own or while it led were never forgotten afterwards; found by reading the change once more. The log handler printed a traceback at each exit, since the output had no close().

Test: four ways to learn of a finished job, three of them failed before.

--- a/src/ebonyhub/cluster/mirror.py
+++ b/src/ebonyhub/cluster/mirror.py
@@ -76,16 +76,22 @@
         self.keeps_records = False
         # Jobs whose shown state changed since it was last taken.
         self.changes: dict[JobId, None] = {}
-        # Finished jobs by the time at which this entry learned of it.
+        # Finished jobs that this entry is to forget, by the time when it learned of it.
         self.finished: deque[tuple[float, JobId]] = deque()
+        # Monotonic seconds of the last message with states.
+        self.now = 0.0
 
     def keep_records(self, keep: bool) -> None:
         """Begin or end to keep whole records; those that are kept are dropped."""
         self.keeps_records = keep
-        if not keep:
-            for job in self.jobs.values():
-                job.accepted, job.progress = None, b""
-                job.progress_revision = ABSENT
+        self.finished.clear()
+        if keep:
+            return
+        for job_id, job in self.jobs.items():
+            job.accepted, job.progress = None, b""
+            job.progress_revision = ABSENT
+            if job.shown_state.final:
+                self.finished.append((self.now, job_id))
 
     # Records
 
@@ -154,9 +160,12 @@
         elif not waits and job.counted is not None:
             self.waiting[job.counted] -= 1
             job.counted = None
-        if job.shown_state is not job.noted:
-            job.noted = job.shown_state
-            self.changes[job_id] = None
+        if job.shown_state is job.noted:
+            return
+        job.noted = job.shown_state
+        self.changes[job_id] = None
+        if job.noted.final and not self.keeps_records:
+            self.finished.append((self.now, job_id))
 
     # States
 
@@ -186,10 +195,11 @@
         A full list names every job that has not ended. Others that this entry holds
         for open are dropped: the store tells what became of them.
         """
+        self.now = now
         listed = set()
         for job_id, queue, scheduled, state in rows:
             listed.add(job_id)
-            self._apply_state(job_id, queue, scheduled, JobState(state), now)
+            self._apply_state(job_id, queue, scheduled, JobState(state))
         if full:
             open_jobs = [j for j, job in self.jobs.items() if not job.shown_state.final]
             for job_id in open_jobs:
@@ -200,16 +210,13 @@
         self.changes.clear()
 
     def _apply_state(
-        self, job_id: JobId, queue: QueueName, scheduled: bool, state: JobState,
-        now: float,
-    ) -> None:  # fmt: skip
+        self, job_id: JobId, queue: QueueName, scheduled: bool, state: JobState
+    ) -> None:
         job = self.jobs.setdefault(job_id, MirroredJob())
         # A state only moves on, so an older message changes nothing.
         if job.known and state <= job.shown_state:
             return
         job.queue, job.scheduled, job.state = queue, scheduled, state
-        if state.final:
-            self.finished.append((now, job_id))
         self._note(job_id, job)
 
     def forget(self, job_id: JobId) -> None:
--- a/src/ebonyhub/log_output.py
+++ b/src/ebonyhub/log_output.py
@@ -36,6 +36,10 @@
     def flush(self) -> None:
         """Do nothing; the log handler calls this for each line."""
 
+    def close(self) -> None:
+        """Write what waits; the log handler calls this at the end of the process."""
+        self.write_out()
+
     def write_out(self) -> None:
         """Write as much as the descriptor takes."""
         if self.dropped:
--- a/tests/test_mirror_and_records.py
+++ b/tests/test_mirror_and_records.py
@@ -200,6 +200,39 @@
     assert JOB not in mirror.jobs
 
 
+@pytest.mark.parametrize("learned", ["states", "read", "cancelled", "led"])
+def test_every_finished_job_is_forgotten(learned):
+    """Guards against an entry whose memory grows with what it was asked for."""
+    mirror = JobMirror()
+    mirror.apply_states([], False, 0.0)
+    match learned:
+        case "states":
+            mirror.apply_states([(JOB, QUEUE, False, 2)], False, 0.0)
+        case "read":
+            mirror.apply(accepted_item())
+            mirror.apply(progress_item(JobState.COMPLETED, 7))
+        case "cancelled":
+            mirror.apply(accepted_item())
+            mirror.apply(Item(cancelled_key(JOB), b"\x01", Revision(3)))
+            mirror.apply_states([(JOB, QUEUE, False, 4)], False, 0.0)
+        case "led":
+            mirror.keep_records(True)
+            mirror.apply(accepted_item())
+            mirror.apply(progress_item(JobState.FAILED, 7))
+            mirror.keep_records(False)
+    assert JOB in mirror.jobs
+    mirror.apply_states([], False, KEEP_FINISHED_SECONDS + 1)
+    assert JOB not in mirror.jobs
+    assert not mirror.finished
+
+
+def test_leader_forgets_a_finished_job_only_with_its_records():
+    mirror = JobMirror()
+    mirror.apply_states([(JOB, QUEUE, False, 2)], False, 0.0)
+    mirror.keep_records(True)
+    assert not mirror.finished
+
+
 def test_only_changed_states_are_handed_out():
     mirror = JobMirror()
     mirror.keep_records(True)
