--- a/soak/callers.py
+++ b/soak/callers.py
@@ -36,6 +36,8 @@
     # At least one attempt had no answer.
     UNKNOWN = "unknown"
     ACCEPTED = "accepted"
+    # A cancel was sent and has no answer yet.
+    CANCEL_SENT = "cancel_sent"
     CANCELLED = "cancelled"
 
 
@@ -98,6 +100,7 @@
 
     async def _cancel(self, job: str) -> None:
         while True:
+            self.told[job] = Told.CANCEL_SENT
             entry = self.rng.choice(self.cluster.names)
             answer = await self.cluster.call(entry, "DELETE", job)
             if answer is not None and answer.status == 200:
@@ -115,10 +118,14 @@
     async def use_open_connection(self, entry: str) -> None:
         """Call on one connection until the entry announces its end, then open anew.
 
-        A request that was read is answered also while the entry stops.
+        A request on an open connection is answered also while the entry stops. As
+        behind the platform's balancer, new connections go to ready entries only.
         """
         head = RequestHead(b"GET", PREFIX.encode(), [(b"Host", HOST)])
         while True:
+            if not await self.cluster.is_ready(entry):
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
             host = self.cluster.ip(entry)
             opened = await open_connection(host, CALLER_PORT, 1.0)
             if opened.is_error():
--- a/soak/run.py
+++ b/soak/run.py
@@ -4,6 +4,7 @@
 import asyncio
 import random
 import shutil
+import signal
 import sys
 import time
 from dataclasses import dataclass
@@ -75,7 +76,10 @@
 
 
 async def run_seed(seed: int, seconds: float, entries: int, workers: int) -> Report:
-    """Run one seed on a cluster of its own."""
+    """Run one seed on a cluster of its own; SIGTERM ends it with all processes."""
+    running = asyncio.current_task()
+    assert running is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)
     cluster = JobCluster(entries, workers)
     oracle = Oracle(time.monotonic, MAX_ATTEMPTS)
     callers = Callers(cluster, oracle, random.Random(seed))
@@ -145,9 +149,13 @@
     arguments = parser.parse_args()
     broken = 0
     for seed in arguments.seeds:
-        report = asyncio.run(
-            run_seed(seed, arguments.seconds, arguments.entries, arguments.workers)
-        )
+        try:
+            report = asyncio.run(
+                run_seed(seed, arguments.seconds, arguments.entries, arguments.workers)
+            )
+        except asyncio.CancelledError:
+            print(f"seed {seed}: stopped", flush=True)
+            return 1
         broken += bool(report.problems)
         verdict = "broken" if report.problems else "kept"
         print(
