Keep planned changes away from VMs whose workers have not reported

Cause: after an outage in which workers' entries lapsed, a new leader tracked inherited runs on workers whose VM it did not know. A worker that only a record names also counted as draining.

Ruled out: an upkeep stored by the earlier leader (its VMs were held empty by the same reading), stops of several tasks in one pass (each excludes the ones before it).

Change: a VM counts as empty only once its worker has reported to this leader, or all earlier leases have ended; loads of all lives of a VM add up; a worker that appears on a cordoned VM is cordoned at once; runs found by a new leader count as serving only after a stop of the earlier one would have taken effect.

--- a/src/ebonyhub/fleet/controller.py
+++ b/src/ebonyhub/fleet/controller.py
@@ -14,8 +14,8 @@
 from ..platform.cloud import CloudClient, CloudFailure
 from ..platform.config import encode_wave_status
 from .demand import Demand
-from .model import Vm, Wave
-from .planner import Change, FleetPlanner, VmLoad
+from .model import FleetLoad, Vm, Wave
+from .planner import Change, FleetPlanner
 
 # Seconds between two passes of the planner.
 STEP_SECONDS = 0.2
@@ -27,7 +27,7 @@
 
 _RETRY = frozenset({CloudFailure.REFUSED, CloudFailure.UNKNOWN})
 
-LoadReader = Callable[[], Mapping[VmId, VmLoad]]
+LoadReader = Callable[[], FleetLoad]
 DemandReader = Callable[[], Mapping[PoolName, Demand]]
 
 
@@ -119,7 +119,7 @@
         now = self.clock.monotonic()
         if not self.term.is_valid(now) or not self.planner.vms:
             return
-        self.planner.loads = self.read_loads()
+        self.planner.load = self.read_loads()
         changes = self.planner.plan(self.read_demands(), now)
         self.cordon(self.planner.cordoned())
         await self._store_progress()
--- a/src/ebonyhub/fleet/model.py
+++ b/src/ebonyhub/fleet/model.py
@@ -1,6 +1,7 @@
 """VMs, their pools and the waves of upkeep that operators ask for."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping, Set
+from dataclasses import dataclass, field
 from enum import Enum
 
 from ..ids import PoolName, RackId, VmId, WaveId, WorkerId
@@ -40,3 +41,34 @@
     vms: tuple[VmId, ...]
     duration: float
     limit: int
+
+
+@dataclass(frozen=True, slots=True)
+class VmLoad:
+    """What runs on a VM."""
+
+    used_cores: float = 0.0
+    tasks: int = 0
+    long_running: int = 0
+    long_running_cores: float = 0.0
+
+
+# Stands for a VM whose worker has not told a new leader what it runs. It counts as
+# serving, so that nothing is moved or has its upkeep on a guess.
+UNKNOWN_LOAD = VmLoad(tasks=1, long_running=1)
+
+
+@dataclass(frozen=True, slots=True)
+class FleetLoad:
+    """What runs on the VMs, as far as a leader knows."""
+
+    by_vm: Mapping[VmId, VmLoad] = field(default_factory=dict)
+    # Workers that have reported to this leader. None once everything that an earlier
+    # leader started has surely ended or been reported.
+    heard: Set[WorkerId] | None = None
+
+    def of(self, vm: Vm) -> VmLoad:
+        """Return the load of a VM; it is unknown until its worker has reported."""
+        load = self.by_vm.get(vm.vm, VmLoad())
+        unheard = self.heard is not None and vm.worker and vm.worker not in self.heard
+        return UNKNOWN_LOAD if unheard and not load.tasks else load
--- a/src/ebonyhub/fleet/planner.py
+++ b/src/ebonyhub/fleet/planner.py
@@ -12,7 +12,7 @@
 from ..events import Event, log_event
 from ..ids import PoolName, VmId, WaveId
 from .demand import Demand
-from .model import Vm, VmState, Wave
+from .model import UNKNOWN_LOAD, FleetLoad, Vm, VmLoad, VmState, Wave
 
 # VMs that a pool with long-running tasks keeps after its surge: two, so that the loss
 # of one leaves it served.
@@ -65,16 +65,6 @@
     uncertain: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class VmLoad:
-    """What runs on a VM."""
-
-    used_cores: float = 0.0
-    tasks: int = 0
-    long_running: int = 0
-    long_running_cores: float = 0.0
-
-
 @dataclass(slots=True)
 class WaveState:
     """Progress of a wave; ``due_at`` is monotonic seconds."""
@@ -134,7 +124,7 @@
         # All pools of the configuration, and those whose VMs are off.
         self.declared: set[PoolName] = set()
         self.standby: set[PoolName] = set()
-        self.loads: Mapping[VmId, VmLoad] = {}
+        self.load = FleetLoad()
         self.started_at = 0.0
         # Until then no change of a VM is planned, since the cloud refused one.
         self.paused: dict[VmId, float] = {}
@@ -246,8 +236,7 @@
         for change in list(self.changes.values()):
             if change.phase is not Phase.CORDONED:
                 continue
-            load = self.loads.get(change.vm, VmLoad())
-            if load.tasks == 0 and self._has_place(change):
+            if self._is_empty(change.vm) and self._has_place(change):
                 change.phase, change.since = Phase.ORDERED, now
                 if change.wave is not None:
                     self.waves[change.wave].ordered.add(change.vm)
@@ -421,7 +410,12 @@
         return sorted(free, key=lambda vm: (self._load(vm).used_cores, vm.vm))
 
     def _load(self, vm: Vm) -> VmLoad:
-        return self.loads.get(vm.vm, VmLoad())
+        return self.load.of(vm)
+
+    def _is_empty(self, vm_id: VmId) -> bool:
+        """Return whether a VM surely runs nothing."""
+        vm = self.vms.get(vm_id)
+        return vm is None or self._load(vm).tasks == 0
 
     # Waves
 
@@ -443,6 +437,7 @@
                 if vm.vm not in self.changes
                 and vm.state is VmState.UP
                 and not self._is_paused(vm.vm, now)
+                and self._load(vm) is not UNKNOWN_LOAD
             ]
             candidates.sort(key=self._upkeep_order)
             for vm in candidates:
@@ -489,6 +484,7 @@
             and other.pool == vm.pool
             and other.state is VmState.UP
             and other.vm not in self.changes
+            and self._load(other) is not UNKNOWN_LOAD
             and other.capacity.cpu / 1000 - self._load(other).used_cores
             >= load.long_running_cores
             for other in self.vms.values()
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -79,7 +79,7 @@
                 store,
                 cloud,
                 clock,
-                self.scheduler.loads,
+                lambda: self.scheduler.loads(clock.monotonic()),
                 lambda: self.scheduler.demands(clock.monotonic()),
                 self.scheduler.set_cordoned,
                 lambda vms: self.scheduler.see_vms(vms, clock.monotonic()),
--- a/src/ebonyhub/scheduling/intake.py
+++ b/src/ebonyhub/scheduling/intake.py
@@ -73,7 +73,7 @@
             entry = WorkerEntry(
                 worker=run.worker, service=job.service, address="", zone="", labels=(),
                 rack=job.accepted.spec.steps[0].data_rack, capacity=Resources(),
-                draining=True, leaves_in=None, born_ms=run.born_ms, vm="",  # type: ignore[arg-type]
+                draining=False, leaves_in=None, born_ms=run.born_ms, vm="",  # type: ignore[arg-type]
             )  # fmt: skip
             worker = Worker(entry, born_ms=run.born_ms, departed=True)
             self.workers[run.worker] = worker
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -7,7 +7,7 @@
 from ..configuration import Configuration, Queue
 from ..events import Event, log_event
 from ..fleet.demand import ArrivalMeter
-from ..ids import JobId, QueueName, ServiceName, TaskId, WorkerId
+from ..ids import JobId, QueueName, ServiceName, TaskId, VmId, WorkerId
 from . import lifecycle
 from .health import USUAL_WEIGHT, Pace
 from .orders import Order, StopRun
@@ -18,7 +18,9 @@
 CONTACT_LIMIT_SECONDS = 1.8
 # Seconds until an unconfirmed stop is ordered again.
 STOP_REPEAT_SECONDS = 0.6
-
+# Seconds after which a stop that a worker has accepted has taken effect. The platform
+# allows 0.4 s.
+STOP_SETTLE_SECONDS = 0.6
 
 StepKey = tuple[JobId, int, int]
 
@@ -58,6 +60,8 @@
         # How long tasks take against their estimates, on all workers.
         self.usual_pace = Pace(USUAL_WEIGHT)
         self.arrivals: dict[ServiceName, ArrivalMeter] = {}
+        # VMs that planned work is about to end.
+        self.cordoned_vms: set[VmId] = set()
 
     def configure(self, configuration: Configuration) -> None:
         """Take over a newer configuration."""
@@ -135,8 +139,14 @@
             self.outbox.append(StopRun(run.worker, run.task, run.number))
 
 
-def is_at_work(run: Run) -> bool:
-    """Return whether a long-running task is serving."""
+def is_at_work(run: Run, now: float) -> bool:
+    """Return whether a long-running task is serving, and will be a moment later.
+
+    A run that was just found on its worker may have been stopped by an earlier leader
+    a moment ago; it is listed until its stop takes effect.
+    """
+    if run.inherited and now - run.confirmed_at < STOP_SETTLE_SECONDS:
+        return False
     return run.phase is RunPhase.CONFIRMED and run.stop is None and run.percent >= 100
 
 
--- a/src/ebonyhub/scheduling/views.py
+++ b/src/ebonyhub/scheduling/views.py
@@ -3,10 +3,10 @@
 from math import ceil
 
 from ..fleet.demand import Demand
-from ..fleet.planner import VmLoad
-from ..ids import PoolName, ServiceName, VmId
+from ..fleet.model import FleetLoad, VmLoad
+from ..ids import PoolName, ServiceName, VmId, WorkerId
 from ..jobs.model import StepSpec
-from .runs import Job
+from .runs import Job, Worker
 from .state import SchedulerState
 
 # Seconds in which tasks that wait for a worker are to be worked off.
@@ -16,21 +16,19 @@
 class FleetViews(SchedulerState):
     """Loads of VMs and demand of services."""
 
-    def loads(self) -> dict[VmId, VmLoad]:
-        """Return what runs on each VM."""
-        loads: dict[VmId, VmLoad] = {}
+    def loads(self, now: float) -> FleetLoad:
+        """Return what runs on each VM, over all lives of its worker."""
+        by_vm: dict[VmId, VmLoad] = {}
+        heard: set[WorkerId] = set()
         for worker in self.workers.values():
+            if worker.contact_at is not None:
+                heard.add(worker.worker_id)
             if worker.expired or not worker.entry.vm:
                 continue
-            serving = [
-                run.reserved.cpu / 1000
-                for run in worker.runs.values()
-                if run.step.long_running
-            ]
-            loads[worker.entry.vm] = VmLoad(
-                worker.used.cpu / 1000, len(worker.runs), len(serving), sum(serving)
-            )
-        return loads
+            before = by_vm.get(worker.entry.vm, VmLoad())
+            by_vm[worker.entry.vm] = _add_load(before, worker)
+        settled = now > self.inherited_leases_until
+        return FleetLoad(by_vm, None if settled else heard)
 
     def demands(self, now: float) -> dict[PoolName, Demand]:
         """Return the demand of each service."""
@@ -70,6 +68,19 @@
         return found
 
 
+def _add_load(load: VmLoad, worker: Worker) -> VmLoad:
+    """Return the load with what runs on one more worker of the VM."""
+    serving = [
+        run.reserved.cpu / 1000 for run in worker.runs.values() if run.step.long_running
+    ]
+    return VmLoad(
+        load.used_cores + worker.used.cpu / 1000,
+        load.tasks + len(worker.runs),
+        load.long_running + len(serving),
+        load.long_running_cores + sum(serving),
+    )
+
+
 def _spread_vms(step: StepSpec) -> int:
     """Return the number of VMs that a step's limit per worker asks for."""
     return ceil(step.count / step.max_per_worker) if step.max_per_worker else 0
--- a/src/ebonyhub/scheduling/worker_watch.py
+++ b/src/ebonyhub/scheduling/worker_watch.py
@@ -31,6 +31,7 @@
             )
         worker.entry = entry
         worker.departed = False
+        worker.cordoned = entry.vm in self.cordoned_vms
 
     def lose_worker(self, worker_id: WorkerId) -> None:
         """Note that the store has no entry of the worker any more.
@@ -75,6 +76,7 @@
 
     def set_cordoned(self, vms: set[VmId]) -> None:
         """Keep new tasks away from the workers on these VMs."""
+        self.cordoned_vms = vms
         for worker in self.workers.values():
             worker.cordoned = worker.entry.vm in vms
 
@@ -118,7 +120,7 @@
         for worker in self.workers.values():
             for other in worker.runs.values():
                 same = other.task[:3] == run.task[:3] and other is not run
-                if same and is_at_work(other) and self.is_answering(worker, now):
+                if same and is_at_work(other, now) and self.is_answering(worker, now):
                     at_work += 1
         away = run.step.count - 1 - at_work
         if away >= max(1, run.step.max_unavailable):
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -95,7 +95,7 @@
         self.records: dict[JobId, tuple[int, bytes]] = {}
         self.revision = 1
         self.token = LeaderToken(0)
-        self.late: list[tuple[float, int, Callable[[], None]]] = []
+        self.late: list[tuple[float, int, Callable[[], object]]] = []
         self.counter = 0
         self.workers = {
             name: self._new_worker(name, number)
@@ -238,7 +238,8 @@
         self.next_hold[name] = self.now + HOLD_INTERVAL_SECONDS
         worker = scheduler.workers.get(name)
         fake = self.workers[name]
-        if worker is None:
+        if worker is None or not worker.entry.address:
+            # A leader does not know where a worker is that only a record names.
             return
         lease = None
         if worker.contact_at is not None and self.now - worker.contact_at < 1.6:
@@ -287,7 +288,7 @@
         def write() -> None:
             self._write(job, expected, value, token)
 
-        self._later(self.rng.uniform(1, 6), write)
+        self.later(self.rng.uniform(1, 6), write)
 
     def _write(
         self, job: JobId, expected: int, value: bytes, token: LeaderToken
@@ -300,7 +301,8 @@
         self.records[job] = (self.revision, value)
         return True
 
-    def _later(self, seconds: float, action: Callable[[], None]) -> None:
+    def later(self, seconds: float, action: Callable[[], object]) -> None:
+        """Do something after a while."""
         self.counter += 1
         heappush(self.late, (self.now + seconds, self.counter, action))
 
@@ -377,7 +379,7 @@
             if fake.up and fake.born_ms == born:
                 action()
 
-        self._later(self.rng.uniform(2, 12), carry_out)
+        self.later(self.rng.uniform(2, 12), carry_out)
 
     # Faults
 
--- a/standins/fake_worker.py
+++ b/standins/fake_worker.py
@@ -64,6 +64,7 @@
     on_start: Callable[["FakeWorker", TaskId, int], None] = lambda *_: None
     on_lapse: Callable[["FakeWorker"], None] = lambda *_: None
     on_end: Callable[["FakeWorker", TaskId, int, EndKind], None] = lambda *_: None
+    on_stop: Callable[["FakeWorker", TaskId], None] = lambda *_: None
 
     @property
     def entry(self) -> WorkerEntry:
@@ -141,6 +142,7 @@
         self.token = token
         run = self.runs.get(task)
         if run is not None and run.number == number:
+            self.on_stop(self, task)
             run.stop_at_ms = run.stop_at_ms or self.clock_ms(now) + 200
         elif run is None:
             self.barred[task] = max(self.barred.get(task, 0), number)
--- /dev/null
+++ b/tests/test_interruptions_fuzz.py
@@ -0,0 +1,92 @@
+"""Stateful fuzzing of planned interruptions of serving tasks.
+
+Guards against upkeep and stops that together end more tasks of a step than it may miss:
+after an outage in which the workers' entries lapsed, around a change of the leader, and
+while calls to workers and the cloud are lost or carried out late.
+"""
+
+import random
+
+import pytest
+
+from ebonyhub.jobs.model import JobSpec, Resources, StepSpec
+from standins.emulated_fleet import EmulatedFleet
+from standins.emulator import Emulator, Faults
+
+SEEDS = range(60)
+WORKERS = 8
+CALM_SECONDS = 40.0
+# Seconds after the store's return in which lapsed entries come back.
+RETURN_SECONDS = 2.0
+
+
+def serving_spec(rng):
+    count = rng.randint(2, 5)
+    step = StepSpec(
+        count, Resources(1500, 500, 0), long_running=True,
+        max_per_worker=rng.choice([1, 2]), max_unavailable=1,
+    )  # fmt: skip
+    return JobSpec("text", (step,))
+
+
+def lapse(fleet, rng):
+    """Take the store away until the workers' entries lapse; the leader dies."""
+    emulator = fleet.emulator
+    emulator.store_up = False
+    fleet.run(rng.uniform(1.0, 4.0))
+    for worker in emulator.workers.values():
+        worker.registered = False
+    fleet.run(rng.uniform(0.5, 2.0))
+    emulator.store_up = True
+    if rng.random() < 0.8:
+        emulator.kill_leader()
+        fleet.run(rng.uniform(0.1, 1.0))
+        emulator.elect()
+    names = list(emulator.workers)
+    rng.shuffle(names)
+    for name in names:
+        emulator.workers[name].registered = emulator.workers[name].up
+        fleet.run(rng.uniform(0.0, RETURN_SECONDS / len(names)))
+
+
+def disturb(fleet, rng):
+    emulator = fleet.emulator
+    name = rng.choice(list(emulator.workers))
+    match rng.randrange(6):
+        case 0 | 1:
+            lapse(fleet, rng)
+        case 2:
+            emulator.elect()
+        case 3:
+            emulator.kill_leader()
+        case 4:
+            emulator.workers[name].cut = not emulator.workers[name].cut
+        case 5:
+            emulator.store_up = not emulator.store_up
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_step_misses_more_than_it_may(seed):
+    rng = random.Random(seed)
+    faults = Faults(
+        lost_answer=rng.choice([0.0, 0.1]), late_order=rng.choice([0.0, 0.1])
+    )
+    emulator = Emulator(seed, worker_count=WORKERS, faults=faults)
+    fleet = EmulatedFleet(emulator, limit=rng.randint(1, 3), duration=25.0)
+    for _ in range(rng.randint(1, 3)):
+        emulator.submit(serving_spec(rng))
+    fleet.run(rng.uniform(2.0, 4.0))
+    for _ in range(8):
+        fleet.run(rng.uniform(0.1, 3.0))
+        disturb(fleet, rng)
+        if emulator.scheduler is None and rng.random() < 0.7:
+            emulator.elect()
+    emulator.faults = Faults()
+    emulator.store_up = True
+    for worker in emulator.workers.values():
+        worker.cut = False
+        worker.registered = worker.up
+    if emulator.scheduler is None:
+        emulator.elect()
+    fleet.run(CALM_SECONDS)
+    assert fleet.upkept == set(fleet.vms)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -9,14 +9,13 @@
 import pytest
 
 from ebonyhub.fleet.demand import ArrivalMeter, Demand
-from ebonyhub.fleet.model import Vm, VmState, Wave
+from ebonyhub.fleet.model import FleetLoad, Vm, VmLoad, VmState, Wave
 from ebonyhub.fleet.planner import (
     CORDON_LIMIT_SECONDS,
     HOLD_SECONDS,
     SETTLE_SECONDS,
     FleetPlanner,
     Phase,
-    VmLoad,
 )
 from ebonyhub.ids import PoolName, RackId, VmId, WaveId, WorkerId
 from ebonyhub.jobs.model import Resources
@@ -89,18 +88,20 @@
 
 def test_vms_with_long_running_tasks_stay():
     planner = planner_with((6, 3, 0))
-    planner.loads = {
-        name: VmLoad(5.0, 1, 1, 5.0)
-        for name, item in planner.vms.items()
-        if item.pool == "a"
-    }
+    planner.load = FleetLoad(
+        {
+            name: VmLoad(5.0, 1, 1, 5.0)
+            for name, item in planner.vms.items()
+            if item.pool == "a"
+        }
+    )
     planner.plan({}, SETTLE_SECONDS + 1)
     assert moves(planner) == []
 
 
 def test_move_waits_for_an_empty_vm_and_is_given_up():
     planner = planner_with((3, 3, 0))
-    planner.loads = {name: VmLoad(1.0, 1) for name in planner.vms}
+    planner.load = FleetLoad({name: VmLoad(1.0, 1) for name in planner.vms})
     demand = {PoolName("a"): Demand(running=60.0)}
     assert planner.plan(demand, 0.0) == []
     assert ("b", "a") in moves(planner)
@@ -131,7 +132,7 @@
 def test_wave_leaves_long_running_tasks_a_home():
     """Both VMs of a pool went at once, so its long-running tasks had none."""
     planner = planner_with((2, 2, 0))
-    planner.loads = {VmId(f"m{n}"): VmLoad(4.0, 1, 1, 4.0) for n in range(2)}
+    planner.load = FleetLoad({VmId(f"m{n}"): VmLoad(4.0, 1, 1, 4.0) for n in range(2)})
     planner.see_wave(wave(["m0", "m1"], duration=1.0), 0.0)
     planner.plan({}, 0.0)
     assert len(planner.changes) == 1
--- a/tests/test_planner_fuzz.py
+++ b/tests/test_planner_fuzz.py
@@ -11,8 +11,8 @@
 import pytest
 
 from ebonyhub.fleet.demand import Demand
-from ebonyhub.fleet.model import Vm, VmState, Wave
-from ebonyhub.fleet.planner import FleetPlanner, VmLoad
+from ebonyhub.fleet.model import FleetLoad, Vm, VmLoad, VmState, Wave
+from ebonyhub.fleet.planner import FleetPlanner
 from ebonyhub.ids import PoolName, RackId, VmId, WaveId, WorkerId
 from ebonyhub.jobs.model import Resources
 
@@ -118,7 +118,7 @@
         while len(self.lists) > 1 and self.lists[1][0] <= self.now - LIST_LAG_SECONDS:
             self.lists.pop(0)
         self.planner.see_vms(self.lists[0][1], self.now)
-        self.planner.loads = dict(self.cloud.loads)
+        self.planner.load = FleetLoad(dict(self.cloud.loads))
         for late in [late for late in self.late if late[0] <= self.now]:
             self.late.remove(late)
             self.cloud.order(*late[1:], self.now)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -21,7 +21,7 @@
 )
 from ebonyhub.scheduling.orders import LookAtWorker, StartRun, StopRun
 from ebonyhub.scheduling.scheduler import Scheduler
-from ebonyhub.scheduling.state import CONTACT_LIMIT_SECONDS
+from ebonyhub.scheduling.state import CONTACT_LIMIT_SECONDS, STOP_SETTLE_SECONDS
 from standins.emulator import QUEUE, SERVICE, one_queue_configuration
 
 JOB = JobId("j")
@@ -197,6 +197,51 @@
     assert stops == []
 
 
+def test_runs_of_an_earlier_leader_count_as_serving_after_a_moment():
+    """A stop that the earlier leader ordered last may still take effect."""
+    driver = Driver(("w1", "w2", "w3"))
+    driver.submit(LASTING)
+    runs = driver.start_all()
+    for run in runs:
+        run.inherited = True
+        driver.report(run.worker, running=[listed(run)])
+        driver.worker(run.worker).cordoned = True
+    driver.tick()
+    assert driver.orders(StopRun) == []
+    driver.wait(STOP_SETTLE_SECONDS + 0.1)
+    for name in ("w1", "w2", "w3"):
+        tasks = [listed(run) for run in runs if run.worker == name]
+        driver.report(name, running=tasks)
+    driver.tick()
+    assert len(driver.orders(StopRun)) == 1
+
+
+def test_worker_that_appears_on_a_cordoned_vm_gets_no_tasks():
+    """Tasks were started in the moment before the cloud carried a change out."""
+    driver = Driver(())
+    driver.scheduler.set_cordoned({VmId("vm-w1")})
+    driver.scheduler.see_worker(entry("w1"), driver.now)
+    driver.report("w1")
+    assert not driver.scheduler.eligible(driver.worker("w1"), driver.now)
+
+
+@pytest.mark.parametrize(
+    ("reported", "settled", "empty"),
+    [(False, False, False), (True, False, True), (False, True, True)],
+    ids=["entry is missing", "worker has reported", "all earlier leases have ended"],
+)
+def test_vm_of_an_unheard_worker_is_not_empty(reported, settled, empty):
+    """Upkeep ended serving tasks of workers whose entries had lapsed in an outage."""
+    driver = Driver(("w1",) if reported else ())
+    driver.scheduler.inherited_leases_until = driver.now + (-1.0 if settled else 10.0)
+    load = driver.scheduler.loads(driver.now)
+    vm = Vm(
+        VmId("vm-w1"), PoolName("p"), VmState.UP, "z", RackId("r"), Resources(),
+        WorkerId("w1"),
+    )  # fmt: skip
+    assert (load.of(vm).tasks == 0) is empty
+
+
 def test_unanswered_start_is_barred_before_the_task_starts_again():
     driver = Driver(("w1",))
     job = driver.submit(JobSpec("t", (StepSpec(1, Resources(1000, 1), 300),)))
