--- a/src/ebonyhub/cluster/mirror.py
+++ b/src/ebonyhub/cluster/mirror.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..events import Event, log_event
 from ..ids import ROOT_REVISION, JobId, QueueName, Revision
 from ..jobs.model import AcceptedJob
 from ..jobs.records import (
@@ -109,7 +110,17 @@
     # Records
 
     def apply(self, item: Item) -> JobId | None:
-        """Take over a record; return the job if it changed."""
+        """Take over a record; return the job if it changed.
+
+        A record that can not be read is left out, since it would stop every leader.
+        """
+        try:
+            return self._apply(item)
+        except msgspec.MsgspecError as error:
+            log_event(Event.DOCUMENT_REJECTED, name=item.key, error=repr(error))
+            return None
+
+    def _apply(self, item: Item) -> JobId | None:
         if item.key.startswith(PROGRESS):
             return self._apply_progress(JobId(item.key[len(PROGRESS) :]), item)
         if item.key.startswith(ACCEPTED):
--- a/src/ebonyhub/cluster/peers.py
+++ b/src/ebonyhub/cluster/peers.py
@@ -13,6 +13,7 @@
 from typing import Any, Protocol
 
 import msgpack
+import msgspec
 from expression import Error, Ok, Result
 
 from ..events import Event, log_event
@@ -29,6 +30,11 @@
 PING_SECONDS = 0.6
 # Bytes waiting for a peer that does not read, after which the stream is closed.
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
+# What a message raises that is no message of this protocol.
+UNREADABLE = (
+    msgpack.UnpackException, msgspec.MsgspecError, ValueError, TypeError, LookupError,
+    AttributeError,
+)  # fmt: skip
 
 
 class Kind(IntEnum):
@@ -129,7 +135,7 @@
                     if not isinstance(message, list):
                         raise ValueError("a message is no array")
                     self._handle(message, events)
-        except (OSError, TimeoutError, msgpack.UnpackException, ValueError) as error:
+        except (OSError, TimeoutError, *UNREADABLE) as error:
             log_event(Event.PEER_STREAM_FAILED, error=repr(error))
         finally:
             pings.cancel()
@@ -157,9 +163,13 @@
             events.on_peer_leader(message[1], message[2])
 
     async def _answer(self, events: StreamEvents, message: list[Any]) -> None:
-        _, sequence, method, argument = message
-        status, payload = await events.on_peer_call(method, argument)
-        self.send([Kind.REPLY, sequence, status, payload])
+        try:
+            _, sequence, method, argument = message
+            status, payload = await events.on_peer_call(method, argument)
+            self.send([Kind.REPLY, sequence, status, payload])
+        except UNREADABLE as error:
+            # The caller's wait ends with an unknown outcome.
+            log_event(Event.PEER_STREAM_FAILED, error=repr(error))
 
     async def call(
         self, method: str, argument: Any
@@ -231,7 +241,9 @@
         try:
             async with asyncio.timeout(SILENCE_SECONDS):
                 greeting = await self._read_greeting(stream)
-        except (OSError, TimeoutError, ValueError, msgpack.UnpackException) as error:
+                stream.peer_started_ms = int(greeting[2])
+                stream.peer_strength = float(greeting[3])
+        except (OSError, TimeoutError, *UNREADABLE) as error:
             log_event(Event.PEER_STREAM_FAILED, error=repr(error))
             stream.close()
             return
@@ -239,8 +251,6 @@
             log_event(Event.PEER_STREAM_FAILED, error=f"protocol {greeting[0]}")
             stream.close()
             return
-        stream.peer_started_ms = int(greeting[2])
-        stream.peer_strength = float(greeting[3])
         self.streams.add(stream)
         if self.leader is not None:
             stream.send([Kind.LEADER, *self.leader])
--- a/src/ebonyhub/connection_pool.py
+++ b/src/ebonyhub/connection_pool.py
@@ -40,13 +40,24 @@
     ) -> Result[HttpConnection, ExchangeError]:
         """Return an idle connection or open one; errors prove "not run"."""
         max_idle = FRESH_SECONDS if only_fresh else self.idle_seconds
-        self.close_idle(max_idle)
+        connection = self.take_idle(max_idle)
+        return Ok(connection) if connection is not None else await self.open()
+
+    def take_idle(self, max_idle_seconds: float | None = None) -> HttpConnection | None:
+        """Return a connection that is open and idle, None if there is none."""
+        if max_idle_seconds is None:
+            max_idle_seconds = self.idle_seconds
+        self.close_idle(max_idle_seconds)
         while self.idle:
             # The newest connection is the least likely to have gone silent.
             connection = self.idle.pop()
             if connection.usable:
-                return Ok(connection)
+                return connection
             self.discard(connection)
+        return None
+
+    async def open(self) -> Result[HttpConnection, ExchangeError]:
+        """Open a connection; errors prove "not run"."""
         if self.open_count >= self.limit:
             return Error(ExchangeError(ErrorKind.CONNECTION_LIMIT, False))
         self.open_count += 1
--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -3,6 +3,7 @@
 docs/events.md is generated from this table by ``python -m ebonyhub.events``.
 """
 
+import logging as standard_logging
 from dataclasses import dataclass
 from enum import Enum
 
@@ -131,23 +132,40 @@
     CHANGE_ORDERED = EventSpec(2405, _I, "change of a VM ordered", "None.")
     CHANGE_DROPPED = EventSpec(2406, _I, "change of a VM given up", "None.")
     POOL_TARGET = EventSpec(2407, _I, "size and target of a pool", "None.")
+    ANSWER_UNREADABLE = EventSpec(
+        2502,
+        _W,
+        "answer of the platform is not readable",
+        "Compare the answer's fields with docs/platform.md; it counts as lost.",
+    )
     RECORDS_REMOVED = EventSpec(2501, _I, "records of old jobs removed", "None.")
 
 
+# Levels of the standard library, which the logger of absl uses.
 _LEVELS = {
-    Severity.INFO: logging.INFO,
-    Severity.WARNING: logging.WARNING,
-    Severity.ERROR: logging.ERROR,
+    Severity.INFO: standard_logging.INFO,
+    Severity.WARNING: standard_logging.WARNING,
+    Severity.ERROR: standard_logging.ERROR,
 }
 
 
 def log_event(event: Event, **fields: object) -> None:
-    """Log ``event`` with ``fields`` as key=value pairs."""
+    """Log ``event`` with ``fields`` as key=value pairs.
+
+    The record is built here, since the number of an event says where it comes from;
+    looking for the caller in the stack takes as long as all the rest.
+    """
     spec = event.value
-    details = " ".join(f"{name}={value}" for name, value in fields.items())
-    logging.log(
-        _LEVELS[spec.severity], "E%d %s: %s", spec.number, spec.message, details
-    )
+    logger = logging.get_absl_logger()
+    level = _LEVELS[spec.severity]
+    if not logger.isEnabledFor(level):
+        return
+    details = " ".join([f"{name}={value}" for name, value in fields.items()])
+    message = f"E{spec.number} {spec.message}: {details}"
+    record = standard_logging.LogRecord(
+        logger.name, level, __file__, 0, message, None, None, "log_event"
+    )
+    logger.handle(record)
 
 
 def render_catalogue() -> str:
--- a/src/ebonyhub/http_client.py
+++ b/src/ebonyhub/http_client.py
@@ -220,6 +220,15 @@
         self._buffered = 0
         self._data_ready.clear()
 
+    def send_whole(self, head: RequestHead, body: bytes | None) -> ExchangeError | None:
+        """Write a request whose body is in memory; return why nothing was written."""
+        if not self.usable or self.transport is None:
+            return ExchangeError(ErrorKind.BACKEND_CLOSED, False)
+        self.begin(expects_body=head.method != b"HEAD")
+        self.bytes_written = True
+        self.transport.write(head.encode() + (body or b""))
+        return None
+
     async def send(
         self, head: RequestHead, body: bytes | AsyncIterator[bytes] | None
     ) -> Result[None, ExchangeError]:
@@ -228,16 +237,14 @@
         The error's ``bytes_written`` is False only if nothing was handed to the
         transport.
         """
-        if not self.usable or self.transport is None:
-            return Error(ExchangeError(ErrorKind.BACKEND_CLOSED, False))
-        self.begin(expects_body=head.method != b"HEAD")
-        self.bytes_written = True
-        encoded = head.encode()
-        if body is None or isinstance(body, bytes):
-            self.transport.write(encoded + (body or b""))
+        whole = body is None or isinstance(body, bytes)
+        failure = self.send_whole(head, body if isinstance(body, bytes) else None)
+        if failure is not None or self.transport is None:
+            return Error(failure or ExchangeError(ErrorKind.BACKEND_CLOSED, False))
+        if whole:
             await self._writable.wait()
             return Ok(None)
-        self.transport.write(encoded)
+        assert not isinstance(body, bytes) and body is not None
         async for chunk in body:
             await self._writable.wait()
             if self.state is not ConnectionState.BUSY or self.head is not None:
@@ -247,6 +254,24 @@
             self.transport.write(chunk)
         return Ok(None)
 
+    async def read_whole(
+        self, on_progress: Callable[[], None]
+    ) -> Result["SmallResponse", ExchangeError]:
+        """Wait for a whole response; ``on_progress`` is called while parts arrive."""
+        while not self.complete and self.error is None:
+            self._data_ready.clear()
+            await self._data_ready.wait()
+            if not self.complete and self._chunks:
+                on_progress()
+                if self._reading_paused and self.transport is not None:
+                    self._reading_paused = False
+                    self._buffered = 0
+                    self.transport.resume_reading()
+        if self.error is not None or self.head is None:
+            return Error(self._exchange_error())
+        body = self._take_buffered() if self._chunks else b""
+        return Ok(SmallResponse(self.head.status, self.head.headers, body))
+
     async def read_head(self) -> Result[ResponseHead, ExchangeError]:
         """Wait for the status and headers; the caller sets the time limit."""
         while self.head is None and self.error is None:
@@ -352,25 +377,10 @@
 
     ``on_progress`` is called for each part of the body.
     """
-    sent = await connection.send(head, body)
-    if sent.is_error():
-        return Error(sent.error)
-    received = await connection.read_head()
-    if received.is_error():
-        return Error(received.error)
-    response_head = received.ok
-    parts: list[bytes] = []
-    while True:
-        chunk = await connection.read_chunk()
-        if chunk.is_error():
-            return Error(chunk.error)
-        if not chunk.ok:
-            break
-        on_progress()
-        parts.append(chunk.ok)
-    return Ok(
-        SmallResponse(response_head.status, response_head.headers, b"".join(parts))
-    )
+    failure = connection.send_whole(head, body)
+    if failure is not None:
+        return Error(failure)
+    return await connection.read_whole(on_progress)
 
 
 async def request_once(
--- a/src/ebonyhub/http_session.py
+++ b/src/ebonyhub/http_session.py
@@ -10,6 +10,7 @@
 from .http_client import (
     ExchangeError,
     Header,
+    HttpConnection,
     RequestHead,
     SmallResponse,
     exchange_small,
@@ -58,25 +59,61 @@
             all_headers.append((b"Content-Type", b"application/json"))
             all_headers.append((b"Content-Length", str(len(body)).encode()))
         head = RequestHead(method, target, all_headers)
-        written = False
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_seconds
+        if not self.slots.locked():
+            await self.slots.acquire()
+        else:
+            try:
+                async with asyncio.timeout_at(end):
+                    await self.slots.acquire()
+            except TimeoutError:
+                return Error(ExchangeError(ErrorKind.BACKEND_TIMEOUT, False))
         try:
-            async with asyncio.timeout(timeout_seconds) as limit, self.slots:
-
-                def extend() -> None:
-                    end = asyncio.get_running_loop().time() + STALL_SECONDS
-                    limit.reschedule(max(end, limit.when() or end))
-
-                acquired = await self.pool.acquire()
-                if acquired.is_error():
-                    return Error(acquired.error)
-                connection = acquired.ok
-                written = True
-                try:
-                    return await exchange_small(connection, head, body, extend)
-                finally:
-                    self.pool.release(connection)
+            connection = self.pool.take_idle()
+            if connection is None:
+                opened = await self._open(end)
+                if opened.is_error():
+                    return Error(opened.error)
+                connection = opened.ok
+            return await self._exchange(connection, head, body, end)
+        finally:
+            self.slots.release()
+
+    async def _open(self, end: float) -> Result[HttpConnection, ExchangeError]:
+        try:
+            async with asyncio.timeout_at(end):
+                return await self.pool.open()
         except TimeoutError:
-            return Error(ExchangeError(ErrorKind.BACKEND_TIMEOUT, written))
+            return Error(ExchangeError(ErrorKind.BACKEND_TIMEOUT, False))
+
+    async def _exchange(
+        self,
+        connection: HttpConnection,
+        head: RequestHead,
+        body: bytes | None,
+        end: float,
+    ) -> Result[SmallResponse, ExchangeError]:
+        """Make one exchange on a connection that is free.
+
+        A timer that fails the connection costs a fraction of a scope with a time limit,
+        and nearly every answer arrives in one part.
+        """
+        loop = asyncio.get_running_loop()
+        timeout = ErrorKind.BACKEND_TIMEOUT
+        timer = loop.call_at(end, connection.fail, timeout)
+
+        def extend() -> None:
+            nonlocal timer
+            timer.cancel()
+            later = max(end, loop.time() + STALL_SECONDS)
+            timer = loop.call_at(later, connection.fail, timeout)
+
+        try:
+            return await exchange_small(connection, head, body, extend)
+        finally:
+            timer.cancel()
+            self.pool.release(connection)
 
     def will_reuse(self) -> bool:
         """Return whether the next call uses a connection that is already open."""
--- a/src/ebonyhub/jobs/model.py
+++ b/src/ebonyhub/jobs/model.py
@@ -99,6 +99,28 @@
         return self.first_run_ms + occurrence * self.interval_ms
 
 
+# Tasks of one job and occurrences of a schedule at most, so that one submission can not
+# fill the memory of the leader.
+MAX_TASKS = 20_000
+MAX_OCCURRENCES = 1_000_000
+
+
+def spec_problem(spec: JobSpec) -> str | None:
+    """Return why a job could never be scheduled, None if it can."""
+    if not 0 <= spec.repeat_count <= MAX_OCCURRENCES or spec.interval_ms < 0:
+        return "the schedule is out of range"
+    if sum(step.count for step in spec.steps) > MAX_TASKS:
+        return f"a job has at most {MAX_TASKS} tasks"
+    for number, step in enumerate(spec.steps):
+        demand = step.demand
+        sizes = (demand.cpu, demand.memory, demand.accelerators, step.estimate_ms)
+        if step.count < 1 or min(sizes) < 0 or step.max_per_worker < 0:
+            return f"step {number} has a count or size out of range"
+        if any(not 0 <= before < number for before in step.after):
+            return f"step {number} does not come after earlier steps only"
+    return None
+
+
 class AcceptedJob(msgspec.Struct, frozen=True, array_like=True):
     """A job as it is stored when it is accepted; it never changes."""
 
--- a/src/ebonyhub/platform/cloud.py
+++ b/src/ebonyhub/platform/cloud.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from ..clock import Clock
+from ..events import Event, log_event
 from ..fleet.model import Vm, VmState
 from ..http_client import SmallResponse
 from ..http_session import HttpSession
@@ -44,6 +45,49 @@
 }
 
 
+class CapacityFields(msgspec.Struct):
+    """Capacity of a VM on the wire."""
+
+    cpu: int = msgspec.field(name="Cpu", default=0)
+    memory: int = msgspec.field(name="MemMb", default=0)
+    gpu: int = msgspec.field(name="Gpu", default=0)
+
+
+class MachineRow(msgspec.Struct):
+    """A VM in the list; ``worker`` is the id of its present life."""
+
+    machine: str = msgspec.field(name="Machine")
+    pool: str = msgspec.field(name="Pool")
+    state: VmState = msgspec.field(name="State")
+    zone: str | None = msgspec.field(name="Zone", default=None)
+    labels: list[str] | None = msgspec.field(name="Labels", default=None)
+    capacity: CapacityFields | None = msgspec.field(name="Capacity", default=None)
+    worker: str | None = msgspec.field(name="Id", default=None)
+
+
+class MachinePage(msgspec.Struct):
+    """One page of the list of VMs."""
+
+    machines: list[msgspec.Raw] = msgspec.field(name="Machines")
+    next_token: str | int | None = msgspec.field(name="NextPageToken", default=None)
+
+
+class Conflict(msgspec.Struct):
+    """Body of an answer that refuses a change."""
+
+    reason: str = msgspec.field(name="Reason", default="")
+
+
+class Advice(msgspec.Struct):
+    """Workers that may run a step, each with its ticket."""
+
+    good: list[tuple[str, str]] = msgspec.field(name="Good", default_factory=list)
+
+
+_decode_page = msgspec.json.Decoder(MachinePage).decode
+_decode_machine = msgspec.json.Decoder(MachineRow).decode
+
+
 class CloudClient:
     """Reads the list of VMs and orders moves and upkeep."""
 
@@ -66,12 +110,15 @@
                 self._count("list", result)
                 return Error(CloudFailure.REFUSED)
             self._count("list", result)
-            page = msgspec.json.decode(result.ok.body)
-            vms += [_vm(row) for row in page["Machines"]]
-            token = page.get("NextPageToken")
-            if token is None:
+            try:
+                page = _decode_page(result.ok.body)
+            except msgspec.MsgspecError as error:
+                log_event(Event.ANSWER_UNREADABLE, call="list", error=repr(error))
+                return Error(CloudFailure.REFUSED)
+            vms += [vm for row in page.machines if (vm := _vm(row)) is not None]
+            if page.next_token is None:
                 return Ok(vms)
-            target = f"/machines?PageToken={token}"
+            target = f"/machines?PageToken={page.next_token}"
 
     async def move(
         self, vm: VmId, pool: PoolName, token: LeaderToken
@@ -105,8 +152,7 @@
             case 200:
                 return Ok(None)
             case 409:
-                reason = msgspec.json.decode(result.ok.body).get("Reason")
-                return Error(_REASONS.get(reason, CloudFailure.BUSY))
+                return Error(_conflict(result.ok.body))
             case 400:
                 return Error(CloudFailure.INVALID)
             case _:
@@ -117,19 +163,33 @@
         self.metrics.cloud_calls.labels(operation, label).inc()
 
 
-def _vm(row: dict[str, Any]) -> Vm:
-    labels = row.get("Labels") or []
-    capacity = row.get("Capacity") or {}
+def _conflict(body: bytes) -> CloudFailure:
+    try:
+        reason = msgspec.json.decode(body, type=Conflict).reason
+    except msgspec.MsgspecError:
+        # Refused for a reason that can not be read.
+        return CloudFailure.BUSY
+    return _REASONS.get(reason, CloudFailure.BUSY)
+
+
+def _vm(raw: msgspec.Raw) -> Vm | None:
+    """Decode a VM; one in a state that is not known is left out."""
+    try:
+        row = _decode_machine(raw)
+    except msgspec.MsgspecError as error:
+        log_event(Event.ANSWER_UNREADABLE, call="machine", error=repr(error))
+        return None
+    labels = row.labels or []
+    capacity = row.capacity or CapacityFields()
     return Vm(
-        vm=VmId(row["Machine"]),
-        pool=PoolName(row["Pool"]),
-        state=VmState(row["State"]),
-        zone=row.get("Zone") or "",
+        vm=VmId(row.machine),
+        pool=PoolName(row.pool),
+        state=row.state,
+        zone=row.zone or "",
+        # The second label names the rack, the first the kind.
         rack=RackId(labels[1] if len(labels) > 1 else ""),
-        capacity=Resources(
-            capacity.get("Cpu", 0), capacity.get("MemMb", 0), capacity.get("Gpu", 0)
-        ),
-        worker=WorkerId(row.get("Id") or ""),
+        capacity=Resources(capacity.cpu, capacity.memory, capacity.gpu),
+        worker=WorkerId(row.worker or ""),
     )
 
 
@@ -160,5 +220,9 @@
         self.metrics.cloud_calls.labels("advise", label).inc()
         if result.is_error() or result.ok.status != 200:
             return Error(CloudFailure.REFUSED)
-        rows = msgspec.json.decode(result.ok.body)["Good"]
+        try:
+            rows = msgspec.json.decode(result.ok.body, type=Advice).good
+        except msgspec.MsgspecError as error:
+            log_event(Event.ANSWER_UNREADABLE, call="advise", error=repr(error))
+            return Error(CloudFailure.REFUSED)
         return Ok({WorkerId(worker): ticket for worker, ticket in rows})
--- a/src/ebonyhub/platform/store.py
+++ b/src/ebonyhub/platform/store.py
@@ -1,7 +1,7 @@
 """The platform's metadata store."""
 
 import base64
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -15,6 +15,7 @@
     StoreFailure,
     Transaction,
 )
+from ..events import Event, log_event
 from ..http_client import SmallResponse
 from ..http_session import HttpSession
 from ..ids import Revision, StoreLease
@@ -29,6 +30,53 @@
 # Seconds for which a failure without a later answer counts; watches try again sooner.
 FAILURE_MEMORY_SECONDS = 1.5
 
+T = TypeVar("T")
+
+
+class ItemRow(msgspec.Struct):
+    """An item, or an event that says that a key was removed."""
+
+    key: str = msgspec.field(name="Key")
+    revision: int = msgspec.field(name="Revision")
+    # Base64 on the wire.
+    value: bytes | None = msgspec.field(name="Value", default=None)
+    lease: int | None = msgspec.field(name="Lease", default=None)
+    deleted: bool = msgspec.field(name="Deleted", default=False)
+
+    def item(self) -> Item:
+        """Return the item that the row describes."""
+        value = None if self.deleted else self.value or b""
+        lease = StoreLease(self.lease or 0)
+        return Item(self.key, value, Revision(self.revision), lease)
+
+
+class RangeAnswer(msgspec.Struct):
+    """One page of the keys below a prefix."""
+
+    revision: int = msgspec.field(name="AtRevision")
+    items: list[ItemRow] = msgspec.field(default_factory=list)
+    has_more: bool = msgspec.field(name="HasMore", default=False)
+
+
+class WatchAnswer(msgspec.Struct):
+    """Changes after a revision."""
+
+    revision: int = msgspec.field(name="AtRevision")
+    events: list[ItemRow] = msgspec.field(default_factory=list)
+
+
+class CommitAnswer(msgspec.Struct):
+    """What became of a transaction: its revision, or the present items."""
+
+    revision: int = msgspec.field(name="Revision", default=0)
+    items: list[ItemRow] = msgspec.field(default_factory=list)
+
+
+class LeaseAnswer(msgspec.Struct):
+    """A lease that was granted."""
+
+    lease: int = msgspec.field(name="Lease")
+
 
 class PlatformStore:
     """HTTP client of the store."""
@@ -79,7 +127,17 @@
             return Error(result.error)
         if result.ok.status == 404:
             return Ok(None)
-        return Ok(_item(msgspec.json.decode(result.ok.body)))
+        row = self._decode("get", result.ok, ItemRow)
+        return Ok(row.item()) if row else Error(StoreFailure.UNKNOWN)
+
+    def _decode(self, operation: str, answer: SmallResponse, kind: type[T]) -> T | None:
+        """Decode an answer; one that can not be read counts as lost."""
+        try:
+            return msgspec.json.decode(answer.body, type=kind)
+        except msgspec.MsgspecError as error:
+            self.failed_at = self.clock.monotonic()
+            log_event(Event.ANSWER_UNREADABLE, call=operation, error=repr(error))
+            return None
 
     async def list(self, prefix: str) -> Result[Batch, StoreFailure]:
         """Read all keys below a prefix, page by page."""
@@ -93,14 +151,15 @@
             result = await self._call("list", b"GET", target)
             if result.is_error():
                 return Error(result.error)
-            page = msgspec.json.decode(result.ok.body)
+            page = self._decode("list", result.ok, RangeAnswer)
+            if page is None:
+                return Error(StoreFailure.UNKNOWN)
             if revision is None:
-                revision = Revision(page["AtRevision"])
-            rows = page.get("items", [])
-            items += [_item(row) for row in rows]
-            if not page.get("HasMore") or not rows:
+                revision = Revision(page.revision)
+            items += [row.item() for row in page.items]
+            if not page.has_more or not page.items:
                 return Ok(Batch(items, revision))
-            after = rows[-1]["Key"]
+            after = page.items[-1].key
 
     async def watch(
         self, prefix: str, after: Revision, wait_seconds: float
@@ -115,9 +174,11 @@
             return Error(result.error)
         if result.ok.status == 410:
             return Error(StoreFailure.COMPACTED)
-        answer = msgspec.json.decode(result.ok.body)
-        events = [_item(row) for row in answer.get("events", [])]
-        return Ok(Batch(events, Revision(answer["AtRevision"])))
+        answer = self._decode("watch", result.ok, WatchAnswer)
+        if answer is None:
+            return Error(StoreFailure.UNKNOWN)
+        events = [row.item() for row in answer.events]
+        return Ok(Batch(events, Revision(answer.revision)))
 
     async def commit(self, transaction: Transaction) -> Result[Revision, CommitFailure]:
         """Carry out a transaction."""
@@ -141,12 +202,13 @@
             return Error(CommitFailure(result.error))
         if result.ok.status == 404:
             return Error(CommitFailure(StoreFailure.LEASE_ENDED))
-        answer = msgspec.json.decode(result.ok.body)
+        answer = self._decode("commit", result.ok, CommitAnswer)
+        if answer is None:
+            return Error(CommitFailure(StoreFailure.UNKNOWN))
         if result.ok.status == 412:
-            current = [_item(row) for row in answer.get("items", [])]
-            found = {item.key: item for item in current}
+            found = {row.key: row.item() for row in answer.items}
             return Error(CommitFailure(StoreFailure.CONFLICT, found))
-        return Ok(Revision(answer["Revision"]))
+        return Ok(Revision(answer.revision))
 
     async def grant_lease(self, ttl_seconds: float) -> Result[StoreLease, StoreFailure]:
         """Create a lease."""
@@ -154,7 +216,8 @@
         result = await self._call("grant_lease", b"POST", "/kv-lease", body)
         if result.is_error():
             return Error(result.error)
-        return Ok(StoreLease(msgspec.json.decode(result.ok.body)["Lease"]))
+        answer = self._decode("grant_lease", result.ok, LeaseAnswer)
+        return Ok(StoreLease(answer.lease)) if answer else Error(StoreFailure.UNKNOWN)
 
     async def renew_lease(self, lease: StoreLease) -> Result[None, StoreFailure]:
         """Extend a lease by its full duration."""
@@ -175,10 +238,3 @@
         """End a lease."""
         result = await self._call("end_lease", b"DELETE", f"/kv-lease-end/{lease}")
         return Error(result.error) if result.is_error() else Ok(None)
-
-
-def _item(row: dict[str, Any]) -> Item:
-    """Decode an item, or an event that says that a key was removed."""
-    value = None if row.get("Deleted") else base64.b64decode(row.get("Value") or "")
-    lease = StoreLease(row.get("Lease") or 0)
-    return Item(row["Key"], value, Revision(row["Revision"]), lease)
--- a/src/ebonyhub/platform/submissions.py
+++ b/src/ebonyhub/platform/submissions.py
@@ -6,7 +6,7 @@
 from expression import Error, Ok, Result
 
 from ..ids import RackId
-from ..jobs.model import JobSpec, Resources, StepSpec
+from ..jobs.model import JobSpec, Resources, StepSpec, spec_problem
 from ..jobs.records import JobState
 
 _STATE_NAMES = {
@@ -33,7 +33,9 @@
             interval_ms=data.get("IntervalMs", 0),
         )
         # Checks the type of every field.
-        return Ok(msgspec.convert(msgspec.to_builtins(spec), JobSpec))
+        spec = msgspec.convert(msgspec.to_builtins(spec), JobSpec)
+        problem = spec_problem(spec)
+        return Error(problem) if problem else Ok(spec)
     except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as error:
         return Error(repr(error))
     except AttributeError:
--- a/src/ebonyhub/platform/workers.py
+++ b/src/ebonyhub/platform/workers.py
@@ -6,7 +6,8 @@
 from expression import Error, Ok, Result
 
 from ..clock import Clock
-from ..http_client import SmallResponse
+from ..events import Event, log_event
+from ..http_client import ExchangeError, SmallResponse
 from ..http_session import HttpSession
 from ..ids import JobId, LeaderToken, TaskId, WorkerId
 from ..scheduling.model import (
@@ -34,6 +35,45 @@
 }
 
 
+class RunningRow(msgspec.Struct, array_like=True):
+    """Row of the list of what runs; positional on the wire."""
+
+    task: str
+    number: int
+    checkpoint: str
+    percent: float
+    usage: float = 0
+
+
+class EndedRow(msgspec.Struct, array_like=True):
+    """Row of the list of ends; positional on the wire."""
+
+    sequence: int
+    task: str
+    number: int
+    kind: EndKind
+    checkpoint: str
+
+
+class HoldAnswer(msgspec.Struct):
+    """Body of the answer to a hold."""
+
+    clock_ms: int = msgspec.field(name="ClockMs")
+    born_ms: int = msgspec.field(name="born", default=0)
+    running: list[RunningRow] = msgspec.field(name="Running", default_factory=list)
+    ended: list[EndedRow] = msgspec.field(name="Finished", default_factory=list)
+
+
+class Refusal(msgspec.Struct):
+    """Body of an answer that refuses an order."""
+
+    reason: str = msgspec.field(name="Reason", default="")
+
+
+_decode_hold = msgspec.json.Decoder(HoldAnswer).decode
+_decode_refusal = msgspec.json.Decoder(Refusal).decode
+
+
 def task_name(task: TaskId) -> str:
     """Return the platform's name of a task."""
     return f"{task.job}.{task.occurrence}.{task.step}.{task.position}"
@@ -60,22 +100,17 @@
         body: dict[str, Any],
         extra_seconds: float = 0.0,
         session: HttpSession | None = None,
-    ) -> Result[SmallResponse, OrderFailure]:
-        result = await (session or self.session).call(
+    ) -> Result[SmallResponse, ExchangeError]:
+        return await (session or self.session).call(
             b"POST",
             target,
             msgspec.json.encode(body),
             ORDER_TIMEOUT_SECONDS + extra_seconds,
             self.headers,
         )
-        if result.is_error():
-            written = result.error.bytes_written
-            return Error(OrderFailure.UNKNOWN if written else OrderFailure.NOT_SENT)
-        failure = _failure(result.ok)
-        return Error(failure) if failure else Ok(result.ok)
-
-    async def start(self, order: StartOrder) -> Result[int, OrderFailure]:
-        """Start a run; returns the worker's clock in ms."""
+
+    async def start(self, order: StartOrder) -> OrderFailure | None:
+        """Start a run; None means that it is there."""
         body: dict[str, Any] = {
             "Task": task_name(order.task),
             "Run": order.number,
@@ -87,26 +122,26 @@
             body["Checkpoint"] = order.checkpoint
         if order.ticket:
             body["Ticket"] = order.ticket
-        return _clock(await self._order(b"/run-start", body))
+        return _failure(await self._order(b"/run-start", body))
 
     async def stop(
         self, task: TaskId, number: int, token: LeaderToken
-    ) -> Result[int, OrderFailure]:
-        """Stop a run, or keep it from starting; returns the worker's clock in ms."""
+    ) -> OrderFailure | None:
+        """Stop a run, or keep it from starting; None means success."""
         body = {"Task": task_name(task), "Run": number, "FencingToken": token}
-        return _clock(await self._order(b"/run-stop", body))
+        return _failure(await self._order(b"/run-stop", body))
 
     async def pace(
         self, task: TaskId, number: int, percent: int, token: LeaderToken
-    ) -> Result[int, OrderFailure]:
-        """Let a run work at a share of its speed."""
+    ) -> OrderFailure | None:
+        """Let a run work at a share of its speed; None means success."""
         body = {
             "Task": task_name(task),
             "Run": number,
             "Percent": percent,
             "FencingToken": token,
         }
-        return _clock(await self._order(b"/pace", body))
+        return _failure(await self._order(b"/pace", body))
 
     async def hold(
         self,
@@ -128,10 +163,9 @@
         wait_ms = int(wait_seconds * 1000)
         if wait_ms:
             body["WaitMs"] = wait_ms
-        result = await self._order(b"/hold", body, wait_seconds, self.hold_session)
-        if result.is_error():
-            return Error(result.error)
-        return Ok(_report(msgspec.json.decode(result.ok.body)))
+        return _report(
+            await self._order(b"/hold", body, wait_seconds, self.hold_session)
+        )
 
     async def look(
         self, token: LeaderToken, lease_until_ms: int | None
@@ -140,10 +174,7 @@
         body: dict[str, Any] = {"FencingToken": token, "AckCursor": 0}
         if lease_until_ms is not None:
             body["DeadlineMs"] = lease_until_ms
-        result = await self._order(b"/hold", body)
-        if result.is_error():
-            return Error(result.error)
-        return Ok(_report(msgspec.json.decode(result.ok.body)))
+        return _report(await self._order(b"/hold", body))
 
     def close(self) -> None:
         """Close the connections."""
@@ -151,21 +182,16 @@
         self.hold_session.close()
 
 
-def _clock(result: Result[SmallResponse, OrderFailure]) -> Result[int, OrderFailure]:
+def _failure(result: Result[SmallResponse, ExchangeError]) -> OrderFailure | None:
+    """Return why an order did not succeed, None if it did."""
     if result.is_error():
-        return Error(result.error)
-    body = msgspec.json.decode(result.ok.body) if result.ok.body else {}
-    return Ok(int(body.get("ClockMs", 0)))
-
-
-def _failure(response: SmallResponse) -> OrderFailure | None:
-    """Return what an answer other than 200 means."""
-    match response.status:
+        written = result.error.bytes_written
+        return OrderFailure.UNKNOWN if written else OrderFailure.NOT_SENT
+    match result.ok.status:
         case 200:
             return None
         case 409:
-            reason = msgspec.json.decode(response.body).get("Reason")
-            return _REASONS.get(reason, OrderFailure.REFUSED)
+            return _conflict(result.ok.body)
         case 421:
             return OrderFailure.OTHER_WORKER
         case 429 | 503:
@@ -176,26 +202,44 @@
             return OrderFailure.UNKNOWN
 
 
-def _report(body: dict[str, Any]) -> WorkerReport:
-    """Decode both lists; their rows are positional."""
+def _conflict(body: bytes) -> OrderFailure:
+    try:
+        reason = _decode_refusal(body).reason
+    except msgspec.MsgspecError:
+        # Refused for a reason that can not be read.
+        return OrderFailure.REFUSED
+    return _REASONS.get(reason, OrderFailure.REFUSED)
+
+
+def _report(
+    result: Result[SmallResponse, ExchangeError],
+) -> Result[WorkerReport, OrderFailure]:
+    """Decode both lists; an answer that can not be read counts as lost."""
+    failure = _failure(result)
+    if failure is not None:
+        return Error(failure)
+    try:
+        return Ok(decode_report(result.ok.body))
+    except (msgspec.MsgspecError, ValueError) as error:
+        log_event(Event.ANSWER_UNREADABLE, call="hold", error=repr(error))
+        return Error(OrderFailure.UNKNOWN)
+
+
+def decode_report(body: bytes) -> WorkerReport:
+    """Decode a worker's lists; raises msgspec.MsgspecError or ValueError."""
+    answer = _decode_hold(body)
     running = tuple(
         RunningTask(
-            task=parse_task_name(row[0]),
-            number=row[1],
-            checkpoint=row[2],
-            percent=row[3],
-            usage=row[4] if len(row) > 4 else 0,
+            parse_task_name(row.task), row.number, row.checkpoint, row.percent,
+            row.usage,
         )
-        for row in body.get("Running") or ()
-    )
+        for row in answer.running
+    )  # fmt: skip
     ended = tuple(
         EndedTask(
-            sequence=row[0],
-            task=parse_task_name(row[1]),
-            number=row[2],
-            kind=EndKind(row[3]),
-            checkpoint=row[4],
+            row.sequence, parse_task_name(row.task), row.number, row.kind,
+            row.checkpoint,
         )
-        for row in body.get("Finished") or ()
-    )
-    return WorkerReport(body["ClockMs"], int(body.get("born", 0)), running, ended)
+        for row in answer.ended
+    )  # fmt: skip
+    return WorkerReport(answer.clock_ms, answer.born_ms, running, ended)
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -252,7 +252,7 @@
                 self.scheduler.tick(now, self._wall_ms())
                 self._drop_departed_links()
             if self.term.is_valid(now) and self.committer.healthy:
-                self.scheduler.plan(now)
+                self.scheduler.plan_changed(now)
                 self._ask_for_advice()
             if self.scheduler.dirty:
                 self.committer.work.set()
@@ -292,8 +292,7 @@
             case StopRun():
                 link = self.links.get(order.worker)
                 if link is not None:
-                    result = await link.stop(order)
-                    failure = result.error if result.is_error() else None
+                    failure = await link.stop(order)
                     now = self.clock.monotonic()
                     self.scheduler.handle_stop_result(order, failure, now)
             case PaceRun():
@@ -314,10 +313,8 @@
             failure = OrderFailure.NOT_SENT
             self.scheduler.handle_start_result(run, failure, now)
             return
-        result = await link.start(run, job.accepted.spec.text, order.ticket)
-        self.scheduler.handle_start_result(
-            run, result.error if result.is_error() else None, self.clock.monotonic()
-        )
+        outcome = await link.start(run, job.accepted.spec.text, order.ticket)
+        self.scheduler.handle_start_result(run, outcome, self.clock.monotonic())
 
     def _ask_for_advice(self) -> None:
         """Ask the advisor about steps that can not be placed without it."""
@@ -356,6 +353,7 @@
             if result.is_ok():
                 expires = self.clock.monotonic() + policy.validity * VALIDITY_SHARE
                 self.scheduler.advice[key] = Advice(result.ok, expires)
+                self.scheduler.services_to_plan.add(service)
             else:
                 await asyncio.sleep(RETRY_SECONDS)
         finally:
@@ -384,11 +382,14 @@
             self.mirror.apply(item)
         self.publish()
         self.scheduler.release_starts(self.clock.monotonic())
-        for worker_id, link in self.links.items():
+        for worker_id in list(self.scheduler.unstored_workers):
             worker = self.scheduler.workers.get(worker_id)
-            if worker is not None and worker.unstored_ends:
-                self.scheduler.advance_acknowledgements(worker)
-                if not worker.unstored_ends:
-                    link.stored.set()
+            if worker is None:
+                self.scheduler.unstored_workers.discard(worker_id)
+                continue
+            self.scheduler.advance_acknowledgements(worker)
+            link = self.links.get(worker_id)
+            if link is not None and not worker.unstored_ends:
+                link.stored.set()
         self._give_orders()
         self.wake.set()
--- a/src/ebonyhub/scheduling/intake.py
+++ b/src/ebonyhub/scheduling/intake.py
@@ -41,6 +41,7 @@
             return
         job.next_due = job.progress.next_occurrence
         self.active[accepted.job] = job
+        self.services_to_plan.add(self.service_of(job))
         if not accepted.spec.long_running:
             meter = self.arrivals.setdefault(self.service_of(job), ArrivalMeter())
             work = sum(step.core_seconds for step in accepted.spec.steps)
--- a/src/ebonyhub/scheduling/order_results.py
+++ b/src/ebonyhub/scheduling/order_results.py
@@ -22,7 +22,7 @@
             if job is None or worker is None or run.key not in worker.runs:
                 continue
             if run.stop is not None:
-                worker.remove(run)
+                self.free_run(run, worker)
                 continue
             if job.stored_version < run.job_version:
                 waiting.append(run)
--- a/src/ebonyhub/scheduling/placement.py
+++ b/src/ebonyhub/scheduling/placement.py
@@ -77,6 +77,26 @@
     return best
 
 
+def tightest_first(
+    needs: StepNeeds, workers: Sequence[Worker]
+) -> Sequence[Worker] | None:
+    """Return the workers with room in the order in which a step's tasks fill them.
+
+    A task goes to the worker with the least free processor. That makes it tighter
+    still, so the next equal task goes there, too, until it is full: one sorted pass
+    places a whole step. None where the order changes with each task.
+    """
+    step = needs.step
+    if step.fills or step.long_running:
+        return None
+    reserved, rack = step.reserved, step.data_rack
+    roomy = [worker for worker in workers if reserved.fits_into(worker.free)]
+    roomy.sort(
+        key=lambda worker: (bool(rack) and rack != worker.entry.rack, worker.free.cpu)
+    )
+    return roomy
+
+
 def choose_gang_workers(
     needs: StepNeeds, workers: Sequence[Worker], indexes: Sequence[int]
 ) -> dict[int, Worker] | None:
@@ -103,8 +123,9 @@
     }
     limit = needs.step.max_per_worker or len(indexes)
     chosen: dict[int, Worker] = {}
+    ordered = sorted(workers, key=lambda w: cost(needs, w, ()))
     for index in indexes:
-        for worker in sorted(workers, key=lambda w: cost(needs, w, ())):
+        for worker in ordered:
             fits = needs.step.reserved.fits_into(free[worker.worker_id])
             if fits and held[worker.worker_id] < limit:
                 break
--- a/src/ebonyhub/scheduling/planning.py
+++ b/src/ebonyhub/scheduling/planning.py
@@ -1,8 +1,17 @@
 """Chooses workers for ready tasks."""
 
+from collections.abc import Container
+
 from ..ids import ServiceName, TaskId, WorkerId
 from . import lifecycle
-from .placement import StepNeeds, allows, choose_gang_workers, choose_worker
+from .placement import (
+    StepNeeds,
+    allows,
+    choose_gang_workers,
+    choose_worker,
+    has_room,
+    tightest_first,
+)
 from .priority import urgency
 from .runs import Job, Run, RunPhase, Worker
 from .state import SchedulerState
@@ -11,12 +20,26 @@
 class Planning(SchedulerState):
     """Assigns tasks to workers, the most urgent jobs first."""
 
-    def plan(self, now: float) -> None:
-        """Choose workers for ready tasks."""
+    def plan_changed(self, now: float) -> None:
+        """Choose workers in the services in which something has changed.
+
+        Most events of a busy fleet change one service, and starts that are confirmed
+        change none.
+        """
+        services = self.services_to_plan
+        if services:
+            self.services_to_plan = set()
+            self.plan(now, services)
+
+    def plan(self, now: float, services: Container[ServiceName] | None = None) -> None:
+        """Choose workers for ready tasks, in all services or only in these."""
         by_service: dict[ServiceName, list[Job]] = {}
         for job in self.active.values():
-            if job.pending:
-                by_service.setdefault(self.service_of(job), []).append(job)
+            if not job.pending:
+                continue
+            service = self.service_of(job)
+            if services is None or service in services:
+                by_service.setdefault(service, []).append(job)
         for service, jobs in by_service.items():
             workers = [
                 worker
@@ -60,12 +83,32 @@
             if step.gang:
                 self._plan_gang(job, needs, allowed, sorted(waiting), now)
                 continue
-            for index in sorted(waiting):
-                task = TaskId(job.job_id, occurrence, number, index)
-                worker = choose_worker(needs, allowed, job.avoid.get(task, ()))
-                if worker is None:
-                    break
-                self._assign(job, task, worker, now)
+            self._plan_tasks(job, needs, allowed, sorted(waiting), now)
+
+    def _plan_tasks(
+        self,
+        job: Job,
+        needs: StepNeeds,
+        workers: list[Worker],
+        indexes: list[int],
+        now: float,
+    ) -> None:
+        """Place equal tasks until no worker has room for another."""
+        ordered = tightest_first(needs, workers)
+        place = 0
+        for index in indexes:
+            task = TaskId(job.job_id, needs.occurrence, needs.step_number, index)
+            avoided = job.avoid.get(task)
+            worker: Worker | None
+            if ordered is None or avoided:
+                worker = choose_worker(needs, workers, avoided or ())
+            else:
+                while place < len(ordered) and not has_room(needs, ordered[place]):
+                    place += 1
+                worker = ordered[place] if place < len(ordered) else None
+            if worker is None:
+                break
+            self._assign(job, task, worker, now)
 
     def _plan_gang(
         self,
--- a/src/ebonyhub/scheduling/priority.py
+++ b/src/ebonyhub/scheduling/priority.py
@@ -22,6 +22,12 @@
 
 def remaining_chain_seconds(job: Job) -> float:
     """Return the estimated time of the longest chain of steps still to run."""
+    if job.chain_left is None or job.chain_left[0] != job.version:
+        job.chain_left = (job.version, _remaining_chain_seconds(job))
+    return job.chain_left[1]
+
+
+def _remaining_chain_seconds(job: Job) -> float:
     longest: dict[int, float] = {}
     steps = job.accepted.spec.steps
     occurrences = job.progress.occurrences
@@ -36,6 +42,12 @@
 
 def whole_chain_seconds(job: Job) -> float:
     """Return the estimated time of the longest chain of all steps."""
+    if job.chain_seconds is None:
+        job.chain_seconds = _whole_chain_seconds(job)
+    return job.chain_seconds
+
+
+def _whole_chain_seconds(job: Job) -> float:
     longest: dict[int, float] = {}
     for number, step in enumerate(job.accepted.spec.steps):
         before = max((longest.get(i, 0.0) for i in step.after), default=0.0)
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -40,6 +40,8 @@
             self._handle_rebirth(worker, report, now)
         if report.born_ms:
             worker.born_ms = report.born_ms
+        if worker.contact_at is None or worker.failing:
+            self.services_to_plan.add(worker.entry.service)
         worker.contact_at = now
         worker.failing = False
         worker.clock_ms, worker.clock_at = report.clock_ms, now
@@ -84,6 +86,7 @@
                 touched[job.job_id] = job.version
         if last:
             worker.unstored_ends.append((last, touched))
+            self.unstored_workers.add(worker.worker_id)
 
     def _handle_end(
         self, worker: Worker, end: EndedTask, now: float, wall_ms: int
@@ -91,7 +94,7 @@
         """Apply one end; returns the job whose record must be stored."""
         run = worker.runs.get((end.task, end.number))
         if run is not None:
-            worker.remove(run)
+            self.free_run(run, worker)
         job = self.jobs.get(end.task.job)
         if job is None:
             return None
@@ -242,3 +245,4 @@
                     return
             worker.acknowledged = sequence
             worker.unstored_ends.pop(0)
+        self.unstored_workers.discard(worker.worker_id)
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -102,16 +102,22 @@
     paced_at: float = float("-inf")
     # Its runs were given up after its lease had ended.
     expired: bool = False
+    # Capacity that no run holds.
+    free: Resources = field(default_factory=Resources)
+
+    def __post_init__(self) -> None:
+        """Begin with all of the capacity free."""
+        self.free = self.entry.capacity - self.used
 
     @property
     def worker_id(self) -> WorkerId:
         """Return the worker's id."""
         return self.entry.worker
 
-    @property
-    def free(self) -> Resources:
-        """Return the capacity that no run holds."""
-        return self.entry.capacity - self.used
+    def update_entry(self, entry: WorkerEntry) -> None:
+        """Take over a newer entry, whose capacity may differ."""
+        self.entry = entry
+        self.free = entry.capacity - self.used
 
     def clock_now_ms(self, now: float) -> int:
         """Return the most that the worker's clock can show."""
@@ -131,12 +137,16 @@
     def add(self, run: Run) -> None:
         """Reserve capacity for a run."""
         self.runs[run.key] = run
-        self.used = self.used + run.reserved
+        self._hold(self.used + run.reserved)
 
     def remove(self, run: Run) -> None:
         """Free the capacity of a run."""
         if self.runs.pop(run.key, None) is not None:
-            self.used = self.used - run.reserved
+            self._hold(self.used - run.reserved)
+
+    def _hold(self, used: Resources) -> None:
+        self.used = used
+        self.free = self.entry.capacity - used
 
     def tasks_of_step(self, job: JobId, occurrence: int, step: int) -> int:
         """Return how many runs of a step are here."""
@@ -165,6 +175,10 @@
     least_cpu: int = 0
     avoid: dict[TaskId, set[WorkerId]] = field(default_factory=dict)
     next_due: int = 0
+    # Estimated seconds of the longest chain of all steps, and of those still to run
+    # with the version of the record for which that holds.
+    chain_seconds: float | None = None
+    chain_left: tuple[int, float] | None = None
 
     @property
     def job_id(self) -> JobId:
--- a/src/ebonyhub/scheduling/scheduler.py
+++ b/src/ebonyhub/scheduling/scheduler.py
@@ -23,3 +23,6 @@
                 self.mark_dirty(job)
         for worker in list(self.workers.values()):
             self._check_worker(worker, now)
+        # Quarantines end and silent workers answer again without another event.
+        self.services_to_plan.update(queue.service for queue in self.queues.values())
+        self.services_to_plan.update(job.service for job in self.active.values())
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -60,6 +60,11 @@
         # How long tasks take against their estimates, on all workers.
         self.usual_pace = Pace(USUAL_WEIGHT)
         self.arrivals: dict[ServiceName, ArrivalMeter] = {}
+        # Services in which a task may have become ready or room may have become free
+        # since the last pass.
+        self.services_to_plan: set[ServiceName] = set()
+        # Workers with ends whose records are not yet stored.
+        self.unstored_workers: set[WorkerId] = set()
         # VMs that planned work is about to end.
         self.cordoned_vms: set[VmId] = set()
 
@@ -84,8 +89,9 @@
         self.dirty.pop(job_id, None)
 
     def mark_dirty(self, job: Job) -> None:
-        """Have the job's record stored."""
+        """Have the job's record stored; its tasks may have become ready."""
         self.dirty[job.job_id] = job
+        self.services_to_plan.add(self.service_of(job))
 
     def is_answering(self, worker: Worker, now: float) -> bool:
         """Return whether the worker answered this leader a moment ago."""
@@ -103,9 +109,14 @@
             and not worker.health.is_quarantined(now)
         )
 
+    def free_run(self, run: Run, worker: Worker) -> None:
+        """Free what a run holds on its worker."""
+        worker.remove(run)
+        self.services_to_plan.add(worker.entry.service)
+
     def give_up(self, run: Run, worker: Worker) -> None:
         """Forget a run that does not exist any more, and let its task start again."""
-        worker.remove(run)
+        self.free_run(run, worker)
         job = self.jobs.get(run.task.job)
         if job is None or not lifecycle.is_current(job, run.task, run.number):
             return
@@ -131,8 +142,7 @@
                 run=run.number, worker=run.worker, reason=reason.value,
             )  # fmt: skip
         if run.phase is RunPhase.PLANNED:
-            worker = self.workers[run.worker]
-            worker.remove(run)
+            self.free_run(run, self.workers[run.worker])
             return
         if run.barred_at is None and now - run.stop_sent_at >= STOP_REPEAT_SECONDS:
             run.stop_sent_at = now
--- a/src/ebonyhub/scheduling/worker_link.py
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -4,8 +4,6 @@
 import random
 from collections.abc import Callable
 
-from expression import Result
-
 from ..clock import Clock
 from ..events import Event, log_event
 from ..ids import LeaderToken
@@ -138,10 +136,8 @@
         except TimeoutError:
             return
 
-    async def start(
-        self, run: Run, text: str, ticket: str
-    ) -> Result[int, OrderFailure]:
-        """Order a start."""
+    async def start(self, run: Run, text: str, ticket: str) -> OrderFailure | None:
+        """Order a start; None means that the run is there."""
         now = self.clock.monotonic()
         deadline = self.worker.clock_now_ms(now) + int(START_VALID_SECONDS * 1000)
         self.worker.lease_ms = max(self.worker.lease_ms, deadline)
@@ -149,27 +145,27 @@
             run.task, run.number, text, deadline, self.token, run.checkpoint, ticket
         )
         self.metrics.worker_orders.labels("start").inc()
-        result = await self.client.start(order)
-        self._count("start", result)
+        failure = await self.client.start(order)
+        self._count("start", failure)
         self.metrics.start_seconds.observe(self.clock.monotonic() - run.planned_at)
-        return result
+        return failure
 
-    async def stop(self, order: StopRun) -> Result[int, OrderFailure]:
-        """Order a stop."""
+    async def stop(self, order: StopRun) -> OrderFailure | None:
+        """Order a stop; None means success."""
         self.metrics.worker_orders.labels("stop").inc()
-        result = await self.client.stop(order.task, order.number, self.token)
-        self._count("stop", result)
-        return result
+        failure = await self.client.stop(order.task, order.number, self.token)
+        self._count("stop", failure)
+        return failure
 
-    async def pace(self, order: PaceRun) -> Result[int, OrderFailure]:
-        """Order a pace."""
+    async def pace(self, order: PaceRun) -> OrderFailure | None:
+        """Order a pace; None means success."""
         self.metrics.worker_orders.labels("pace").inc()
-        result = await self.client.pace(
+        failure = await self.client.pace(
             order.task, order.number, order.percent, self.token
         )
-        self._count("pace", result)
-        return result
+        self._count("pace", failure)
+        return failure
 
-    def _count(self, order: str, result: Result[int, OrderFailure]) -> None:
-        if result.is_error():
-            self._note_failure(order, result.error)
+    def _count(self, order: str, failure: OrderFailure | None) -> None:
+        if failure is not None:
+            self._note_failure(order, failure)
--- a/src/ebonyhub/scheduling/worker_watch.py
+++ b/src/ebonyhub/scheduling/worker_watch.py
@@ -29,7 +29,7 @@
             log_event(
                 Event.WORKER_DRAINS, worker=entry.worker, leaves_in=entry.leaves_in
             )
-        worker.entry = entry
+        worker.update_entry(entry)
         worker.departed = False
         worker.cordoned = entry.vm in self.cordoned_vms
 
--- a/standins/fake_worker.py
+++ b/standins/fake_worker.py
@@ -18,6 +18,7 @@
 # A worker shortens longer leases to this.
 MAX_HOLD_MS = 10_000
 NO_TOKEN = LeaderToken(0)
+NO_VM = VmId("")
 
 
 @dataclass(slots=True)
@@ -61,6 +62,8 @@
     ended: list[EndedTask] = field(default_factory=list)
     sequence: int = 0
     acknowledged: int = 0
+    # VM on which it lives, one of its own if empty.
+    vm: VmId = NO_VM
     on_start: Callable[["FakeWorker", TaskId, int], None] = lambda *_: None
     on_lapse: Callable[["FakeWorker"], None] = lambda *_: None
     on_end: Callable[["FakeWorker", TaskId, int, EndKind], None] = lambda *_: None
@@ -80,7 +83,7 @@
             draining=self.draining,
             leaves_in=None,
             born_ms=self.born_ms,
-            vm=VmId(f"vm-{self.worker}"),
+            vm=self.vm or VmId(f"vm-{self.worker}"),
         )
 
     def clock_ms(self, now: float) -> int:
--- /dev/null
+++ b/tests/test_decoders_fuzz.py
@@ -0,0 +1,252 @@
+"""Fuzzing of everything that decodes bytes of others.
+
+Guards against one malformed message that ends a process, a term of leadership or the
+contact with a worker: each decoder answers with an error of its closed list.
+"""
+
+import json
+import random
+
+import msgpack
+import msgspec
+import pytest
+from expression import Error, Ok
+from prometheus_client import CollectorRegistry
+
+from ebonyhub.clock import SystemClock
+from ebonyhub.cluster.metadata_store import Item, Transaction
+from ebonyhub.cluster.mirror import JobMirror
+from ebonyhub.cluster.peers import UNREADABLE, Stream
+from ebonyhub.errors import ErrorKind
+from ebonyhub.http_client import ExchangeError, SmallResponse
+from ebonyhub.ids import EntryId, JobId, LeaderToken, Revision, TaskId, VmId, WorkerId
+from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec, spec_problem
+from ebonyhub.jobs.records import ACCEPTED, PROGRESS, ProgressRecord
+from ebonyhub.metrics import Metrics
+from ebonyhub.platform.cloud import AdvisorClient, CloudClient
+from ebonyhub.platform.config import (
+    decode_configuration,
+    decode_wave,
+    decode_worker,
+)
+from ebonyhub.platform.store import PlatformStore
+from ebonyhub.platform.submissions import decode_submission
+from ebonyhub.platform.workers import WorkerClient
+from standins.job_platform import demo_configuration
+
+SEEDS = range(40)
+TASK = TaskId(JobId("0123456789abcdef"), 0, 0, 1)
+ODD_VALUES = (None, -1, 2**70, 1.5, "x", "", [], [[]], {}, True, "\u0000", [None])
+
+HOLD = {
+    "ClockMs": 5,
+    "born": 7,
+    "Running": [["0123456789abcdef.0.0.1", 1, "", 40, 3]],
+    "Finished": [[1, "0123456789abcdef.0.0.2", 1, "done", ""]],
+}
+ITEM = {"Key": "a", "Value": "AQ==", "Revision": 3, "Created": 3, "Lease": 0}
+MACHINE = {
+    "Machine": "m", "Pool": "p", "State": "up", "Zone": "z", "Labels": ["k", "r"],
+    "Capacity": {"Cpu": 1, "MemMb": 1, "Gpu": 0}, "Id": "w",
+}  # fmt: skip
+SUBMISSION = {
+    "Spec": "t",
+    "Steps": [
+        {"Count": 2, "Cpu": 100, "MemMb": 1, "EstimatedMs": 10},
+        {"Count": 1, "Cpu": 100, "After": [0], "AntiAffinity": 1},
+    ],
+}
+WORKER = {
+    "Service": "s", "Address": "10.0.0.1:80", "Zone": "a", "State": "ready", "born": 5,
+    "Capacity": {"Cpu": 8000}, "Labels": ["k", "r"], "Machine": "m",
+}  # fmt: skip
+
+
+class FewAnswers:
+    """A session that gives the same answer a few times, then none.
+
+    A page that always names another one must not keep a test for ever.
+    """
+
+    def __init__(self, status, body):
+        self.answer = SmallResponse(status, (), body)
+        self.left = 6
+
+    async def call(self, *_):
+        self.left -= 1
+        if self.left < 0:
+            return Error(ExchangeError(ErrorKind.BACKEND_CLOSED, True))
+        return Ok(self.answer)
+
+    def will_reuse(self):
+        return True
+
+
+def places(value, path=()):
+    """Return the paths of all values inside a document."""
+    found = [path]
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            found += places(inner, (*path, key))
+    elif isinstance(value, list):
+        for index, inner in enumerate(value):
+            found += places(inner, (*path, index))
+    return found
+
+
+def replace_at(value, path, new):
+    if not path:
+        return new
+    copy = dict(value) if isinstance(value, dict) else list(value)
+    copy[path[0]] = replace_at(copy[path[0]], path[1:], new)
+    return copy
+
+
+def mutated(rng, document):
+    """Return a document with an odd value in one place, or damaged bytes."""
+    if rng.random() < 0.6:
+        path = rng.choice(places(document))
+        return json.dumps(replace_at(document, path, rng.choice(ODD_VALUES))).encode()
+    data = bytearray(json.dumps(document).encode())
+    for _ in range(rng.randint(1, 4)):
+        data[rng.randrange(len(data))] = rng.randrange(256)
+    return bytes(data[: rng.randint(0, len(data))])
+
+
+async def call_store(body, status):
+    store = PlatformStore("127.0.0.1:1", SystemClock(), Metrics(CollectorRegistry()))
+    store.session = FewAnswers(status, body)
+    await store.get("a")
+    await store.watch("a", Revision(1), 0.0)
+    await store.commit(Transaction({}))
+    await store.grant_lease(1.0)
+    await store.list("a")
+
+
+async def call_worker(body, status):
+    client = WorkerClient(WorkerId("w"), "127.0.0.1:1", SystemClock())
+    client.session = client.hold_session = FewAnswers(status, body)
+    await client.hold(LeaderToken(1), 0, None, 0.0)
+    await client.look(LeaderToken(1), None)
+    await client.stop(TASK, 1, LeaderToken(1))
+
+
+async def call_cloud(body, status):
+    metrics = Metrics(CollectorRegistry())
+    cloud = CloudClient("127.0.0.1:1", EntryId("e"), SystemClock(), metrics)
+    cloud.session = FewAnswers(status, body)
+    await cloud.list_vms()
+    await cloud.move(VmId("m"), "p", LeaderToken(1))
+    advisor = AdvisorClient("127.0.0.1:1", SystemClock(), metrics)
+    advisor.session = FewAnswers(status, body)
+    await advisor.advise(JobId("j"), 0, 0, [WorkerId("w")], 0.1)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize(
+    ("call", "documents"),
+    [
+        (call_store, [ITEM, {"events": [ITEM], "AtRevision": 4}, {"Lease": 4}]),
+        (call_store, [{"items": [ITEM], "AtRevision": 4, "HasMore": False}]),
+        (call_worker, [HOLD, {"ClockMs": 5, "Reason": "fence"}]),
+        (call_cloud, [{"Machines": [MACHINE]}, {"Good": [["w", "t"]]}]),
+    ],
+    ids=["store", "store lists", "worker", "cloud"],
+)
+async def test_answers_of_the_platform(call, documents, seed):
+    rng = random.Random(seed)
+    for _ in range(20):
+        body = mutated(rng, rng.choice(documents))
+        await call(body, rng.choice([200, 409, 412]))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_documents_of_operators_and_workers(seed):
+    rng = random.Random(seed)
+    wave = {"Wave": 1, "Machines": ["m"], "DurationS": 5, "Maximum": 1}
+    for _ in range(20):
+        decode_configuration(mutated(rng, demo_configuration()))
+        decode_wave(mutated(rng, wave))
+        decode_worker("servers/w", mutated(rng, WORKER))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_accepted_submissions_can_be_scheduled(seed):
+    """A step after one that does not exist ended the term of every leader."""
+    rng = random.Random(seed)
+    for _ in range(20):
+        decoded = decode_submission(mutated(rng, SUBMISSION))
+        if decoded.is_ok():
+            assert spec_problem(decoded.ok) is None
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [
+        [{"Count": 1, "After": [1]}],
+        [{"Count": 1, "After": [0]}],
+        [{"Count": 1}, {"Count": 1, "After": [-1]}],
+        [{"Count": 0}],
+        [{"Count": -1}],
+        [{"Count": 1, "Cpu": -1}],
+        [{"Count": 2_000_000}],
+        [],
+    ],
+)
+def test_submissions_that_can_never_run_are_refused(steps):
+    assert decode_submission(json.dumps({"Steps": steps}).encode()).is_error()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_records_of_the_store(seed):
+    rng = random.Random(seed)
+    spec = JobSpec("t", (StepSpec(1, Resources(1, 1)),))
+    accepted = msgspec.msgpack.encode(AcceptedJob(JobId("j"), "q", "s", 1, 1, spec))
+    progress = msgspec.msgpack.encode(ProgressRecord())
+    mirror = JobMirror()
+    mirror.keep_records(True)
+    for number in range(20):
+        for prefix, value in ((ACCEPTED, accepted), (PROGRESS, progress)):
+            data = bytearray(value)
+            data[rng.randrange(len(data))] = rng.randrange(256)
+            mirror.apply(Item(f"{prefix}{number}", bytes(data), Revision(number + 1)))
+
+
+class Events:
+    """Takes what a stream hands on, as an entry does."""
+
+    def __init__(self):
+        self.mirror = JobMirror()
+
+    def on_peer_records(self, records):
+        for key, revision, value in records:
+            self.mirror.apply(Item(key, value, Revision(revision)))
+
+    def on_peer_states(self, revision, rows, full):
+        self.mirror.apply_states(rows, full, 1.0)
+
+    def on_peer_leader(self, revision, value):
+        int(revision)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_messages_of_peers(seed):
+    """Only errors that end the stream, and nothing else, come out of a message."""
+    rng = random.Random(seed)
+    messages = [
+        [1, [["eb/jobs/a/j", 3, b"x"]]],
+        [3, 1, 0, 0],
+        [4, 7, b"x"],
+        [5, 9, [["j", "q", False, 1]], True],
+    ]
+    stream = Stream.__new__(Stream)
+    stream.replies = {}
+    for _ in range(40):
+        message = rng.choice(messages)
+        path = rng.choice(places(message)[1:])
+        odd = replace_at(message, path, rng.choice(ODD_VALUES[:2] + ODD_VALUES[3:]))
+        try:
+            decoded = msgpack.unpackb(msgpack.packb(odd))
+            stream._handle(decoded, Events())
+        except UNREADABLE:
+            continue
