--- a/src/ebonyhub/fleet/demand.py
+++ b/src/ebonyhub/fleet/demand.py
@@ -3,10 +3,13 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-# Seconds over which arrivals are averaged: shorter than a move, which takes one and a
-# half, so that the start of a surge shows at once.
-WINDOW_SECONDS = 0.8
-
+# Seconds over which arrivals are averaged. Surges last for seconds, and a move takes
+# one and a half.
+WINDOW_SECONDS = 1.5
+# Seconds and least number of jobs of a shorter window. It shows the start of a surge
+# sooner, but only the mean of many jobs is a sure sign of one.
+SHORT_WINDOW_SECONDS = 0.8
+SURE_ARRIVALS = 20
 
 # Seconds ahead that a rising rate is followed: a move and the delay of the average.
 LOOK_AHEAD_SECONDS = 0.7
@@ -50,7 +53,10 @@
         """Return core-seconds a second in the last window and in the one before."""
         while self.arrivals and self.arrivals[0][0] < now - 2 * WINDOW_SECONDS:
             self.arrivals.popleft()
-        middle = now - WINDOW_SECONDS
+        window = SHORT_WINDOW_SECONDS
+        if sum(at >= now - window for at, _ in self.arrivals) < SURE_ARRIVALS:
+            window = WINDOW_SECONDS
+        middle = now - window
         recent = sum(work for at, work in self.arrivals if at >= middle)
-        before = sum(work for at, work in self.arrivals if at < middle)
-        return recent / WINDOW_SECONDS, before / WINDOW_SECONDS
+        before = sum(w for at, w in self.arrivals if middle - window <= at < middle)
+        return recent / window, before / window
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -9,7 +9,12 @@
 import pytest
 
 from ebonyhub.fleet.changes import HOLD_SECONDS, Phase
-from ebonyhub.fleet.demand import WINDOW_SECONDS, ArrivalMeter, Demand
+from ebonyhub.fleet.demand import (
+    SURE_ARRIVALS,
+    WINDOW_SECONDS,
+    ArrivalMeter,
+    Demand,
+)
 from ebonyhub.fleet.model import FleetLoad, Vm, VmLoad, VmState, Wave
 from ebonyhub.fleet.planner import (
     CORDON_LIMIT_SECONDS,
@@ -181,6 +186,17 @@
     assert meter.rates(20.0) == (0.0, 0.0)
 
 
+def test_many_arrivals_show_a_surge_sooner():
+    """A pool of a large fleet began to grow a second after its surge."""
+    rates = []
+    for count in (SURE_ARRIVALS - 1, SURE_ARRIVALS):
+        meter = ArrivalMeter()
+        for number in range(count):
+            meter.add(10.0 + number / 100, 5.0)
+        rates.append(meter.rates(10.4)[0] / count)
+    assert rates[1] > rates[0] * 1.5
+
+
 def test_tasks_that_must_not_share_a_worker_get_their_vms():
     """Guards against lasting tasks that wait although VMs are parked."""
     planner = planner_with((1, 1, 8))
