--- a/src/ebonyhub/fleet/planner.py
+++ b/src/ebonyhub/fleet/planner.py
@@ -106,25 +106,28 @@
                 vm, Phase.CORDONED, now, wave=wave, uncertain=True
             )
 
-    def usable(self, pool: PoolName) -> int:
-        """Return the VMs that serve a pool or are on their way to it.
+    def sizes(self) -> dict[PoolName, int]:
+        """Return the VMs that serve each pool or are on their way to it.
 
         VMs that leave it or that have their upkeep do not count.
         """
-        count = 0
+        sizes = dict.fromkeys(self.pools, 0)
         for vm in self.vms.values():
             change = self.changes.get(vm.vm)
+            pool: PoolName | None = None
             if change is None:
-                count += vm.pool == pool and vm.state in (VmState.UP, VmState.MOVING)
+                pool = vm.pool if vm.state in (VmState.UP, VmState.MOVING) else None
             elif change.wave is None:
-                count += change.pool == pool
-        return count
+                pool = change.pool
+            if pool is not None:
+                sizes[pool] = sizes.get(pool, 0) + 1
+        return sizes
 
     def cores(self) -> dict[PoolName, float]:
         """Return the cores that each pool has or gets by moves under way."""
         return {
-            pool: self.usable(pool) * self._cores_per_vm(pool)
-            for pool in self.pools
+            pool: size * self._cores_per_vm(pool)
+            for pool, size in self.sizes().items()
             if pool not in self.standby
         }
 
@@ -146,8 +149,9 @@
         self, targets: dict[PoolName, Target], demands: Mapping[PoolName, Demand]
     ) -> None:
         """Log sizes and targets whenever one of them changes."""
+        sizes = self.sizes()
         state = {
-            pool: (self.usable(pool), target.least, target.keep)
+            pool: (sizes.get(pool, 0), target.least, target.keep)
             for pool, target in targets.items()
         }
         if state == self.logged:
@@ -274,7 +278,7 @@
     def _plan_moves(self, targets: dict[PoolName, Target], now: float) -> None:
         """Fill what is needed now, then what is held in reserve, and park the rest."""
         free = {pool: self._free_vms(pool, now) for pool in self.pools}
-        usable = {pool: self.usable(pool) for pool in self.pools}
+        usable = self.sizes()
         stock = Stock(free, usable)
         self._fill(targets, stock, lambda target: target.least, True, now)
         self._fill(targets, stock, lambda target: target.keep, False, now)
@@ -373,11 +377,16 @@
                 and self._load(vm) is not UNKNOWN_LOAD
             ]
             candidates.sort(key=self._upkeep_order)
+            sizes = self.sizes()
             for vm in candidates:
                 if busy >= state.wave.limit:
                     break
                 lasting = self._load(vm).long_running > 0 and state.is_half_way(now)
-                if not hurry and not lasting and not self._can_spare(vm, targets):
+                if (
+                    not hurry
+                    and not lasting
+                    and not self._can_spare(vm, targets, sizes)
+                ):
                     continue
                 if not self._can_rehouse(vm):
                     continue
@@ -388,6 +397,7 @@
                     Event.UPKEEP_PLANNED, vm=vm.vm, wave=state.wave.wave, hurry=hurry
                 )
                 busy += 1
+                sizes[vm.pool] = sizes.get(vm.pool, 0) - 1
 
     def _in_upkeep(self, vm_id: VmId) -> bool:
         change = self.changes.get(vm_id)
@@ -403,10 +413,12 @@
             vm.vm,
         )
 
-    def _can_spare(self, vm: Vm, targets: dict[PoolName, Target]) -> bool:
+    def _can_spare(
+        self, vm: Vm, targets: dict[PoolName, Target], sizes: dict[PoolName, int]
+    ) -> bool:
         """Return whether the pool does without the VM for the length of an upkeep."""
         target = targets.get(vm.pool)
-        return target is None or self.usable(vm.pool) - 1 >= target.least
+        return target is None or sizes.get(vm.pool, 0) - 1 >= target.least
 
     def _can_rehouse(self, vm: Vm) -> bool:
         """Return whether another VM of the pool has room for the long-running tasks."""
--- a/src/ebonyhub/scheduling/intake.py
+++ b/src/ebonyhub/scheduling/intake.py
@@ -65,7 +65,7 @@
                     step, RunPhase.UNCERTAIN, inherited=True, planned_at=now,
                     checkpoint=record.checkpoint,
                 )  # fmt: skip
-                self._worker_of_record(run, job).add(run)
+                self.hold_run(run, self._worker_of_record(run, job))
 
     def _worker_of_record(self, run: Run, job: Job) -> Worker:
         """Return the worker of an inherited run, also if the store lost its entry."""
@@ -110,7 +110,8 @@
             state=job.progress.state.name.lower(),
             after=round(now - job.arrived_at, 3),
         )
-        for worker in self.workers.values():
-            for run in list(worker.runs.values()):
+        for worker_id in self.workers_of_job.pop(job.job_id, ()):
+            worker = self.workers.get(worker_id)
+            for run in list(worker.runs.values()) if worker else ():
                 if run.task.job == job.job_id:
                     self.stop_run(run, reason, now)
--- a/src/ebonyhub/scheduling/planning.py
+++ b/src/ebonyhub/scheduling/planning.py
@@ -149,7 +149,7 @@
             task, number, worker.worker_id, worker.born_ms, step.reserved, step,
             RunPhase.PLANNED, planned_at=now, checkpoint=checkpoint,
         )  # fmt: skip
-        worker.add(run)
+        self.hold_run(run, worker)
         lifecycle.record_start(job, run)
         run.job_version = job.version
         self.planned.append(run)
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -189,7 +189,7 @@
             row.task, row.number, worker.worker_id, worker.born_ms, step.reserved,
             step, RunPhase.CONFIRMED, planned_at=now, confirmed_at=now,
         )  # fmt: skip
-        worker.add(run)
+        self.hold_run(run, worker)
         return run
 
     def _handle_missing(
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -61,6 +61,8 @@
         # How long tasks take against their estimates, on all workers.
         self.usual_pace = Pace(USUAL_WEIGHT)
         self.arrivals: dict[ServiceName, ArrivalMeter] = {}
+        # Workers on which each job that has not ended ever had a run.
+        self.workers_of_job: dict[JobId, dict[WorkerId, None]] = {}
         # Services in which a task may have become ready or room may have become free
         # since the last pass.
         self.services_to_plan: set[ServiceName] = set()
@@ -89,6 +91,7 @@
     def forget(self, job_id: JobId) -> None:
         """Drop a finished job whose records were removed."""
         self.jobs.pop(job_id, None)
+        self.workers_of_job.pop(job_id, None)
         self.dirty.pop(job_id, None)
 
     def mark_dirty(self, job: Job) -> None:
@@ -112,6 +115,13 @@
             and not worker.health.is_quarantined(now)
         )
 
+    def hold_run(self, run: Run, worker: Worker) -> None:
+        """Reserve capacity of a worker for a run."""
+        worker.add(run)
+        if run.task.job in self.active:
+            workers = self.workers_of_job.setdefault(run.task.job, {})
+            workers[worker.worker_id] = None
+
     def free_run(self, run: Run, worker: Worker) -> None:
         """Free what a run holds on its worker."""
         worker.remove(run)
