--- a/src/ebonyhub/fleet/changes.py
+++ b/src/ebonyhub/fleet/changes.py
@@ -11,7 +11,7 @@
 HOLD_SECONDS = 1.2
 # Share of a wave's time that is kept for VMs with long-running tasks. Their pool can
 # never spare them, and a step gives up its tasks one after the other.
-SERVING_SHARE = 0.5
+SERVING_SHARE = 0.8
 
 
 class Phase(Enum):
@@ -50,8 +50,8 @@
     ordered: set[VmId] = field(default_factory=set)
     completed: bool = False
 
-    def is_half_way(self, now: float) -> bool:
-        """Return whether less than a half of the wave's time is left."""
+    def serving_vms_are_due(self, now: float) -> bool:
+        """Return whether VMs with long-running tasks must have their upkeep, too."""
         return now + self.wave.duration * SERVING_SHARE > self.due_at
 
 
--- a/src/ebonyhub/fleet/planner.py
+++ b/src/ebonyhub/fleet/planner.py
@@ -378,15 +378,12 @@
             ]
             candidates.sort(key=self._upkeep_order)
             sizes = self.sizes()
+            serving_due = state.serving_vms_are_due(now)
             for vm in candidates:
                 if busy >= state.wave.limit:
                     break
-                lasting = self._load(vm).long_running > 0 and state.is_half_way(now)
-                if (
-                    not hurry
-                    and not lasting
-                    and not self._can_spare(vm, targets, sizes)
-                ):
+                due = hurry or (serving_due and self._load(vm).long_running > 0)
+                if not due and not self._can_spare(vm, targets, sizes):
                     continue
                 if not self._can_rehouse(vm):
                     continue
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from ebonyhub.fleet.changes import HOLD_SECONDS, Phase
+from ebonyhub.fleet.changes import HOLD_SECONDS, SERVING_SHARE, Phase
 from ebonyhub.fleet.demand import (
     SURE_ARRIVALS,
     WINDOW_SECONDS,
@@ -255,3 +255,15 @@
     assert change.vm in planner.changes
     planner.see_vms(list(planner.vms.values()), 6.5)
     assert change.vm not in planner.changes
+
+
+def test_serving_vms_do_not_wait_for_the_end_of_a_wave():
+    """They were planned last, and their tasks left one by one beyond its time."""
+    planner = planner_with((2, 2, 0))
+    planner.load = FleetLoad({VmId("m0"): VmLoad(4.0, 1, 1, 4.0)})
+    planner.see_wave(wave(["m0"], duration=60.0), 0.0)
+    demands = {PoolName("a"): Demand(long_running=15.0)}
+    planner.plan(demands, 0.0)
+    assert planner.changes == {}
+    planner.plan(demands, 60.0 * (1 - SERVING_SHARE) + 0.1)
+    assert [c.vm for c in planner.changes.values() if c.wave == 1] == ["m0"]
