Least work first only under pressure

Change: the waiting work decides. While it takes more than 1 s on all cores that the service has or gets by moves under way, begun jobs and then the least work come first; else the least slack.

--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -143,11 +143,14 @@
         """Return room and owed work of the services; none without a fleet."""
         if self.fleet is None or not self.fleet.planner.vms:
             return {}
-        cores = {
-            ServiceName(pool): cores
-            for pool, cores in self.fleet.planner.cores().items()
-        }
-        return self.scheduler.forecasts(cores, self.clock.monotonic())
+        return self.scheduler.forecasts(self._pool_cores(), self.clock.monotonic())
+
+    def _pool_cores(self) -> dict[ServiceName, float]:
+        """Return the cores that each service has or gets by moves under way."""
+        if self.fleet is None:
+            return {}
+        cores = self.fleet.planner.cores()
+        return {ServiceName(pool): count for pool, count in cores.items()}
 
     # Life
 
@@ -261,6 +264,7 @@
             if now >= self.next_tick:
                 self.next_tick = now + TICK_SECONDS
                 self.scheduler.tick(now, self._wall_ms())
+                self.scheduler.pool_cores = self._pool_cores()
                 self._drop_departed_links()
             if self.term.is_valid(now) and self.committer.healthy:
                 self.scheduler.plan_changed(now)
--- a/src/ebonyhub/scheduling/planning.py
+++ b/src/ebonyhub/scheduling/planning.py
@@ -12,6 +12,7 @@
     has_room,
     tightest_first,
 )
+from .priority import is_pressed
 from .runs import Job, Run, RunPhase, Worker
 from .state import SchedulerState
 
@@ -57,8 +58,14 @@
         """
         room = most_free_cpu(workers)
         fitting = [job for job in jobs if job.least_cpu <= room]
+        present = sum(worker.entry.capacity.cpu for worker in workers) / 1000
+        service = workers[0].entry.service
+        cores = max(present, self.pool_cores.get(service, 0.0))
+        pressed = is_pressed(jobs, cores)
         fitting.sort(
-            key=lambda job: self.urgency(job, self.queues.get(job.queue), now).key
+            key=lambda job: (
+                self.urgency(job, self.queues.get(job.queue), now, pressed).key
+            )
         )
         for job in fitting:
             if job.least_cpu <= room:
--- a/src/ebonyhub/scheduling/priority.py
+++ b/src/ebonyhub/scheduling/priority.py
@@ -1,20 +1,24 @@
 """Order in which waiting jobs get capacity.
 
-Answers a surge that asks for more than its pool holds until VMs have moved. Serving the
-least slack first spends the room on large jobs that end late all the same, while many
-small ones become late behind them. So among the jobs that can still be on time, those
-that have begun come first, and then those with the least work left: each core-second
-then ends the most jobs. Late jobs use what is left over, the ones with the least work
-first; each second of lateness makes up for some work, so that a large one does not wait
-for ever.
+While all waiting jobs can be on time, the least slack comes first. In a surge that asks
+for more than its pool holds until VMs have moved, that order spends the room on large
+jobs that end late all the same, while many small ones become late behind them. Under
+such pressure, among the jobs that can still be on time, those that have begun come
+first, and then those with the least work left: each core-second then ends the most
+jobs. Late jobs use what is left over, the ones with the least work first; each second
+of lateness makes up for some work, so that a large one does not wait for ever.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import IntEnum
 
 from ..configuration import Queue
 from .runs import Job
 
+# Seconds that the waiting work takes on all cores that a service has or gets by moves
+# under way, from which on not all of it can be on time. The objectives of the users' queues leave about as much.
+PRESSURE_SECONDS = 1.0
 # Core-seconds of work that one second of lateness makes up for.
 AGEING_CORES = 20.0
 
@@ -36,7 +40,8 @@
     rank: Rank
     priority: int
     waits_to_begin: bool
-    # Core-seconds, less what lateness makes up for; seconds for long-running jobs.
+    # Core-seconds under pressure or once late, less what lateness makes up for; else
+    # seconds.
     weight: float
 
     @property
@@ -83,8 +88,14 @@
     return job.chain_seconds
 
 
-def urgency(job: Job, queue: Queue | None, now: float) -> Urgency:
-    """Return how urgent a job is."""
+def is_pressed(jobs: Iterable[Job], cores: float) -> bool:
+    """Return whether the waiting jobs ask for more than these cores serve in time."""
+    work = sum(remaining_core_seconds(job) for job in jobs)
+    return work > cores * PRESSURE_SECONDS
+
+
+def urgency(job: Job, queue: Queue | None, now: float, pressed: bool) -> Urgency:
+    """Return how urgent a job is; ``pressed`` if not all can be on time."""
     priority = queue.priority if queue else 0
     if job.accepted.spec.long_running:
         return Urgency(Rank.LONG_RUNNING, priority, False, job.arrived_at - now)
@@ -94,6 +105,8 @@
     left = job.arrived_at + objective - now
     slack = left - remaining_chain_seconds(job)
     work = remaining_core_seconds(job)
+    if slack >= 0.0 and not pressed:
+        return Urgency(Rank.IN_TIME, priority, False, slack)
     if slack >= 0.0:
         return Urgency(Rank.IN_TIME, priority, not job.started, work)
     return Urgency(Rank.LATE, priority, False, work + slack * AGEING_CORES)
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -1,7 +1,7 @@
 """What the scheduler believes: jobs, workers, runs and advice."""
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from ..configuration import Configuration, Queue
@@ -68,8 +68,10 @@
         self.services_to_plan: set[ServiceName] = set()
         # Workers with ends whose records are not yet stored.
         self.unstored_workers: set[WorkerId] = set()
+        # Cores of each service with those of VMs on the way; none without a fleet.
+        self.pool_cores: Mapping[ServiceName, float] = {}
         # Order in which waiting jobs get capacity.
-        self.urgency: Callable[[Job, Queue | None, float], Urgency] = urgency
+        self.urgency: Callable[[Job, Queue | None, float, bool], Urgency] = urgency
         # VMs that planned work is about to end.
         self.cordoned_vms: set[VmId] = set()
 
--- a/src/ebonyhub/scheduling/views.py
+++ b/src/ebonyhub/scheduling/views.py
@@ -43,7 +43,7 @@
         for job in self.active.values():
             if not job.pending or job.accepted.spec.long_running:
                 continue
-            urgency = self.urgency(job, self.queues.get(job.queue), now)
+            urgency = self.urgency(job, self.queues.get(job.queue), now, False)
             late = urgency.rank is Rank.LATE
             size = sum(step.core_seconds for step in job.accepted.spec.steps)
             left = OwedJob(size, remaining_core_seconds(job), job.started, late)
--- a/standins/replayed_fleet.py
+++ b/standins/replayed_fleet.py
@@ -407,6 +407,9 @@
         self.planner.load = self.scheduler.loads(self.now)
         demands = self.scheduler.demands(self.now)
         changes = self.planner.plan(demands, self.now)
+        self.scheduler.pool_cores = {
+            ServiceName(pool): cores for pool, cores in self.planner.cores().items()
+        }
         self.scheduler.set_cordoned(self.planner.cordoned())
         for change in changes:
             vm = self.vms[change.vm]
