--- a/src/ebonyhub/scheduling/priority.py
+++ b/src/ebonyhub/scheduling/priority.py
@@ -17,7 +17,8 @@
 from .runs import Job
 
 # Seconds that the waiting work takes on all cores that a service has or gets by moves
-# under way, from which on not all of it can be on time. The objectives of the users' queues leave about as much.
+# under way, from which on not all of it can be on time. The objectives of the users'
+# queues leave about as much.
 PRESSURE_SECONDS = 1.0
 # Core-seconds of work that one second of lateness makes up for.
 AGEING_CORES = 20.0
