--- a/src/ebonyhub/entry/job_service.py
+++ b/src/ebonyhub/entry/job_service.py
@@ -30,7 +30,7 @@
 from ..jobs.model import AcceptedJob, JobSpec
 from ..jobs.records import JobState, accepted_key, cancelled_key, progress_key
 from ..metrics import Metrics
-from ..scheduling.overload import RoomBoard, retry_after_seconds
+from ..scheduling.overload import ForecastBoard, retry_after_seconds
 
 # Seconds without news from the watch and the leader after which reads ask a peer.
 STALE_SECONDS = 2.5
@@ -65,7 +65,7 @@
         metrics: Metrics,
         call_peer: PeerCall,
         on_stored: Callable[[list[Item]], None],
-        room: RoomBoard,
+        room: ForecastBoard,
         rng: random.Random,
     ) -> None:
         self.store = store
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -31,7 +31,7 @@
 )
 from ..platform.store import PlatformStore
 from ..scheduling.controller import Controller
-from ..scheduling.overload import RoomBoard, decode_forecasts, encode_forecasts
+from ..scheduling.overload import ForecastBoard, decode_forecasts, encode_forecasts
 from ..servers import HttpServer, build_server, run_server
 from ..settings import Listener
 from ..supervisor import Supervisor, run_until_signal
@@ -68,7 +68,7 @@
         self.metrics = Metrics(CollectorRegistry())
         self.store = PlatformStore(settings.store_address, self.clock, self.metrics)
         self.mirror = JobMirror()
-        self.room = RoomBoard()
+        self.room = ForecastBoard()
         self.configuration: Configuration | None = None
         self.waves: dict[WaveId, Wave] = {}
         self.role = LeaderRole(
--- a/src/ebonyhub/scheduling/overload.py
+++ b/src/ebonyhub/scheduling/overload.py
@@ -27,7 +27,7 @@
 USE_FACTOR = 3.0
 # While a job waits for the work before it, this multiple of it comes and goes first,
 # since further small jobs arrive.
-COMPANY_FACTOR = 2.0
+FURTHER_ARRIVALS_FACTOR = 2.0
 # Seconds after which a forecast says nothing any more.
 FORECAST_LIMIT_SECONDS = 1.5
 # Seconds between the earliest and the latest return of callers that are refused
@@ -100,7 +100,7 @@
     objective = queue.stretch * chain + queue.target_seconds
     size = sum(step.core_seconds for step in spec.steps)
     soon = forecast.work_before(size) / forecast.cores
-    if soon * COMPANY_FACTOR + chain <= objective:
+    if soon * FURTHER_ARRIVALS_FACTOR + chain <= objective:
         return 0.0
     wait = forecast.owed / forecast.cores
     return max(0.0, wait + chain - USE_FACTOR * objective)
@@ -115,7 +115,7 @@
     return max(1, ceil(min(seconds, LONGEST_RETRY_SECONDS)))
 
 
-class RoomBoard:
+class ForecastBoard:
     """The newest forecasts of the leader, as an entry knows them."""
 
     def __init__(self) -> None:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -20,8 +20,8 @@
     FORECAST_LIMIT_SECONDS,
     LONGEST_RETRY_SECONDS,
     SIZE_CLASSES,
+    ForecastBoard,
     OwedJob,
-    RoomBoard,
     build_forecast,
     decode_forecasts,
     encode_forecasts,
@@ -73,7 +73,7 @@
 
 
 def test_old_forecasts_accept_everything():
-    board = RoomBoard()
+    board = ForecastBoard()
     assert board.excess(QUEUE, SMALL, 0.0) == 0.0
     board.update({SERVICE: owed((4.0, 900.0, True))}, 10.0)
     assert board.excess(QUEUE, SMALL, 10.0) > 0
