A moved VM takes tasks once its new worker registers

The VM stayed cordoned until the next VM list (every 0.5 s) and the plan after it (every 0.2 s) showed the end of the move.

Change: the registration of a new worker in the target pool ends an accepted change of its VM. A list that lags behind does not undo it for 2 s. A change whose outcome was unknown at some time still ends by the list alone, and so does one whose worker comes back under its old id.

--- a/src/ebonyhub/fleet/changes.py
+++ b/src/ebonyhub/fleet/changes.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ..ids import PoolName, VmId, WaveId
+from ..ids import PoolName, VmId, WaveId, WorkerId
 from .model import Vm, Wave
 
+NO_WORKER = WorkerId("")
 # Time for which a pool keeps its highest recent target, so that a dip between two jobs
 # moves no VM. Parking a VM in a standby pool saves more than its two moves cost only
 # after about 2.5 s.
@@ -40,6 +41,20 @@
     wave: WaveId | None = None
     # A request for it got no answer, so the cloud may still carry it out.
     outcome_unknown: bool = False
+    # The VM's worker when the change was requested; the change ends that worker.
+    replaced_worker: WorkerId = NO_WORKER
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A VM whose change is complete: a new worker of it has registered in ``pool``.
+
+    ``at`` is in monotonic seconds.
+    """
+
+    pool: PoolName
+    worker: WorkerId
+    at: float
 
 
 @dataclass(slots=True)
--- a/src/ebonyhub/fleet/controller.py
+++ b/src/ebonyhub/fleet/controller.py
@@ -10,7 +10,7 @@
 from ..cluster.metadata_store import ABSENT, MetadataStore, Transaction, Write
 from ..configuration import Configuration
 from ..events import Event, log_event
-from ..ids import PoolName, Revision, VmId, WaveId
+from ..ids import PoolName, Revision, VmId, WaveId, WorkerId
 from ..platform.cloud import CloudClient, CloudFailure
 from ..platform.config import encode_wave_status
 from .changes import VmChange
@@ -85,6 +85,13 @@
         """Add an operator's wave to the planner."""
         self.planner.add_wave(wave, self.clock.monotonic())
 
+    def handle_worker_registered(
+        self, vm: VmId, pool: PoolName, worker: WorkerId
+    ) -> None:
+        """Let the VM take tasks again if the registration ends a change of it."""
+        if self.planner.mark_arrived(vm, pool, worker, self.clock.monotonic()):
+            self.on_cordoned(self.planner.cordoned_vms())
+
     async def run(self) -> None:
         """Plan changes and request them from the cloud until cancelled."""
         try:
--- a/src/ebonyhub/fleet/planner.py
+++ b/src/ebonyhub/fleet/planner.py
@@ -6,11 +6,14 @@
 """
 
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from math import ceil
 
 from ..events import Event, log_event
-from ..ids import PoolName, VmId, WaveId
+from ..ids import PoolName, VmId, WaveId, WorkerId
 from .changes import (
+    NO_WORKER,
+    Arrival,
     ChangePhase,
     PoolAllocation,
     PoolState,
@@ -37,6 +40,8 @@
 # Time after which an accepted change of a VM that is up counts as complete, whatever
 # pool the VM is in. A move takes 1.5 s.
 MOVE_TIMEOUT_SECONDS = 6.0
+# Time for which the VM list may lag behind the registration of a VM's new worker.
+VM_LIST_LAG_SECONDS = 2.0
 # Time without a new change of a VM after a refusal. The VM list is read again earlier
 # than that, and shows whether the VM is up.
 REFUSAL_BACKOFF_SECONDS = 1.0
@@ -66,6 +71,8 @@
         self.first_listed_at = 0.0
         # Earliest time of a new change of a VM after the cloud has refused one.
         self.backoff_until: dict[VmId, float] = {}
+        # VMs whose change ended before the VM list showed it.
+        self.arrivals: dict[VmId, Arrival] = {}
         # Size, minimum and desired size of each pool in the last log lines.
         self.logged_targets: dict[PoolName, tuple[int, int, int]] = {}
 
@@ -73,7 +80,7 @@
 
     def update_vms(self, vms: list[Vm], now: float) -> None:
         """Replace the VM list and drop the accepted changes that are complete."""
-        self.vms = {vm.vm_id: vm for vm in vms}
+        self.vms = {vm.vm_id: self._with_arrival(vm, now) for vm in vms}
         if not self.pools and vms and self.pool_names:
             self.first_listed_at = now
             for pool in sorted(self.pool_names):
@@ -93,6 +100,39 @@
                 if (arrived and elapsed > 1.0) or elapsed > MOVE_TIMEOUT_SECONDS:
                     del self.changes[change.vm]
 
+    def _with_arrival(self, vm: Vm, now: float) -> Vm:
+        """Return the VM as its new worker registered while the list may lag behind."""
+        arrival = self.arrivals.get(vm.vm_id)
+        if arrival is None:
+            return vm
+        listed = vm.state is VmState.UP and vm.worker == arrival.worker
+        if listed or now - arrival.at > VM_LIST_LAG_SECONDS:
+            del self.arrivals[vm.vm_id]
+            return vm
+        return replace(vm, pool=arrival.pool, state=VmState.UP, worker=arrival.worker)
+
+    def mark_arrived(
+        self, vm_id: VmId, pool: PoolName, worker: WorkerId, now: float
+    ) -> bool:
+        """End the change of a VM whose new worker has registered in ``pool``.
+
+        The VM list shows the end of a change only when it is read next. Returns whether
+        a change has ended. A change whose outcome was unknown at some time ends by the
+        list alone, since the cloud may carry out its first request after the second.
+        """
+        change = self.changes.get(vm_id)
+        vm = self.vms.get(vm_id)
+        if vm is None or change is None or change.phase is not ChangePhase.ACCEPTED:
+            return False
+        if change.outcome_unknown or worker == change.replaced_worker:
+            return False
+        if pool != (change.pool or vm.pool):
+            return False
+        del self.changes[vm_id]
+        self.arrivals[vm_id] = Arrival(pool, worker, now)
+        self.vms[vm_id] = self._with_arrival(vm, now)
+        return True
+
     def add_wave(self, wave: Wave, now: float) -> bool:
         """Add an operator's wave; return False if it is already known."""
         if wave.wave_id in self.waves:
@@ -194,6 +234,8 @@
                 continue
             if self._is_empty(change.vm) and self._is_within_wave_limit(change):
                 change.phase, change.phase_since = ChangePhase.ORDERED, now
+                vm = self.vms.get(change.vm)
+                change.replaced_worker = vm.worker if vm else NO_WORKER
                 if change.wave is not None:
                     self.waves[change.wave].ordered.add(change.vm)
                 ready.append(change)
@@ -240,6 +282,8 @@
 
     def mark_accepted(self, change: VmChange, now: float) -> None:
         """Record that the cloud carries out a change."""
+        # The VM list must show this change, even if the VM arrived only just before.
+        self.arrivals.pop(change.vm, None)
         change.phase, change.phase_since = ChangePhase.ACCEPTED, now
         if change.wave is not None:
             self.waves[change.wave].begun.add(change.vm)
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -16,7 +16,7 @@
 from ..events import Event, log_event
 from ..fleet.controller import FleetController
 from ..fleet.model import Wave
-from ..ids import JobId, QueueName, Revision, ServiceName, WorkerId
+from ..ids import JobId, PoolName, QueueName, Revision, ServiceName, WorkerId
 from ..metrics import Metrics
 from ..platform.cloud import AdvisorClient, CloudClient
 from ..platform.config import WORKER_PREFIX, decode_worker
@@ -226,6 +226,10 @@
         known = self.scheduler.workers.get(worker_id)
         address_changed = known is not None and known.entry.address != entry.address
         self.scheduler.handle_worker_entry(entry, self.clock.monotonic())
+        if self.fleet is not None and known is None and entry.vm:
+            self.fleet.handle_worker_registered(
+                entry.vm, PoolName(entry.service), worker_id
+            )
         if address_changed or worker_id not in self.links:
             self._open_link(self.scheduler.workers[worker_id])
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -277,3 +277,60 @@
     assert planner.changes == {}
     planner.plan(demands, 60.0 * (1 - LONG_RUNNING_RESERVED_SHARE) + 0.1)
     assert [c.vm for c in planner.changes.values() if c.wave == 1] == ["m0"]
+
+
+def moved_vm(outcome_unknown=False):
+    """Return a planner with a VM accepted to move from "spare" to "a", and the VM."""
+    planner = planner_with((2, 3, 1))
+    [change] = planner.plan({PoolName("a"): Demand(running_cores=25.0)}, 0.0)
+    change.outcome_unknown = outcome_unknown
+    planner.mark_accepted(change, 0.0)
+    return planner, planner.vms[change.vm]
+
+
+@pytest.mark.parametrize(
+    ("pool", "worker", "outcome_unknown", "arrives"),
+    [
+        ("a", "new", False, True),
+        # The worker from before the move registers again.
+        ("a", "w-m5", False, False),
+        # A worker of an earlier life, in the old pool.
+        ("spare", "new", False, False),
+        # The cloud may carry out the first request after the second.
+        ("a", "new", True, False),
+    ],
+)
+def test_new_worker_ends_the_move_of_its_vm(pool, worker, outcome_unknown, arrives):
+    planner, moved = moved_vm(outcome_unknown)
+    ended = planner.mark_arrived(moved.vm_id, PoolName(pool), WorkerId(worker), now=1.5)
+    assert ended == arrives
+    assert (moved.vm_id in planner.cordoned_vms()) != arrives
+    # A list that still shows the VM as moving does not undo that.
+    planner.update_vms(
+        [
+            replace(item, state=VmState.MOVING) if item.vm_id == moved.vm_id else item
+            for item in planner.vms.values()
+        ],
+        1.6,
+    )
+    assert (planner.vms[moved.vm_id].state is VmState.UP) == arrives
+    assert planner.pool_sizes()[PoolName("a")] == 3
+
+
+def test_maintenance_right_after_a_move_counts_as_down():
+    """The list must not be overridden by the arrival from before the maintenance."""
+    planner, moved = moved_vm()
+    planner.mark_arrived(moved.vm_id, PoolName("a"), WorkerId("new"), 1.5)
+    busy = VmId("m0")
+    planner.fleet_load = FleetLoad({busy: VmLoad(1.0, 1)})
+    planner.add_wave(Wave(WaveId(1), (moved.vm_id, busy), 8.0, 1), 1.5)
+    [change] = planner.plan({}, 1.6)
+    assert change.vm == moved.vm_id
+    planner.mark_accepted(change, 1.6)
+    planner.fleet_load = FleetLoad()
+    listed = [
+        replace(item, state=VmState.MAINTENANCE) if name == change.vm else item
+        for name, item in planner.vms.items()
+    ]
+    planner.update_vms(listed, 2.8)
+    assert not planner.plan({}, 2.8)
--- a/tests/test_planner_fuzz.py
+++ b/tests/test_planner_fuzz.py
@@ -1,7 +1,7 @@
 """Stateful fuzzing of moves and maintenance waves against a cloud with faults.
 
 Requests are refused, or carried out late after their answer was lost; VMs crash and
-leaders change. Guards against more VMs down than the limit of a wave, a change of a VM
+leaders change; new workers of VMs register before the VM list shows them. Guards against more VMs down than the limit of a wave, a change of a VM
 that still runs tasks, a VM in two pools, and a wave that never ends.
 """
 
@@ -19,7 +19,8 @@
 SEEDS = range(40)
 POOLS = [PoolName("a"), PoolName("b"), PoolName("c"), PoolName("spare")]
 STEP_SECONDS = 0.1
-CHANGE_SECONDS = 1.5
+MOVE_SECONDS = 1.5
+MAINTENANCE_SECONDS = 3.0
 LIST_LAG_SECONDS = 0.4
 CORES = 10
 
@@ -34,6 +35,9 @@
         self.up_at = {}
         self.maintained = set()
         self.loads = {}
+        # VMs whose new worker has registered since they were last asked for.
+        self.registered = []
+        self.lives = 0
         # Highest leader token of the requests for each VM; lower ones are refused.
         self.tokens = {}
         for number in range(count):
@@ -47,7 +51,12 @@
         for name, up_at in list(self.up_at.items()):
             if now >= up_at:
                 del self.up_at[name]
-                self.vms[name] = replace(self.vms[name], state=VmState.UP)
+                self.lives += 1
+                worker = WorkerId(f"w-{self.lives}")
+                self.vms[name] = replace(
+                    self.vms[name], state=VmState.UP, worker=worker
+                )
+                self.registered.append(name)
 
     def crash(self, name, now):
         if self.vms[name].state is VmState.UP:
@@ -70,9 +79,10 @@
         if change.wave is not None:
             if change.vm not in self.maintained:
                 self.maintained.add(change.vm)
-                self._take_down(change.vm, VmState.MAINTENANCE, now + CHANGE_SECONDS)
+                up_at = now + MAINTENANCE_SECONDS
+                self._take_down(change.vm, VmState.MAINTENANCE, up_at)
         elif vm.pool != change.pool:
-            up_at = now + CHANGE_SECONDS
+            up_at = now + MOVE_SECONDS
             self._take_down(change.vm, VmState.MOVING, up_at, change.pool)
         return True
 
@@ -113,9 +123,20 @@
         self.planner.add_wave(self.wave, self.now)
         self.planner.resume_wave(self.wave.wave_id, self.begun, self.ordered, self.now)
 
+    def register_workers(self):
+        """Tell the planner of most new workers at once, and of the others later."""
+        for name in list(self.cloud.registered):
+            vm = self.cloud.vms[name]
+            if vm.state is not VmState.UP:
+                self.cloud.registered.remove(name)
+            elif self.rng.random() < 0.6:
+                self.cloud.registered.remove(name)
+                self.planner.mark_arrived(name, vm.pool, vm.worker, self.now)
+
     def step(self, demands):
         self.now += STEP_SECONDS
         self.cloud.advance(self.now)
+        self.register_workers()
         self.listings.append((self.now, list(self.cloud.vms.values())))
         while (
             len(self.listings) > 1
