--- a/reports/day_log.py
+++ b/reports/day_log.py
@@ -51,7 +51,9 @@
     day = DayLog()
     loaded_at: dict[str, float] = {}
     started: set[str] = set()
-    for at, number, fields in sorted(_events(lines, day), key=lambda event: event[0]):
+    for at, number, fields in sorted(
+        read_events(lines, day), key=lambda event: event[0]
+    ):
         if number == POOL_TARGET_CHANGED:
             day.pools.setdefault(fields["pool"], []).append(_sample(at, fields))
         elif number == VM_CHANGE_ORDERED and fields["outcome"] == "accepted":
@@ -71,9 +73,10 @@
     return day
 
 
-def _events(
+def read_events(
     lines: Iterable[str], day: DayLog
 ) -> list[tuple[float, int, dict[str, str]]]:
+    """Return time, number and fields of each event; counts other lines in ``day``."""
     events = []
     for line in lines:
         match = _LINE.match(line)
--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -146,6 +146,9 @@
     RUN_THROTTLED = EventSpec(
         2208, _I, "throttle of a best-effort run changed", "None."
     )
+    WAIT_CAUSE_CHANGED = EventSpec(
+        2209, _I, "cause for which ready tasks wait changed", "None."
+    )
     WORKER_DISCOVERED = EventSpec(2301, _I, "worker discovered in the store", "None.")
     WORKER_DRAINING = EventSpec(2302, _I, "worker is draining", "None.")
     WORKER_ENTRY_REMOVED = EventSpec(2303, _I, "worker's store entry removed", "None.")
--- a/src/ebonyhub/fleet/planner.py
+++ b/src/ebonyhub/fleet/planner.py
@@ -181,6 +181,14 @@
                 sizes[pool] = sizes.get(pool, 0) + 1
         return sizes
 
+    def vms_on_way(self) -> dict[PoolName, int]:
+        """Return the number of VMs that are planned to move or moving to each pool."""
+        counts: dict[PoolName, int] = {}
+        for change in self.changes.values():
+            if change.pool is not None:
+                counts[change.pool] = counts.get(change.pool, 0) + 1
+        return counts
+
     def pool_cores(self) -> dict[PoolName, float]:
         """Return the cores of each active pool once its moves are complete."""
         return {
@@ -207,7 +215,7 @@
         self, targets: dict[PoolName, PoolTarget], demands: Mapping[PoolName, Demand]
     ) -> None:
         """Log the sizes and targets of all pools whenever one of them has changed."""
-        sizes = self.pool_sizes()
+        sizes, on_way = self.pool_sizes(), self.vms_on_way()
         current = {
             pool: (sizes.get(pool, 0), target.minimum, target.desired)
             for pool, target in targets.items()
@@ -219,7 +227,7 @@
             demand = demands.get(pool, Demand())
             log_event(
                 Event.POOL_TARGET_CHANGED, pool=pool, size=size, least=minimum,
-                keep=desired,
+                keep=desired, on_way=on_way.get(pool, 0),
                 arriving=round(demand.arriving_cores, 1),
                 waiting=round(demand.waiting_cores, 1),
                 running=round(demand.running_cores, 1),
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -17,6 +17,7 @@
 from ..fleet.controller import FleetController
 from ..fleet.model import Wave
 from ..ids import JobId, PoolName, QueueName, Revision, ServiceName, WorkerId
+from ..jobs.model import AcceptedJob
 from ..metrics import Metrics
 from ..platform.cloud import AdvisorClient, CloudClient
 from ..platform.config import WORKER_PREFIX, decode_worker
@@ -29,6 +30,7 @@
 from .runs import SLOW_CLOCK_FACTOR, Worker
 from .scheduler import Scheduler
 from .state import Advice, StepKey
+from .waiting import WaitCause
 from .worker_link import WORKER_LEASE_SECONDS, WorkerLink
 
 # Seconds between calls of the scheduler's time-dependent checks.
@@ -103,6 +105,8 @@
         self.order_tasks: set[asyncio.Task[None]] = set()
         self.wake = asyncio.Event()
         self.next_tick = 0.0
+        # What the ready tasks of each service waited for when last logged.
+        self.wait_causes: dict[ServiceName, WaitCause] = {}
         # Steps with a pending call to the advisor.
         self.advice_in_progress: set[StepKey] = set()
         now = clock.monotonic()
@@ -143,13 +147,23 @@
             mirrored.accepted, progress, mirrored.cancelled, now, wall_ms
         )
         if not known:
-            log_event(
-                Event.JOB_LOADED, job=job_id, queue=mirrored.accepted.queue,
-                steps=len(mirrored.accepted.spec.steps),
-                tasks=sum(step.count for step in mirrored.accepted.spec.steps),
-            )  # fmt: skip
+            self._log_loaded(mirrored.accepted)
         self.wake.set()
 
+    def _log_loaded(self, accepted: AcceptedJob) -> None:
+        spec = accepted.spec
+        queue = self.scheduler.queues.get(accepted.queue)
+        path = spec.critical_path_seconds
+        objective = queue.stretch * path + queue.target_seconds if queue else path
+        log_event(
+            Event.JOB_LOADED, job=accepted.job, queue=accepted.queue,
+            service=accepted.service, steps=len(spec.steps),
+            tasks=sum(step.count for step in spec.steps),
+            work=round(sum(step.core_seconds for step in spec.steps), 1),
+            # Long-running jobs have no objective.
+            objective=None if spec.long_running else round(objective, 2),
+        )  # fmt: skip
+
     def _wall_ms(self) -> int:
         return int(self.clock.wall() * 1000)
 
@@ -283,6 +297,7 @@
                 self.next_tick = now + TICK_INTERVAL_SECONDS
                 self.scheduler.tick(now, self._wall_ms())
                 self.scheduler.pool_cores = self._pool_cores()
+                self._log_wait_causes(now)
                 self._close_removed_links()
             if self.term.is_valid(now) and self.committer.healthy:
                 self.scheduler.plan_changed(now)
@@ -297,6 +312,21 @@
             except TimeoutError:
                 continue
 
+    def _log_wait_causes(self, now: float) -> None:
+        """Log each service whose ready tasks wait for another cause than before."""
+        can_start = self.term.is_valid(now) and self.committer.healthy
+        on_way = self.fleet.planner.vms_on_way() if self.fleet is not None else {}
+        vms_on_way = {ServiceName(pool): count for pool, count in on_way.items()}
+        for service, waiting in self.scheduler.waiting(now, can_start, vms_on_way):
+            if self.wait_causes.get(service, WaitCause.NONE) is waiting.cause:
+                continue
+            self.wait_causes[service] = waiting.cause
+            log_event(
+                Event.WAIT_CAUSE_CHANGED, service=service, cause=waiting.cause.value,
+                tasks=waiting.tasks, cores=round(waiting.cores, 1),
+                on_way=vms_on_way.get(service, 0),
+            )  # fmt: skip
+
     def _close_removed_links(self) -> None:
         for worker_id in [w for w in self.links if w not in self.scheduler.workers]:
             self.link_tasks.pop(worker_id).cancel()
--- a/src/ebonyhub/scheduling/planning.py
+++ b/src/ebonyhub/scheduling/planning.py
@@ -1,6 +1,6 @@
 """Chooses workers for ready tasks."""
 
-from collections.abc import Container
+from collections.abc import Container, Mapping
 
 from ..ids import ServiceName, TaskId, WorkerId
 from . import lifecycle
@@ -15,6 +15,7 @@
 from .priority import is_oversubscribed
 from .runs import Job, Run, RunPhase, Worker
 from .state import SchedulerState
+from .waiting import Waiting, waiting_of
 
 
 class Planning(SchedulerState):
@@ -178,6 +179,30 @@
         self.planned_runs.append(run)
         self.mark_dirty(job)
 
+    def waiting(
+        self, now: float, can_start: bool, vms_on_way: Mapping[ServiceName, int]
+    ) -> list[tuple[ServiceName, Waiting]]:
+        """Return for each service with jobs why ready tasks wait, if any do."""
+        jobs: dict[ServiceName, list[Job]] = {}
+        for job in self.active.values():
+            jobs.setdefault(self.service_of(job), []).append(job)
+        workers: dict[ServiceName, list[Worker]] = {}
+        for worker in self.workers.values():
+            if self.is_eligible(worker, now):
+                workers.setdefault(worker.entry.service, []).append(worker)
+        return [
+            (
+                service,
+                waiting_of(
+                    service_jobs,
+                    workers.get(service, []),
+                    can_start,
+                    vms_on_way.get(service, 0),
+                ),
+            )
+            for service, service_jobs in jobs.items()
+        ]
+
 
 def max_free_cpu(workers: list[Worker]) -> int:
     """Return the most free CPU of one worker in thousandths of a core, -1 for none."""
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -24,6 +24,7 @@
             log_event(
                 Event.WORKER_DISCOVERED, worker=entry.worker, service=entry.service,
                 address=entry.address, rack=entry.rack, draining=entry.draining,
+                vm=entry.vm,
             )  # fmt: skip
         if entry.draining and not worker.entry.draining:
             log_event(
--- a/tests/test_planner_fuzz.py
+++ b/tests/test_planner_fuzz.py
@@ -1,8 +1,9 @@
 """Stateful fuzzing of moves and maintenance waves against a cloud with faults.
 
 Requests are refused, or carried out late after their answer was lost; VMs crash and
-leaders change; new workers of VMs register before the VM list shows them. Guards against more VMs down than the limit of a wave, a change of a VM
-that still runs tasks, a VM in two pools, and a wave that never ends.
+leaders change; new workers of VMs register before the VM list shows them. Guards
+against more VMs down than the limit of a wave, a change of a VM that still runs tasks,
+a VM in two pools, and a wave that never ends.
 """
 
 import random
