Check the causes of waiting five times a second; tests of each cause

Cause: the loss account's hook looked at all active jobs on each tick (ten times a second), also at those without waiting tasks. At the design size (10,000 jobs) that is work which no decision needs.

Change: every 0.2 s, jobs with waiting tasks only; a service whose tasks no longer wait is logged as such.

--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -30,11 +30,13 @@
 from .runs import SLOW_CLOCK_FACTOR, Worker
 from .scheduler import Scheduler
 from .state import Advice, StepKey
-from .waiting import WaitCause
+from .waiting import NOT_WAITING, WaitCause
 from .worker_link import WORKER_LEASE_SECONDS, WorkerLink
 
 # Seconds between calls of the scheduler's time-dependent checks.
 TICK_INTERVAL_SECONDS = 0.1
+# Seconds between two checks of what ready tasks wait for.
+WAIT_CHECK_INTERVAL_SECONDS = 0.2
 # Seconds for which a leader that cannot renew its own lease still renews those of its
 # workers, so that an outage of the store does not end the running tasks.
 LEASE_EXTENSION_SECONDS = 5.0
@@ -105,6 +107,7 @@
         self.order_tasks: set[asyncio.Task[None]] = set()
         self.wake = asyncio.Event()
         self.next_tick = 0.0
+        self.next_wait_check = 0.0
         # What the ready tasks of each service waited for when last logged.
         self.wait_causes: dict[ServiceName, WaitCause] = {}
         # Steps with a pending call to the advisor.
@@ -314,10 +317,15 @@
 
     def _log_wait_causes(self, now: float) -> None:
         """Log each service whose ready tasks wait for another cause than before."""
+        if now < self.next_wait_check:
+            return
+        self.next_wait_check = now + WAIT_CHECK_INTERVAL_SECONDS
         can_start = self.term.is_valid(now) and self.committer.healthy
         on_way = self.fleet.planner.vms_on_way() if self.fleet is not None else {}
         vms_on_way = {ServiceName(pool): count for pool, count in on_way.items()}
-        for service, waiting in self.scheduler.waiting(now, can_start, vms_on_way):
+        found = self.scheduler.waiting(now, can_start, vms_on_way)
+        for service in {*found, *self.wait_causes}:
+            waiting = found.get(service, NOT_WAITING)
             if self.wait_causes.get(service, WaitCause.NONE) is waiting.cause:
                 continue
             self.wait_causes[service] = waiting.cause
--- a/src/ebonyhub/scheduling/planning.py
+++ b/src/ebonyhub/scheduling/planning.py
@@ -181,27 +181,25 @@
 
     def waiting(
         self, now: float, can_start: bool, vms_on_way: Mapping[ServiceName, int]
-    ) -> list[tuple[ServiceName, Waiting]]:
-        """Return for each service with jobs why ready tasks wait, if any do."""
+    ) -> dict[ServiceName, Waiting]:
+        """Return why ready tasks wait, for each service that has any."""
         jobs: dict[ServiceName, list[Job]] = {}
         for job in self.active.values():
-            jobs.setdefault(self.service_of(job), []).append(job)
+            if job.pending:
+                jobs.setdefault(self.service_of(job), []).append(job)
         workers: dict[ServiceName, list[Worker]] = {}
         for worker in self.workers.values():
-            if self.is_eligible(worker, now):
+            if worker.entry.service in jobs and self.is_eligible(worker, now):
                 workers.setdefault(worker.entry.service, []).append(worker)
-        return [
-            (
-                service,
-                waiting_of(
-                    service_jobs,
-                    workers.get(service, []),
-                    can_start,
-                    vms_on_way.get(service, 0),
-                ),
+        return {
+            service: waiting_of(
+                service_jobs,
+                workers.get(service, []),
+                can_start,
+                vms_on_way.get(service, 0),
             )
             for service, service_jobs in jobs.items()
-        ]
+        }
 
 
 def max_free_cpu(workers: list[Worker]) -> int:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -22,6 +22,7 @@
 from ebonyhub.scheduling.orders import FetchReport, StartRun, StopRun
 from ebonyhub.scheduling.scheduler import Scheduler
 from ebonyhub.scheduling.state import RESPONSE_MAX_AGE_SECONDS, STOP_SETTLE_SECONDS
+from ebonyhub.scheduling.waiting import WaitCause
 from standins.emulator import QUEUE, SERVICE, one_queue_configuration
 
 JOB = JobId("j")
@@ -321,3 +322,48 @@
     driver.tick()
     (run,) = driver.start_all()
     assert run.task.occurrence == 0
+
+
+@pytest.mark.parametrize(
+    ("can_start", "on_way", "count", "cause"),
+    [
+        # Eight cores are free: all tasks start, none waits.
+        (True, 0, 8, None),
+        (False, 0, 8, WaitCause.STORE),
+        (True, 1, 20, WaitCause.VMS_ON_WAY),
+        (True, 0, 20, WaitCause.POOL_SHORT),
+    ],
+)
+def test_cause_of_waiting(can_start, on_way, count, cause):
+    """Guards against a loss account that names the wrong cause."""
+    driver = Driver(names=("w1",))
+    spec = JobSpec("t", (StepSpec(count, Resources(1000, 1), estimate_ms=1000),))
+    driver.scheduler.load_job(
+        AcceptedJob(JOB, QUEUE, SERVICE, 3, 0, spec), None, False, driver.now, 0
+    )
+    if can_start:
+        driver.scheduler.plan(driver.now)
+    found = driver.scheduler.waiting(driver.now, can_start, {SERVICE: on_way})
+    assert (found[SERVICE].cause if found else None) is cause
+
+
+def test_free_capacity_in_pieces_is_fragmented():
+    step = StepSpec(1, Resources(6000, 1), estimate_ms=1000)
+    driver = Driver()
+    for number in range(3):
+        driver.scheduler.load_job(
+            AcceptedJob(
+                JobId(f"j{number}"), QUEUE, SERVICE, 3, 0, JobSpec("t", (step,))
+            ),
+            None, False, driver.now, 0,
+        )  # fmt: skip
+        driver.scheduler.plan(driver.now)
+    small = StepSpec(1, Resources(3000, 1), estimate_ms=1000)
+    driver.scheduler.load_job(
+        AcceptedJob(JOB, QUEUE, SERVICE, 3, 0, JobSpec("t", (small,))),
+        None, False, driver.now, 0,
+    )  # fmt: skip
+    driver.scheduler.plan(driver.now)
+    found = driver.scheduler.waiting(driver.now, True, {})
+    assert found[SERVICE].cause is WaitCause.FRAGMENTED
+    assert found[SERVICE].tasks == 2
