Request a report when the end of a run is overdue

The leader learns of an end by the worker's long poll; an unanswered one takes 1.4 s and a pause of 0.25 s.

--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -15,6 +15,7 @@
     WorkerReport,
 )
 from .orders import ThrottleRun
+from .overdue import record_duration
 from .runs import Job, Run, RunPhase, StopReason, Worker
 from .state import short_name
 from .throttling import (
@@ -149,6 +150,7 @@
         if end.outcome is RunOutcome.DONE:
             if run is not None and not run.inherited:
                 seconds = now - (run.confirmed_at or run.planned_at)
+                record_duration(self.jobs[end.task.job], run, seconds)
                 estimate = step.estimate_ms / 1000
                 worker.health.count_success(
                     end.task.job, seconds, estimate, self.fleet_slowdown
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -112,6 +112,8 @@
     unstored_ends: list[tuple[int, dict[JobId, int]]] = field(default_factory=list)
     health: WorkerHealth = field(default_factory=WorkerHealth)
     throttled_at: float = float("-inf")
+    # When a report was last requested since the end of a run was overdue.
+    report_requested_at: float = float("-inf")
     # Its runs were discarded because its lease had ended or its VM was gone.
     expired: bool = False
     # Capacity that no run has reserved.
@@ -192,6 +194,10 @@
     next_due_occurrence: int = 0
     # Estimated critical path over all steps; None until first computed.
     critical_path_seconds: float | None = None
+    # Number and total seconds of successful runs, by occurrence and step.
+    run_durations: dict[tuple[int, int], tuple[int, float]] = field(
+        default_factory=dict
+    )
     # Cache: version, and for that version the remaining critical path in seconds and
     # the remaining work in core-seconds.
     remaining_estimate: tuple[int, float, float] | None = None
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -7,6 +7,8 @@
 from ..ids import VmId, WorkerId
 from .health import is_stuck
 from .model import WorkerEntry
+from .orders import FetchReport
+from .overdue import is_report_overdue
 from .placement import StepRequirements, choose_worker, meets_constraints
 from .runs import Run, RunPhase, StopReason, Worker
 from .state import RESPONSE_MAX_AGE_SECONDS, SchedulerState, is_serving
@@ -102,6 +104,18 @@
                 self._evict_long_running(run, worker, now)
             elif not run.step.long_running:
                 self.check_progress(run, worker, now)
+        self._request_overdue_report(worker, now)
+
+    def _request_overdue_report(self, worker: Worker, now: float) -> None:
+        """Request a report if a run should have ended since the last one."""
+        runs = [
+            (run, self.jobs[run.task.job])
+            for run in worker.runs.values()
+            if not run.step.long_running and run.task.job in self.jobs
+        ]
+        if is_report_overdue(worker, runs, now):
+            worker.report_requested_at = now
+            self.outbox.append(FetchReport(worker.worker_id))
 
     def _evict_long_running(self, run: Run, worker: Worker, now: float) -> None:
         """Stop a long-running task, so that it restarts on another worker.
--- a/standins/replayed_fleet.py
+++ b/standins/replayed_fleet.py
@@ -5,6 +5,7 @@
 run repeats exactly.
 """
 
+import random
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
@@ -47,6 +48,8 @@
 # Seconds after the last arrival for which jobs may still run.
 DRAIN_SECONDS = 16.0
 TOKEN = LeaderToken(1)
+# Seconds after which the leader polls a worker again that left a poll unanswered.
+UNANSWERED_POLL_SECONDS = 1.65
 # A result later than this multiple of the objective is of no use to the caller.
 USEFULNESS_FACTOR = 3.0
 WINDOW_SECONDS = 2.0
@@ -103,6 +106,8 @@
     standby: ServiceName
     jobs: tuple[RecordedJob, ...]
     rack_outages: tuple[RackOutage, ...] = ()
+    # Share of the polls that workers leave unanswered.
+    unanswered_poll_share: float = 0.0
 
 
 @dataclass(slots=True)
@@ -236,6 +241,9 @@
         self.pending_events: list[tuple[float, int, object]] = []
         self.event_numbers = count()
         self.next_poll_at: dict[WorkerId, float] = {}
+        # Workers that left a poll unanswered, and when its timeout is over.
+        self.silent_until: dict[WorkerId, float] = {}
+        self.rng = random.Random(1)
         self.next_plan = self.now
         self.next_tick = self.now
 
@@ -371,8 +379,13 @@
         self.scheduler.handle_start_result(run, failure, self.now)
 
     def _poll(self, fake: FakeWorker) -> None:
+        if self.now < self.silent_until.get(fake.worker, 0.0):
+            return
         if not fake.ended and self.now < self.next_poll_at.get(fake.worker, 0.0):
             return
+        if self.rng.random() < self.day.unanswered_poll_share:
+            self.silent_until[fake.worker] = self.now + UNANSWERED_POLL_SECONDS
+            return
         worker = self.scheduler.workers.get(fake.worker)
         if worker is None:
             return
@@ -403,6 +416,7 @@
                     self._schedule(self.now + ORDER_DELAY_SECONDS, order)
                 case FetchReport():
                     self.next_poll_at[order.worker] = 0.0
+                    self.silent_until.pop(order.worker, None)
                 case ThrottleRun():
                     continue
 
