Split the fleet planner: state, sizes, moves and waves

fleet/planner.py had grown to 540 lines. state.py holds VMs, loads and changes; sizing.py the sizes of pools; moves.py and waves.py cordon VMs for moves and for maintenance, each with the state as an explicit collaborator; planner.py joins them.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -18,7 +18,7 @@
 
 from absl import logging
 
-from ebonyhub.fleet import changes, demand, planner
+from ebonyhub.fleet import demand, sizing
 from ebonyhub.scheduling import overdue, placement, planning, views
 from ebonyhub.scheduling.runs import Worker
 from standins import replayed_fleet
@@ -78,12 +78,12 @@
 
 @register_mechanism("hold of recent targets")
 def _hold() -> None:
-    _replace(changes, "TARGET_HOLD_SECONDS", 0.0)
+    _replace(sizing, "TARGET_HOLD_SECONDS", 0.0)
 
 
 @register_mechanism("reserve before a surge")
 def _reserve() -> None:
-    _replace(planner, "RESERVE_VMS", planner.MIN_POOL_VMS)
+    _replace(sizing, "RESERVE_VMS", sizing.MIN_POOL_VMS)
 
 
 @register_mechanism("look-ahead of rising demand")
@@ -98,7 +98,7 @@
 
 @register_mechanism("headroom")
 def _headroom() -> None:
-    _replace(planner, "HEADROOM_FACTOR", 1.0)
+    _replace(sizing, "HEADROOM_FACTOR", 1.0)
 
 
 @register_mechanism("backlog by run time")
--- a/src/ebonyhub/fleet/changes.py
+++ b/src/ebonyhub/fleet/changes.py
@@ -7,10 +7,6 @@
 from .model import Vm, Wave
 
 NO_WORKER = WorkerId("")
-# Time for which a pool keeps its highest recent target, so that a dip between two jobs
-# moves no VM. Parking a VM in a standby pool saves more than its two moves cost only
-# after about 2.5 s.
-TARGET_HOLD_SECONDS = 1.2
 # Share of a wave's duration reserved for VMs with long-running tasks. Their pool can
 # never spare them, and the tasks of a step are stopped one after the other.
 LONG_RUNNING_RESERVED_SHARE = 0.8
@@ -76,14 +72,6 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class PoolTarget:
-    """Target sizes of a pool in VMs: for present demand, and including reserve."""
-
-    minimum: int
-    desired: int
-
-
 @dataclass(frozen=True, slots=True)
 class PoolAllocation:
     """VMs that may leave each pool, and the size of each pool after planned moves.
@@ -93,23 +81,3 @@
 
     movable: dict[PoolName, list[Vm]]
     sizes: dict[PoolName, int]
-
-
-@dataclass(slots=True)
-class PoolState:
-    """Recent targets and surges of a pool."""
-
-    # All VMs divided by the number of pools.
-    even_share: int
-    # Target sizes with the time of each, oldest first.
-    recent_targets: list[tuple[float, int]] = field(default_factory=list)
-    # Whether it has had a surge since every pool had one.
-    had_surge: bool = False
-    in_surge: bool = False
-
-    def record_target(self, now: float, target: int) -> int:
-        """Add a target; return the highest one of the last TARGET_HOLD_SECONDS."""
-        self.recent_targets.append((now, target))
-        while self.recent_targets[0][0] < now - TARGET_HOLD_SECONDS:
-            self.recent_targets.pop(0)
-        return max(size for _, size in self.recent_targets)
--- /dev/null
+++ b/src/ebonyhub/fleet/waves.py
@@ -0,0 +1,165 @@
+"""Plans the maintenance of VMs in waves, within the limit of each wave."""
+
+from math import ceil
+
+from ..events import Event, log_event
+from ..ids import PoolName, VmId, WaveId
+from .changes import ChangePhase, VmChange, WaveState
+from .model import UNKNOWN_LOAD, Vm, VmState, Wave
+from .sizing import PoolTarget
+from .state import FleetState
+
+# Time to drain a VM and maintain it, used to estimate how long a wave still takes.
+MAINTENANCE_ROUND_SECONDS = 4.5
+
+
+class WavePlanner:
+    """Cordons VMs that are due for maintenance, and tracks the progress of waves."""
+
+    def __init__(self, state: FleetState) -> None:
+        self.state = state
+        self.waves: dict[WaveId, WaveState] = {}
+
+    def add(self, wave: Wave, now: float) -> bool:
+        """Add an operator's wave; return False if it is already known."""
+        if wave.wave_id in self.waves:
+            return False
+        self.waves[wave.wave_id] = WaveState(wave, now + wave.duration_seconds)
+        log_event(
+            Event.WAVE_RECEIVED,
+            wave=wave.wave_id,
+            vms=len(wave.vms),
+            limit=wave.max_down,
+            seconds=wave.duration_seconds,
+        )
+        return True
+
+    def resume(
+        self, wave: WaveId, begun: set[VmId], ordered: set[VmId], now: float
+    ) -> None:
+        """Restore the progress of a wave that an earlier leader stored.
+
+        The cloud may still carry out requests of that leader. So each VM for which one
+        may have been sent counts towards the wave's limit until the cloud has answered
+        a new request.
+        """
+        state = self.waves[wave]
+        state.begun |= begun
+        state.ordered |= ordered
+        for vm in sorted(ordered - begun):
+            self.state.changes[vm] = VmChange(
+                vm, ChangePhase.CORDONED, now, wave=wave, outcome_unknown=True
+            )
+
+    def is_within_limit(self, change: VmChange) -> bool:
+        """Return whether the wave allows one more VM to be down."""
+        if change.wave is None:
+            return True
+        wave = self.waves[change.wave].wave
+        down = 0
+        for vm in wave.vms:
+            other = self.state.changes.get(vm)
+            ordered = (
+                other is not None
+                and other.wave is not None
+                and other.phase is not ChangePhase.CORDONED
+            )
+            down += vm != change.vm and (ordered or self.state.is_in_maintenance(vm))
+        return down < wave.max_down
+
+    def plan(self, targets: dict[PoolName, PoolTarget], now: float) -> None:
+        """Cordon the VMs whose maintenance may begin."""
+        for state in self.waves.values():
+            if state.completed:
+                continue
+            remaining = [
+                self.state.vms[vm]
+                for vm in state.wave.vms
+                if vm in self.state.vms and vm not in state.begun
+            ]
+            assigned = sum(1 for vm in state.wave.vms if self._is_assigned_to_wave(vm))
+            rounds = ceil(len(remaining) / max(1, state.wave.max_down))
+            behind_schedule = (
+                now + (rounds + 1) * MAINTENANCE_ROUND_SECONDS > state.due_at
+            )
+            candidates = [
+                vm
+                for vm in remaining
+                if vm.vm_id not in self.state.changes
+                and vm.state is VmState.UP
+                and not self.state.is_backing_off(vm.vm_id, now)
+                and self.state.load_of(vm) is not UNKNOWN_LOAD
+            ]
+            candidates.sort(key=self._maintenance_order)
+            sizes = self.state.pool_sizes()
+            long_running_due = state.long_running_vms_are_due(now)
+            for vm in candidates:
+                if assigned >= state.wave.max_down:
+                    break
+                due = behind_schedule or (
+                    long_running_due and self.state.load_of(vm).long_running_tasks > 0
+                )
+                if not due and not self._can_spare(vm, targets, sizes):
+                    continue
+                if not self._can_relocate_long_running(vm):
+                    continue
+                self.state.changes[vm.vm_id] = VmChange(
+                    vm.vm_id, ChangePhase.CORDONED, now, wave=state.wave.wave_id
+                )
+                log_event(
+                    Event.VM_MAINTENANCE_PLANNED,
+                    vm=vm.vm_id,
+                    wave=state.wave.wave_id,
+                    hurry=behind_schedule,
+                )
+                assigned += 1
+                sizes[vm.pool] = sizes.get(vm.pool, 0) - 1
+
+    def _is_assigned_to_wave(self, vm_id: VmId) -> bool:
+        change = self.state.changes.get(vm_id)
+        maintenance_planned = change is not None and change.wave is not None
+        return maintenance_planned or self.state.is_in_maintenance(vm_id)
+
+    def _maintenance_order(self, vm: Vm) -> tuple[bool, int, float, VmId]:
+        load = self.state.load_of(vm)
+        return (
+            vm.pool not in self.state.standby_pools,
+            load.long_running_tasks,
+            load.used_cores,
+            vm.vm_id,
+        )
+
+    def _can_spare(
+        self, vm: Vm, targets: dict[PoolName, PoolTarget], sizes: dict[PoolName, int]
+    ) -> bool:
+        """Return whether the pool keeps its minimum size without the VM."""
+        target = targets.get(vm.pool)
+        return target is None or sizes.get(vm.pool, 0) - 1 >= target.minimum
+
+    def _can_relocate_long_running(self, vm: Vm) -> bool:
+        """Return whether another VM of its pool has room for its long-running tasks."""
+        load = self.state.load_of(vm)
+        if not load.long_running_tasks:
+            return True
+        return any(
+            other.vm_id != vm.vm_id
+            and other.pool == vm.pool
+            and other.state is VmState.UP
+            and other.vm_id not in self.state.changes
+            and self.state.load_of(other) is not UNKNOWN_LOAD
+            and other.capacity.cpu / 1000 - self.state.load_of(other).used_cores
+            >= load.long_running_cores
+            for other in self.state.vms.values()
+        )
+
+    def finished(self) -> list[WaveState]:
+        """Return the waves to mark completed: all VMs have begun or are not listed."""
+        return [
+            state
+            for state in self.waves.values()
+            if not state.completed
+            and self.state.vms
+            and all(
+                vm in state.begun or vm not in self.state.vms for vm in state.wave.vms
+            )
+        ]
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -8,11 +8,7 @@
 
 import pytest
 
-from ebonyhub.fleet.changes import (
-    LONG_RUNNING_RESERVED_SHARE,
-    TARGET_HOLD_SECONDS,
-    ChangePhase,
-)
+from ebonyhub.fleet.changes import LONG_RUNNING_RESERVED_SHARE, ChangePhase
 from ebonyhub.fleet.demand import (
     ARRIVAL_WINDOW_SECONDS,
     SHORT_WINDOW_MIN_ARRIVALS,
@@ -25,6 +21,7 @@
     VM_DRAIN_TIMEOUT_SECONDS,
     FleetPlanner,
 )
+from ebonyhub.fleet.sizing import TARGET_HOLD_SECONDS
 from ebonyhub.ids import PoolName, RackId, VmId, WaveId, WorkerId
 from ebonyhub.jobs.model import Resources
 
