Ask only workers that have been silent for 0.25 s

Cause: make bench shows that the check for overdue ends, made for each run on each tick, took the tick at 740 workers and 10,000 jobs from 4.2 to 14.7 ms of processor time (300 workers: 1.7 to 5.0).

Change: a worker that has reported within 0.25 s is skipped; a busy one reports each end. No list of runs is built for the check.

The reports' programs read their logs by one function.

--- a/reports/day_log.py
+++ b/reports/day_log.py
@@ -1,9 +1,11 @@
 """Extracts jobs, pool sizes, VM changes and waits from the entries' logs of a day."""
 
 import re
+import sys
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import datetime
+from pathlib import Path
 
 # A log line; the users' bench prefixes it with its own seconds and the entry.
 _LINE = re.compile(
@@ -46,6 +48,18 @@
     unmatched_lines: int = 0
 
 
+def read_logs(paths: Iterable[Path]) -> list[str] | None:
+    """Return the lines of all files; prints an error and returns None if one fails."""
+    lines: list[str] = []
+    for path in paths:
+        try:
+            lines += path.read_text(errors="replace").splitlines()
+        except OSError as error:
+            print(f"{path}: cannot be read: {error.strerror}", file=sys.stderr)
+            return None
+    return lines
+
+
 def read_day(lines: Iterable[str]) -> DayLog:
     """Return the events in the logs of all entries; counts lines that are no events."""
     day = DayLog()
--- a/reports/draw.py
+++ b/reports/draw.py
@@ -11,7 +11,7 @@
 import matplotlib
 from matplotlib.axes import Axes
 
-from .day_log import DayLog, read_day
+from .day_log import DayLog, read_day, read_logs
 
 matplotlib.use("Agg")
 
@@ -62,13 +62,9 @@
     parser.add_argument("logs", nargs="+", type=Path, help="logs of all entries")
     parser.add_argument("--output", type=Path, default=Path("day.png"))
     parsed = parser.parse_args(arguments)
-    lines: list[str] = []
-    for path in parsed.logs:
-        try:
-            lines += path.read_text(errors="replace").splitlines()
-        except OSError as error:
-            print(f"{path}: cannot be read: {error.strerror}", file=sys.stderr)
-            return 2
+    lines = read_logs(parsed.logs)
+    if lines is None:
+        return 2
     day = read_day(lines)
     if not day.arrivals and not day.pools:
         print(
--- a/reports/loss.py
+++ b/reports/loss.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from .day_log import DayLog, read_events
+from .day_log import DayLog, read_events, read_logs
 
 CALL_ANSWERED = 2101
 CALL_REFUSED = 2102
@@ -257,13 +257,9 @@
     parser = argparse.ArgumentParser(prog="loss", description=__doc__)
     parser.add_argument("logs", nargs="+", type=Path, help="logs of all entries")
     parsed = parser.parse_args(arguments)
-    lines: list[str] = []
-    for path in parsed.logs:
-        try:
-            lines += path.read_text(errors="replace").splitlines()
-        except OSError as error:
-            print(f"{path}: cannot be read: {error.strerror}", file=sys.stderr)
-            return 2
+    lines = read_logs(parsed.logs)
+    if lines is None:
+        return 2
     jobs, causes = read_jobs(lines)
     if not jobs:
         print("the logs name no job", file=sys.stderr)
--- a/src/ebonyhub/scheduling/overdue.py
+++ b/src/ebonyhub/scheduling/overdue.py
@@ -5,8 +5,9 @@
 ended run stays reserved, its job does not go on, and the job's next step cannot start.
 """
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 
+from ..ids import JobId
 from .runs import Job, Run, RunPhase, Worker
 
 # A run is overdue once it takes this many times as long as the other runs of its step,
@@ -15,6 +16,8 @@
 OVERDUE_ESTIMATE_FACTOR = 1.8
 # Seconds added to both, for the report of an end to arrive.
 REPORT_MARGIN_SECONDS = 0.1
+# A worker that has reported more recently is not asked: a busy one reports each end.
+MIN_SILENCE_SECONDS = 0.25
 # Seconds between two reports that are requested from one worker for this reason.
 MIN_REQUEST_INTERVAL_SECONDS = 0.5
 
@@ -35,16 +38,21 @@
     return estimate * OVERDUE_ESTIMATE_FACTOR + REPORT_MARGIN_SECONDS
 
 
-def is_report_overdue(
-    worker: Worker, runs: Iterable[tuple[Run, Job]], now: float
-) -> bool:
-    """Return whether a run should have ended since the worker's last report."""
+def is_report_overdue(worker: Worker, jobs: Mapping[JobId, Job], now: float) -> bool:
+    """Return whether a run of the worker should have ended since its last report."""
+    silent_for = now - worker.clock_read_at
+    if silent_for < MIN_SILENCE_SECONDS:
+        return False
     if now - worker.report_requested_at < MIN_REQUEST_INTERVAL_SECONDS:
         return False
-    for run, job in runs:
-        if run.phase is not RunPhase.CONFIRMED or run.stop_reason is not None:
+    for run in worker.runs.values():
+        # A run that was due before the last report is known to go on.
+        elapsed = now - run.confirmed_at
+        if run.phase is not RunPhase.CONFIRMED or run.step.long_running:
+            continue
+        job = jobs.get(run.task.job)
+        if job is None or run.stop_reason is not None:
             continue
-        due_at = run.confirmed_at + expected_seconds(job, run)
-        if worker.clock_read_at < due_at <= now:
+        if elapsed - silent_for < expected_seconds(job, run) <= elapsed:
             return True
     return False
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -108,12 +108,7 @@
 
     def _request_overdue_report(self, worker: Worker, now: float) -> None:
         """Request a report if a run should have ended since the last one."""
-        runs = [
-            (run, self.jobs[run.task.job])
-            for run in worker.runs.values()
-            if not run.step.long_running and run.task.job in self.jobs
-        ]
-        if is_report_overdue(worker, runs, now):
+        if is_report_overdue(worker, self.jobs, now):
             worker.report_requested_at = now
             self.outbox.append(FetchReport(worker.worker_id))
 
