A worker that registers within 1 s of a change does not end it

Cause, found by reading: a worker that restarted under a new id just before its empty VM went into maintenance may register after the cloud has accepted that. Its id is not the one in the last VM list, and maintenance leaves the VM in its pool, so the registration would count as the end of the maintenance, and the wave could take one VM too many.

Change: a registration ends a change only from 1 s after its acceptance on.

--- a/src/ebonyhub/fleet/state.py
+++ b/src/ebonyhub/fleet/state.py
@@ -10,6 +10,8 @@
 # Time after which an accepted change of a VM that is up counts as complete, whatever
 # pool the VM is in. A move takes 1.5 s.
 MOVE_TIMEOUT_SECONDS = 6.0
+# A worker that registers sooner after the acceptance of a change started before it.
+MIN_CHANGE_SECONDS = 1.0
 # Time for which the VM list may lag behind the registration of a VM's new worker.
 VM_LIST_LAG_SECONDS = 2.0
 
@@ -72,6 +74,8 @@
             return False
         if change.outcome_unknown or worker == change.replaced_worker:
             return False
+        if now - change.phase_since < MIN_CHANGE_SECONDS:
+            return False
         if pool != (change.pool or vm.pool):
             return False
         del self.changes[vm_id]
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -286,20 +286,22 @@
 
 
 @pytest.mark.parametrize(
-    ("pool", "worker", "outcome_unknown", "arrives"),
+    ("pool", "worker", "outcome_unknown", "at", "arrives"),
     [
-        ("a", "new", False, True),
+        ("a", "new", False, 1.5, True),
         # The worker from before the move registers again.
-        ("a", "w-m5", False, False),
+        ("a", "w-m5", False, 1.5, False),
         # A worker of an earlier life, in the old pool.
-        ("spare", "new", False, False),
+        ("spare", "new", False, 1.5, False),
         # The cloud may carry out the first request after the second.
-        ("a", "new", True, False),
+        ("a", "new", True, 1.5, False),
+        # A worker that started just before the change.
+        ("a", "new", False, 0.3, False),
     ],
 )
-def test_new_worker_ends_the_move_of_its_vm(pool, worker, outcome_unknown, arrives):
+def test_new_worker_ends_the_move_of_its_vm(pool, worker, outcome_unknown, at, arrives):
     planner, moved = moved_vm(outcome_unknown)
-    ended = planner.mark_arrived(moved.vm_id, PoolName(pool), WorkerId(worker), now=1.5)
+    ended = planner.mark_arrived(moved.vm_id, PoolName(pool), WorkerId(worker), at)
     assert ended == arrives
     assert (moved.vm_id in planner.cordoned_vms()) != arrives
     # A list that still shows the VM as moving does not undo that.
