Log and count which runs are lost with a worker, and how old they were

Cause: E2304 gave the cause and the number of runs only, so the logs could not tell tasks that crash their workers from VMs that are faulty.

Change: E2304 and E2305 name the VM and the youngest runs with their age when the worker fell silent; two counters by cause.

--- a/src/ebonyhub/metrics.py
+++ b/src/ebonyhub/metrics.py
@@ -67,6 +67,16 @@
             "order",
             "reason",
         )
+        self.workers_lost = self._counter(
+            "ebonyhub_workers_lost_total",
+            "Workers lost or restarted with runs on them, by cause.",
+            "cause",
+        )
+        self.runs_lost = self._counter(
+            "ebonyhub_runs_lost_total",
+            "Runs lost with their worker, by cause.",
+            "cause",
+        )
         self.commit_seconds = self._histogram(
             "ebonyhub_commit_seconds", "Time of a commit of progress records."
         )
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -23,6 +23,7 @@
 from ..platform.config import WORKER_PREFIX, decode_worker
 from ..platform.workers import WorkerClient
 from .committer import Committer
+from .losses import LossCause
 from .model import OrderFailure, WorkerReport
 from .orders import FetchReport, Order, StartRun, StopRun, ThrottleRun
 from .overload import Forecast
@@ -79,6 +80,7 @@
         self.metrics = metrics
         self.notify_stored = on_stored
         self.scheduler = Scheduler()
+        self.scheduler.on_worker_lost = self._count_lost_worker
         self.committer = Committer(
             store, self.scheduler, term, clock, metrics, self._on_stored
         )
@@ -445,6 +447,10 @@
         self.scheduler.handle_report(worker, report, sent_at, now, wall_ms)
         self.wake.set()
 
+    def _count_lost_worker(self, cause: LossCause, runs: int) -> None:
+        self.metrics.workers_lost.labels(cause.value).inc()
+        self.metrics.runs_lost.labels(cause.value).inc(runs)
+
     def _on_fenced(self, worker: Worker) -> None:
         if not self.term.ended:
             log_event(
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -8,6 +8,7 @@
 from . import lifecycle
 from .health import WorkerHealth
 from .intake import JobIntake
+from .losses import LossCause, youngest_runs
 from .model import (
     EndedTask,
     RunningTask,
@@ -48,7 +49,7 @@
         if worker.last_response_at is None or worker.poll_failed:
             self.services_to_plan.add(worker.entry.service)
         worker.last_response_at = now
-        worker.poll_failed = False
+        worker.silent_since = None
         worker.clock_ms, worker.clock_read_at = report.clock_ms, now
         worker.expired = False
         self._handle_ends(worker, report.ended, now, wall_ms)
@@ -69,9 +70,11 @@
         so no run is discarded here.
         """
         log_event(
-            Event.WORKER_RESTARTED, worker=worker.worker_id, born=report.born_ms,
-            runs=len(worker.runs),
+            Event.WORKER_RESTARTED, worker=worker.worker_id, vm=worker.entry.vm,
+            born=report.born_ms, runs=len(worker.runs),
+            youngest=youngest_runs(worker, now),
         )  # fmt: skip
+        self.on_worker_lost(LossCause.RESTARTED, len(worker.runs))
         worker.last_seen_sequence = 0
         worker.acknowledged_sequence = 0
         worker.unstored_ends.clear()
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -95,8 +95,8 @@
     runs: dict[tuple[TaskId, int], Run] = field(default_factory=dict)
     used: Resources = field(default_factory=Resources)
     discovered_at: float = 0.0
-    # The last poll got no response.
-    poll_failed: bool = False
+    # When a poll first failed since the last report; None if none has.
+    silent_since: float | None = None
     # Time of the last response to this leader; None before the first.
     last_response_at: float | None = None
     # The worker's clock in its last report, and when that report was received.
@@ -128,6 +128,11 @@
         """Return the id under which the worker is registered in the store."""
         return self.entry.worker
 
+    @property
+    def poll_failed(self) -> bool:
+        """Return whether the last poll got no response."""
+        return self.silent_since is not None
+
     def update_entry(self, entry: WorkerEntry) -> None:
         """Replace the entry; its capacity may differ."""
         self.entry = entry
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -14,6 +14,7 @@
 from ..ids import JobId, QueueName, ServiceName, TaskId, VmId, WorkerId
 from . import lifecycle
 from .health import FLEET_AVERAGE_WEIGHT, SlowdownAverage
+from .losses import LossCause, youngest_runs
 from .orders import Order, StopRun
 from .priority import Urgency, urgency
 from .runs import Job, Run, RunPhase, StopReason, Worker
@@ -87,6 +88,8 @@
         self.pool_cores: Mapping[ServiceName, float] = {}
         # Computes the order in which waiting jobs are placed; replays substitute it.
         self.urgency: Callable[[Job, Queue | None, float, bool], Urgency] = urgency
+        # Called with the cause and the number of runs when a worker is lost.
+        self.on_worker_lost: Callable[[LossCause, int], None] = lambda *_: None
         # VMs about to be moved or put into maintenance; their workers get no new tasks.
         self.cordoned_vms: set[VmId] = set()
 
@@ -158,13 +161,15 @@
         lifecycle.clear_run(job, run.task, run.checkpoint)
         self.mark_dirty(job)
 
-    def expire_worker(self, worker: Worker, cause: str) -> None:
+    def expire_worker(self, worker: Worker, cause: LossCause, now: float) -> None:
         """Discard all runs of a worker whose lease has ended or whose VM is gone."""
         worker.expired = True
         log_event(
-            Event.WORKER_EXPIRED, worker=worker.worker_id, cause=cause,
-            runs=len(worker.runs),
+            Event.WORKER_EXPIRED, worker=worker.worker_id, vm=worker.entry.vm,
+            cause=cause.value, runs=len(worker.runs),
+            youngest=youngest_runs(worker, now),
         )  # fmt: skip
+        self.on_worker_lost(cause, len(worker.runs))
         for run in list(worker.runs.values()):
             self.discard_run(run, worker)
 
--- a/src/ebonyhub/scheduling/worker_link.py
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -91,7 +91,8 @@
             await self._wait_for_store()
             return
         self._count_failure("hold", result.error)
-        self.worker.poll_failed = True
+        if self.worker.silent_since is None:
+            self.worker.silent_since = self.clock.monotonic()
         if self.reachable and result.error is not OrderFailure.FENCED:
             self.reachable = False
             log_event(
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -3,9 +3,10 @@
 from collections.abc import Iterable
 
 from ..events import Event, log_event
-from ..fleet.model import Vm, VmState
+from ..fleet.model import Vm
 from ..ids import VmId, WorkerId
 from .health import is_stuck
+from .losses import LossCause, loss_by_vm
 from .model import WorkerEntry
 from .orders import FetchReport
 from .overdue import is_report_overdue
@@ -57,12 +58,9 @@
         """
         by_id = {vm.vm_id: vm for vm in vms}
         for worker in self.unresponsive_workers(now):
-            vm = by_id.get(worker.entry.vm)
-            alive = vm is not None and vm.state is VmState.UP
-            if vm is not None and alive and vm.worker == worker.worker_id:
-                continue
-            state = vm.state.value if vm is not None else "gone"
-            self.expire_worker(worker, f"vm_{state}")
+            cause = loss_by_vm(worker, by_id.get(worker.entry.vm))
+            if cause is not None:
+                self.expire_worker(worker, cause, now)
 
     def unresponsive_workers(self, now: float) -> list[Worker]:
         """Return the workers with runs that do not respond.
@@ -93,7 +91,7 @@
             and has_runs
             and worker.lease_has_ended(now, self.inherited_leases_until)
         ):
-            self.expire_worker(worker, "lease_ended")
+            self.expire_worker(worker, LossCause.LEASE_ENDED, now)
         if worker.deregistered and not worker.runs and (unresponsive or worker.expired):
             del self.workers[worker.worker_id]
             return
