--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -249,6 +249,8 @@
             lease = worker.clock_now_ms(self.now) + int(WORKER_LEASE_SECONDS * 1000)
             worker.lease_end_ms = max(worker.lease_end_ms, lease)
         if not fake.up or fake.partitioned:
+            if worker.silent_since is None:
+                worker.silent_since = self.now
             return
         # The first poll of a worker process by a leader acknowledges nothing.
         same_incarnation = self.connected.get(name) == (fake.born_ms, self.token)
@@ -390,10 +392,18 @@
     # Faults
 
     def crash_worker(self, name: WorkerId) -> None:
-        """Crash a worker and remove its entry."""
+        """Crash a worker and remove its entry; its connections break at once."""
+        self.oracle.record_crash(self.workers[name])
         self.workers[name].crash()
+        self.next_poll_at[name] = self.now
         self.workers[name].registered = False
 
+    def add_worker(self, name: WorkerId, number: int) -> FakeWorker:
+        """Add an empty worker under a new id."""
+        self.workers[name] = self._new_worker(name, number)
+        self.next_poll_at[name] = self.now
+        return self.workers[name]
+
     def restart_worker(self, name: WorkerId) -> None:
         """Restart a crashed worker under the same id."""
         if not self.workers[name].up:
--- a/standins/oracle.py
+++ b/standins/oracle.py
@@ -26,6 +26,9 @@
     completion_acknowledged: bool = False
     failures: int = 0
     starts: int = 0
+    # Worker processes that have crashed under the task, and starts after the third.
+    crashes: int = 0
+    starts_after_third_crash: int = 0
 
 
 @dataclass
@@ -43,6 +46,8 @@
     # Share of runs that end as failed.
     failure_rate: float = 0.0
     always_failing_jobs: set[JobId] = field(default_factory=set)
+    # Tasks that crash each worker that starts them.
+    crashing_tasks: set[TaskId] = field(default_factory=set)
     # By worker process and sequence number of the end.
     unacknowledged_completions: dict[tuple[str, int], list[tuple[TaskId, int]]] = field(
         default_factory=dict
@@ -83,6 +88,7 @@
             )
         if history.failures >= self.max_attempts and not self._step(task).long_running:
             raise GuaranteeViolation(f"BUDGET: {task} run {number}")
+        self._check_crash_limit(task, number, history)
         self._check_dependencies(task)
         self._check_due_time(task)
         self._check_capacity(worker)
@@ -97,6 +103,23 @@
             )
         history.running[worker.worker] = number
 
+    def _check_crash_limit(
+        self, task: TaskId, number: int, history: TaskHistory
+    ) -> None:
+        """Raise for the third start of a crashing task after three crashes under it."""
+        if task not in self.crashing_tasks or history.crashes < 3:
+            return
+        history.starts_after_third_crash += 1
+        if history.starts_after_third_crash >= 3:
+            raise GuaranteeViolation(
+                f"BUDGET: {task} run {number} after {history.crashes} crashes"
+            )
+
+    def record_crash(self, worker: FakeWorker) -> None:
+        """Record that a worker process crashes under the tasks that run on it."""
+        for task in worker.runs:
+            self.tasks[task].crashes += 1
+
     def _step(self, task: TaskId):  # type: ignore[no-untyped-def]
         return self.specs[task.job].steps[task.step]
 
