Start suspected tasks alone and give up those that crash their workers

What callers saw: one job's task crashed worker after worker (50 starts in 43 s), the jobs beside it were late or not served, and the job was never shown as failed.

Cause: a run that vanishes with its worker leaves no end, and only ends counted as attempts. The task became ready again without limit: an unbounded retry of a failure that is attributed to nobody. The same holds for workers that start again under their id, and the new leader knew of no earlier loss at all.

Change: losses that no order explains (VM down or gone, worker replaced or restarted) are crashes. The suspects are the runs that were on probation, younger than 0.5 s or without an answer to their start; they are charged in the job's progress record, so that a successor goes on counting. A suspected task starts alone: on a worker without other runs on probation, where nothing starts meanwhile. If that worker crashes too, the job fails at once and the evidence of the crashes that it explains is withdrawn; if it survives, the task is cleared. A crash without a young run counts against all runs but long-running ones; from the second on they start alone until they end, and are given up at the third. Run records name the VM, so that a new leader learns of the crash of an inherited run.

Why it works: a deadly task is charged at its first crash and is alone at its second. Counting presence at crashes would fail jobs without fault, which restart in the same pass as it.

--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -149,6 +149,19 @@
     WAIT_CAUSE_CHANGED = EventSpec(
         2209, _I, "cause for which ready tasks wait changed", "None."
     )
+    TASK_SUSPECTED = EventSpec(
+        2210,
+        _W,
+        "task may have crashed its worker; it will start alone",
+        "None; E2211 or E2212 tells the result.",
+    )
+    JOB_GIVEN_UP = EventSpec(
+        2211,
+        _W,
+        "job given up: one of its tasks crashes its workers",
+        "Ask the owner of the job to check the named task.",
+    )
+    SUSPICION_ENDED = EventSpec(2212, _I, "task is no longer suspected", "None.")
     WORKER_DISCOVERED = EventSpec(2301, _I, "worker discovered in the store", "None.")
     WORKER_DRAINING = EventSpec(2302, _I, "worker is draining", "None.")
     WORKER_ENTRY_REMOVED = EventSpec(2303, _I, "worker's store entry removed", "None.")
--- a/src/ebonyhub/jobs/records.py
+++ b/src/ebonyhub/jobs/records.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..ids import JobId, WorkerId
+from ..ids import JobId, VmId, WorkerId
 
 # Submissions and cancellations of callers, which the leader watches.
 JOB_PREFIX = "eb/jobs/"
@@ -42,6 +42,8 @@
     born_ms: int
     # Checkpoint from which the run resumes; empty if it starts from the beginning.
     checkpoint: str = ""
+    # VM of the worker; empty in records of earlier versions.
+    vm: VmId = VmId("")
 
 
 class StepProgress(msgspec.Struct, array_like=True):
@@ -56,6 +58,10 @@
     last_run_numbers: dict[int, int] = msgspec.field(default_factory=dict)
     runs: dict[int, RunRecord] = msgspec.field(default_factory=dict)
     checkpoints: dict[int, str] = msgspec.field(default_factory=dict)
+    # Evidence that a task crashes its workers, see scheduling/crashes.py: from crashes
+    # just after its start, and the number of later ones that nothing explains.
+    crash_evidence: dict[int, int] = msgspec.field(default_factory=dict)
+    late_crashes: dict[int, int] = msgspec.field(default_factory=dict)
 
 
 class ProgressRecord(msgspec.Struct, array_like=True):
--- a/src/ebonyhub/metrics.py
+++ b/src/ebonyhub/metrics.py
@@ -77,6 +77,11 @@
             "Runs lost with their worker, by cause.",
             "cause",
         )
+        self.jobs_given_up = self._counter(
+            "ebonyhub_jobs_given_up_total",
+            "Jobs failed since a task of theirs crashes its workers, by queue.",
+            "queue",
+        )
         self.commit_seconds = self._histogram(
             "ebonyhub_commit_seconds", "Time of a commit of progress records."
         )
--- /dev/null
+++ b/src/ebonyhub/scheduling/assignment.py
@@ -0,0 +1,78 @@
+"""Assigns a task to a worker: the run, its reservation and its record."""
+
+from ..ids import TaskId, WorkerId
+from . import lifecycle
+from .crashes import probation_seconds
+from .placement import StepRequirements
+from .runs import Job, Run, RunPhase, Worker
+from .state import SchedulerState
+
+
+class Assignment(SchedulerState):
+    """Creates planned runs; their starts are ordered once the records are stored."""
+
+    def requirements_of(
+        self,
+        job: Job,
+        occurrence: int,
+        number: int,
+        workers: list[Worker],
+        now: float,
+    ) -> StepRequirements | None:
+        """Return what a step requires, None while it waits for placement advice."""
+        step = job.accepted.spec.steps[number]
+        queue = self.queues.get(job.queue)
+        tickets: dict[WorkerId, str] | None = None
+        if queue is not None and queue.advisor is not None:
+            key = (job.job_id, occurrence, number)
+            advice = self.advice.get(key)
+            if advice is None or advice.is_unusable(workers, now):
+                self.steps_without_advice[key] = job.queue
+                return None
+            tickets = advice.tickets
+        return StepRequirements(job.job_id, occurrence, number, step, tickets)
+
+    def assign(
+        self,
+        job: Job,
+        task: TaskId,
+        worker: Worker,
+        now: float,
+        number: int | None = None,
+        checkpoint: str | None = None,
+    ) -> None:
+        """Plan a run of the task on the worker."""
+        step_progress = lifecycle.step_progress_of(job, task)
+        assert step_progress is not None
+        if number is None:
+            number = step_progress.last_run_numbers.get(task.position, 0) + 1
+        if checkpoint is None:
+            checkpoint = step_progress.checkpoints.get(task.position, "")
+        step = lifecycle.step_of(job, task)
+        run = Run(
+            task, number, worker.worker_id, worker.born_ms, step.reserved, step,
+            RunPhase.PLANNED, planned_at=now, checkpoint=checkpoint,
+            probation_seconds=probation_seconds(step_progress, task.position),
+        )  # fmt: skip
+        self.reserve_for_run(run, worker)
+        lifecycle.record_start(job, run, worker.entry.vm)
+        run.job_version = job.version
+        self.planned_runs.append(run)
+        self.mark_dirty(job)
+
+    def assign_gang(
+        self,
+        job: Job,
+        requirements: StepRequirements,
+        chosen: dict[int, Worker],
+        now: float,
+    ) -> None:
+        """Plan the runs of all members of a gang, given the worker of each."""
+        step_progress = job.progress.occurrences[requirements.occurrence][
+            requirements.step_number
+        ]
+        number = max(step_progress.last_run_numbers.values(), default=0) + 1
+        checkpoint = max(step_progress.checkpoints.values(), default="")
+        for position, worker in chosen.items():
+            task = requirements.task(position)
+            self.assign(job, task, worker, now, number, checkpoint)
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -81,6 +81,9 @@
         self.notify_stored = on_stored
         self.scheduler = Scheduler()
         self.scheduler.on_worker_lost = self._count_lost_worker
+        self.scheduler.on_job_given_up = lambda queue: metrics.jobs_given_up.labels(
+            queue
+        ).inc()
         self.committer = Committer(
             store, self.scheduler, term, clock, metrics, self._on_stored
         )
@@ -97,7 +100,7 @@
                 lambda: self.scheduler.demands(clock.monotonic()),
                 self.scheduler.set_cordoned,
                 lambda vms: self.scheduler.expire_workers_without_vm(
-                    vms, clock.monotonic()
+                    vms, clock.monotonic(), self._wall_ms()
                 ),
                 lambda: bool(self.scheduler.unresponsive_workers(clock.monotonic())),
             )
--- /dev/null
+++ b/src/ebonyhub/scheduling/crash_attribution.py
@@ -0,0 +1,135 @@
+"""Discards the runs of lost workers, and gives up tasks that crash their workers."""
+
+from collections.abc import Iterable
+
+from ..events import Event, log_event
+from ..ids import TaskId
+from ..jobs.records import JobState
+from . import lifecycle
+from .crashes import (
+    Charge,
+    Crash,
+    LostRun,
+    charges_of,
+    has_survived_probation,
+    is_crash,
+    must_be_given_up,
+    suspects_of,
+)
+from .intake import JobIntake
+from .losses import LossCause, run_age, started_runs, youngest_runs
+from .runs import Job, Run, StopReason, Worker
+from .state import short_name
+
+
+class CrashAttribution(JobIntake):
+    """Finds the tasks that crash their workers, and clears those that do not."""
+
+    def expire_worker(
+        self, worker: Worker, cause: LossCause, now: float, wall_ms: int
+    ) -> None:
+        """Discard all runs of a worker whose lease has ended or whose VM is gone."""
+        worker.expired = True
+        log_event(
+            Event.WORKER_EXPIRED, worker=worker.worker_id, vm=worker.entry.vm,
+            cause=cause.value, runs=len(worker.runs),
+            youngest=youngest_runs(worker, now),
+        )  # fmt: skip
+        self.on_worker_lost(cause, len(worker.runs))
+        lost = [LostRun(run, run_age(run, worker, now)) for run in started_runs(worker)]
+        for run in list(worker.runs.values()):
+            self.discard_run(run, worker)
+        if is_crash(cause, worker, worker.born_ms):
+            self.attribute_crash(lost, now, wall_ms)
+
+    def attribute_crash(
+        self, lost: Iterable[LostRun], now: float, wall_ms: int
+    ) -> None:
+        """Charge the suspects of a crash; give up the job that has caused it."""
+        lost = [item for item in lost if self._is_active(item.run)]
+        culprit = self._find_culprit(lost)
+        if culprit is not None:
+            self._give_up(culprit, now, wall_ms)
+            return
+        charges = charges_of(lost)
+        for task, charge in charges.items():
+            self._charge(task, charge)
+        if charges:
+            self.crashes.append(Crash(charges))
+
+    def _is_active(self, run: Run) -> bool:
+        return run.task.job in self.active
+
+    def _find_culprit(self, lost: list[LostRun]) -> Run | None:
+        """Return the run that has crashed its worker for the last time, if it is sure.
+
+        It must have been started alone. The members of a gang may share a worker, since
+        they are given up together.
+        """
+        suspects = suspects_of(lost)
+        if not suspects or len({item.run.task.job for item in suspects}) > 1:
+            return None
+        for item in suspects:
+            run = item.run
+            progress = lifecycle.step_progress_of(self.jobs[run.task.job], run.task)
+            if run.probation_seconds is None or progress is None:
+                continue
+            charge = charges_of([item])[run.task]
+            if must_be_given_up(progress, run.task.position, charge):
+                return run
+        return None
+
+    def _charge(self, task: TaskId, charge: Charge) -> None:
+        job = self.jobs[task.job]
+        lifecycle.add_charge(job, task, charge)
+        self.mark_dirty(job)
+        log_event(
+            Event.TASK_SUSPECTED, job=task.job, task=short_name(task),
+            evidence=charge.evidence, late=charge.late_crashes,
+        )  # fmt: skip
+
+    def _give_up(self, run: Run, now: float, wall_ms: int) -> None:
+        """Fail the job of a run that crashes its workers; clear those it explains."""
+        job = self.jobs[run.task.job]
+        log_event(
+            Event.JOB_GIVEN_UP, job=run.task.job, task=short_name(run.task),
+            run=run.number, worker=run.worker,
+        )  # fmt: skip
+        self.on_job_given_up(job.queue)
+        for crash in [c for c in self.crashes if run.task in c.charges]:
+            self.crashes.remove(crash)
+            self._withdraw(crash, job)
+        self.finish_job(job, JobState.FAILED, StopReason.JOB_ENDED, now, wall_ms)
+
+    def _withdraw(self, crash: Crash, culprit: Job) -> None:
+        for task, charge in crash.charges.items():
+            job = self.active.get(task.job)
+            if job is None or job is culprit:
+                continue
+            lifecycle.withdraw_charge(job, task, charge)
+            self.mark_dirty(job)
+            log_event(
+                Event.SUSPICION_ENDED, job=task.job, task=short_name(task),
+                cause="explained",
+            )  # fmt: skip
+
+    def clear_survivors(self, worker: Worker) -> None:
+        """Clear the suspected tasks that the worker has survived."""
+        for run in list(worker.isolated_runs.values()):
+            if has_survived_probation(run, worker):
+                self.clear_suspect(run, worker)
+
+    def clear_suspect(self, run: Run, worker: Worker) -> None:
+        """Drop the evidence against a task, since the worker has survived its run."""
+        worker.isolated_runs.pop(run.key, None)
+        run.probation_seconds = None
+        for crash in self.crashes:
+            crash.charges.pop(run.task, None)
+        job = self.active.get(run.task.job)
+        if job is None or not lifecycle.clear_charges(job, run.task):
+            return
+        self.mark_dirty(job)
+        log_event(
+            Event.SUSPICION_ENDED, job=run.task.job, task=short_name(run.task),
+            cause="survived",
+        )  # fmt: skip
--- /dev/null
+++ b/src/ebonyhub/scheduling/crashes.py
@@ -0,0 +1,165 @@
+"""Evidence that a task crashes the workers that start it.
+
+A worker that crashes ends all of its runs without telling which of them was the cause.
+The suspects are the runs that had just started, since the others have shown that the
+worker survives them. If there is none, a run may crash its worker late, or the VM has
+failed: then every run that is not long-running is counted, and suspected from the
+second time on.
+
+A suspected task starts alone: on a worker without other runs on probation, where
+nothing else starts during its own. If that worker crashes too, the task is the cause.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from math import inf
+
+from ..ids import TaskId
+from ..jobs.records import StepProgress
+from .losses import LossCause
+from .runs import Run, RunPhase, Worker
+
+# Seconds from the start of a run in which it may be the cause of a crash.
+PROBATION_SECONDS = 0.5
+# Evidence of a crash during a probation: the start was confirmed, or had no answer, so
+# that the run may never have existed.
+CONFIRMED_START_EVIDENCE = 2
+POSSIBLE_START_EVIDENCE = 1
+# A task is given up after two workers that have certainly crashed under it.
+GIVE_UP_EVIDENCE = 2 * CONFIRMED_START_EVIDENCE
+# Unexplained crashes later than the probation after which a task is suspected, and
+# after which it is given up.
+SUSPECT_LATE_CRASHES = 2
+GIVE_UP_LATE_CRASHES = 3
+
+# Losses that no order of the leader explains. A lease may also end because the worker
+# cannot be reached.
+_CRASHES = frozenset(
+    {
+        LossCause.VM_DOWN,
+        LossCause.VM_GONE,
+        LossCause.WORKER_REPLACED,
+        LossCause.RESTARTED,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that ended with its worker; ``age`` is in seconds."""
+
+    run: Run
+    age: float
+
+    @property
+    def on_probation(self) -> bool:
+        """Return whether the run had not yet shown that the worker survives it."""
+        if self.run.phase is not RunPhase.CONFIRMED:
+            return True
+        return self.age < (self.run.probation_seconds or PROBATION_SECONDS)
+
+
+@dataclass(frozen=True, slots=True)
+class Charge:
+    """Evidence against one task from one crash."""
+
+    evidence: int = 0
+    late_crashes: int = 0
+
+
+@dataclass(slots=True)
+class Crash:
+    """The evidence of one crash against each suspect."""
+
+    charges: dict[TaskId, Charge]
+
+
+def is_crash(cause: LossCause, worker: Worker, born_ms: int) -> bool:
+    """Return whether the loss of a worker process was unplanned."""
+    planned = (
+        worker.cordoned
+        or worker.entry.draining
+        or (born_ms != 0 and born_ms == worker.draining_born_ms)
+    )
+    return cause in _CRASHES and not planned
+
+
+def suspects_of(lost: Iterable[LostRun]) -> list[LostRun]:
+    """Return the runs that may have caused a crash, the youngest first.
+
+    A run that was started alone is the only suspect, since the other runs on the worker
+    had passed their probation before.
+    """
+    suspects = sorted(
+        (item for item in lost if item.on_probation), key=lambda item: item.age
+    )
+    isolated = [item for item in suspects if item.run.probation_seconds is not None]
+    return isolated or suspects
+
+
+def charges_of(lost: Iterable[LostRun]) -> dict[TaskId, Charge]:
+    """Return the evidence of a crash against each suspect."""
+    lost = list(lost)
+    suspects = suspects_of(lost)
+    if not suspects:
+        return {
+            item.run.task: Charge(late_crashes=1)
+            for item in lost
+            if not item.run.step.long_running
+        }
+    return {item.run.task: _charge(item) for item in suspects}
+
+
+def _charge(suspect: LostRun) -> Charge:
+    if suspect.run.phase is not RunPhase.CONFIRMED:
+        return Charge(evidence=POSSIBLE_START_EVIDENCE)
+    if suspect.age < PROBATION_SECONDS:
+        return Charge(evidence=CONFIRMED_START_EVIDENCE)
+    return Charge(late_crashes=1)
+
+
+def is_suspected(progress: StepProgress, position: int) -> bool:
+    """Return whether the task must start alone."""
+    return (
+        progress.crash_evidence.get(position, 0) > 0
+        or progress.late_crashes.get(position, 0) >= SUSPECT_LATE_CRASHES
+    )
+
+
+def probation_seconds(progress: StepProgress, position: int) -> float | None:
+    """Return how long nothing may start beside the task, None if it is not suspected.
+
+    A task that is suspected of late crashes is on probation until it ends.
+    """
+    if progress.late_crashes.get(position, 0) >= SUSPECT_LATE_CRASHES:
+        return inf
+    return PROBATION_SECONDS if is_suspected(progress, position) else None
+
+
+def must_be_given_up(progress: StepProgress, position: int, charge: Charge) -> bool:
+    """Return whether one more crash, under the task alone, makes it the cause."""
+    evidence = progress.crash_evidence.get(position, 0) + charge.evidence
+    late_crashes = progress.late_crashes.get(position, 0) + charge.late_crashes
+    return evidence >= GIVE_UP_EVIDENCE or late_crashes >= GIVE_UP_LATE_CRASHES
+
+
+def is_on_probation(run: Run, worker: Worker, now: float) -> bool:
+    """Return whether the worker has not yet survived the run's probation."""
+    if run.phase is not RunPhase.CONFIRMED or worker.poll_failed:
+        return True
+    return now - run.confirmed_at < (run.probation_seconds or PROBATION_SECONDS)
+
+
+def is_isolating(worker: Worker, now: float) -> bool:
+    """Return whether nothing may start on the worker, for the probation of a run."""
+    return any(
+        is_on_probation(run, worker, now) for run in worker.isolated_runs.values()
+    )
+
+
+def has_survived_probation(run: Run, worker: Worker) -> bool:
+    """Return whether the worker has reported after the end of the run's probation."""
+    responded_at = worker.last_response_at
+    if run.phase is not RunPhase.CONFIRMED or responded_at is None:
+        return False
+    return responded_at - run.confirmed_at >= (run.probation_seconds or 0.0)
--- a/src/ebonyhub/scheduling/intake.py
+++ b/src/ebonyhub/scheduling/intake.py
@@ -2,10 +2,11 @@
 
 from ..events import Event, log_event
 from ..fleet.demand import ArrivalMeter
-from ..ids import JobId, TaskId
+from ..ids import JobId, ServiceName, TaskId, VmId
 from ..jobs.model import AcceptedJob, Resources
 from ..jobs.records import JobState, ProgressRecord
 from . import lifecycle
+from .crashes import probation_seconds
 from .model import WorkerEntry
 from .runs import Job, Run, RunPhase, StopReason, Worker
 from .state import SchedulerState
@@ -51,6 +52,9 @@
             meter.add(job.arrived_at, work)
         for number, steps in job.progress.occurrences.items():
             if steps:
+                job.has_suspects |= any(
+                    s.crash_evidence or s.late_crashes for s in steps
+                )
                 self._adopt_runs(job, number, now)
                 lifecycle.refresh_pending(job, number)
         lifecycle.start_due_occurrences(job, wall_ms)
@@ -69,22 +73,32 @@
                     task, record.number, record.worker, record.born_ms, step.reserved,
                     step, RunPhase.UNCERTAIN, inherited=True, planned_at=now,
                     checkpoint=record.checkpoint,
+                    probation_seconds=probation_seconds(step_progress, position),
                 )  # fmt: skip
-                self.reserve_for_run(run, self._worker_of_record(run, job))
+                worker = self._worker_of_record(run, record.vm, job)
+                self.reserve_for_run(run, worker)
 
-    def _worker_of_record(self, run: Run, job: Job) -> Worker:
+    def _worker_of_record(self, run: Run, vm: VmId, job: Job) -> Worker:
         """Return the worker of an inherited run; a placeholder if its entry is gone."""
         worker = self.workers.get(run.worker)
         if worker is None:
             entry = WorkerEntry(
                 worker=run.worker, service=job.service, address="", zone="", labels=(),
                 rack=job.accepted.spec.steps[0].data_rack, capacity=Resources(),
-                draining=False, leaves_in=None, born_ms=run.born_ms, vm="",  # type: ignore[arg-type]
+                draining=False, leaves_in=None, born_ms=run.born_ms, vm=vm,
             )  # fmt: skip
             worker = Worker(entry, born_ms=run.born_ms, deregistered=True)
+            worker.successor_service = self._successor_service(vm, run.born_ms)
             self.workers[run.worker] = worker
         return worker
 
+    def _successor_service(self, vm: VmId, born_ms: int) -> ServiceName | None:
+        """Return the service of a later worker on the VM, None if there is none."""
+        for worker in self.workers.values():
+            if vm and worker.entry.vm == vm and worker.born_ms > born_ms:
+                return worker.entry.service
+        return None
+
     def cancel(self, job_id: JobId, now: float, wall_ms: int) -> None:
         """Give a job the state CANCELLED and stop its runs."""
         job = self.jobs.get(job_id)
--- a/src/ebonyhub/scheduling/lifecycle.py
+++ b/src/ebonyhub/scheduling/lifecycle.py
@@ -3,9 +3,10 @@
 Each transition of the progress record increments ``Job.version``.
 """
 
-from ..ids import TaskId
+from ..ids import TaskId, VmId
 from ..jobs.model import StepSpec
 from ..jobs.records import JobState, ProgressRecord, RunRecord, StepProgress
+from .crashes import Charge, is_suspected
 from .runs import Job, Run
 
 
@@ -77,14 +78,14 @@
     )
 
 
-def record_start(job: Job, run: Run) -> None:
-    """Add a run to the job's record, before its start is ordered."""
+def record_start(job: Job, run: Run, vm: VmId) -> None:
+    """Add a run on a worker of ``vm`` to the job's record, before it is ordered."""
     step_progress = step_progress_of(job, run.task)
     assert step_progress is not None
     position = run.task.position
     step_progress.last_run_numbers[position] = run.number
     step_progress.runs[position] = RunRecord(
-        run.number, run.worker, run.born_ms, run.checkpoint
+        run.number, run.worker, run.born_ms, run.checkpoint, vm
     )
     key = (run.task.occurrence, run.task.step)
     waiting = job.pending.get(key)
@@ -131,6 +132,8 @@
         step_progress.done.add(task.position)
         step_progress.runs.pop(task.position, None)
     step_progress.checkpoints.pop(task.position, None)
+    step_progress.crash_evidence.pop(task.position, None)
+    step_progress.late_crashes.pop(task.position, None)
     job.version += 1
     if len(step_progress.done) >= step.count:
         refresh_pending(job, task.occurrence)
@@ -158,6 +161,53 @@
     refresh_pending(job, task.occurrence)
 
 
+def suspects_among(
+    job: Job, occurrence: int, number: int, positions: set[int]
+) -> set[int]:
+    """Return the positions whose tasks may crash their workers."""
+    progress = job.progress.occurrences[occurrence][number]
+    if not progress.crash_evidence and not progress.late_crashes:
+        return set()
+    return {position for position in positions if is_suspected(progress, position)}
+
+
+def add_charge(job: Job, task: TaskId, charge: Charge) -> None:
+    """Add evidence that the task crashes its workers."""
+    progress = step_progress_of(job, task)
+    if progress is None or job.is_final:
+        return
+    position = task.position
+    _add(progress.crash_evidence, position, charge.evidence)
+    _add(progress.late_crashes, position, charge.late_crashes)
+    job.has_suspects = True
+    job.version += 1
+
+
+def withdraw_charge(job: Job, task: TaskId, charge: Charge) -> None:
+    """Withdraw evidence that another task's crash has explained."""
+    add_charge(job, task, Charge(-charge.evidence, -charge.late_crashes))
+
+
+def clear_charges(job: Job, task: TaskId) -> bool:
+    """Drop all evidence against the task; return whether there was any."""
+    progress = step_progress_of(job, task)
+    if progress is None:
+        return False
+    found = progress.crash_evidence.pop(task.position, 0)
+    found += progress.late_crashes.pop(task.position, 0)
+    job.version += bool(found)
+    return bool(found)
+
+
+def _add(counts: dict[int, int], position: int, amount: int) -> None:
+    """Add to a count, which stays above 0 or is removed."""
+    count = counts.get(position, 0) + amount
+    if count > 0:
+        counts[position] = count
+    else:
+        counts.pop(position, None)
+
+
 def finish(job: Job, state: JobState, wall_ms: int) -> None:
     """Give the job its final state; the caller stops runs that remain."""
     job.progress = ProgressRecord(
--- a/src/ebonyhub/scheduling/losses.py
+++ b/src/ebonyhub/scheduling/losses.py
@@ -3,6 +3,7 @@
 from enum import Enum
 
 from ..fleet.model import Vm, VmState
+from ..ids import PoolName
 from .runs import Run, RunPhase, Worker
 
 # Most runs that the log line of a lost worker names.
@@ -19,6 +20,8 @@
     VM_GONE = "vm_gone"
     VM_MOVING = "vm_moving"
     VM_MAINTENANCE = "vm_upkeep"
+    # The VM is up in another pool.
+    VM_MOVED = "vm_moved"
     # The VM is up with another worker.
     WORKER_REPLACED = "vm_up"
     # The worker answers, but its process has started again under the same id.
@@ -39,6 +42,8 @@
         return LossCause.VM_GONE
     if vm.state is VmState.UP and vm.worker == worker.worker_id:
         return None
+    if vm.state is VmState.UP and vm.pool != PoolName(worker.entry.service):
+        return LossCause.VM_MOVED
     return _CAUSE_BY_VM_STATE[vm.state]
 
 
--- a/src/ebonyhub/scheduling/placement.py
+++ b/src/ebonyhub/scheduling/placement.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from ..ids import JobId, WorkerId
+from ..ids import JobId, TaskId, WorkerId
 from ..jobs.model import StepSpec
 from .runs import Worker
 
@@ -19,6 +19,10 @@
     # Tickets by worker that the placement advisor allows; None without an advisor.
     tickets: dict[WorkerId, str] | None = None
 
+    def task(self, position: int) -> TaskId:
+        """Return the id of one of the step's tasks."""
+        return TaskId(self.job, self.occurrence, self.step_number, position)
+
 
 def meets_constraints(requirements: StepRequirements, worker: Worker) -> bool:
     """Return whether the worker has the required label and a ticket if one is needed.
--- a/src/ebonyhub/scheduling/planning.py
+++ b/src/ebonyhub/scheduling/planning.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Container, Mapping
 
-from ..ids import ServiceName, TaskId, WorkerId
+from ..ids import ServiceName
 from . import lifecycle
+from .isolation import IsolatedStarts
 from .placement import (
     StepRequirements,
     best_fit_order,
@@ -13,12 +14,11 @@
     meets_constraints,
 )
 from .priority import is_oversubscribed
-from .runs import Job, Run, RunPhase, Worker
-from .state import SchedulerState
+from .runs import Job, Worker
 from .waiting import Waiting, waiting_of
 
 
-class Planning(SchedulerState):
+class Planning(IsolatedStarts):
     """Assigns ready tasks to workers, the most urgent jobs first."""
 
     def plan_changed(self, now: float) -> None:
@@ -57,12 +57,13 @@
         Jobs whose smallest task fits on no worker are skipped before the sort. Under
         overload that is nearly all of them.
         """
-        max_free_millicores = max_free_cpu(workers)
-        candidates = [job for job in jobs if job.min_pending_cpu <= max_free_millicores]
-        eligible_cores = sum(worker.entry.capacity.cpu for worker in workers) / 1000
         service = workers[0].entry.service
+        eligible_cores = sum(worker.entry.capacity.cpu for worker in workers) / 1000
         cores = max(eligible_cores, self.pool_cores.get(service, 0.0))
         oversubscribed = is_oversubscribed(jobs, cores)
+        workers = self.plan_suspects(service, jobs, workers, now)
+        max_free_millicores = max_free_cpu(workers)
+        candidates = [job for job in jobs if job.min_pending_cpu <= max_free_millicores]
         candidates.sort(
             key=lambda job: (
                 self.urgency(job, self.queues.get(job.queue), now, oversubscribed).key
@@ -77,26 +78,23 @@
 
     def _plan_job(self, job: Job, workers: list[Worker], now: float) -> None:
         for (occurrence, number), waiting in list(job.pending.items()):
-            step = job.accepted.spec.steps[number]
-            queue = self.queues.get(job.queue)
-            tickets: dict[WorkerId, str] | None = None
-            if queue is not None and queue.advisor is not None:
-                key = (job.job_id, occurrence, number)
-                advice = self.advice.get(key)
-                if advice is None or advice.is_unusable(workers, now):
-                    self.steps_without_advice[key] = job.queue
-                    continue
-                tickets = advice.tickets
-            requirements = StepRequirements(
-                job.job_id, occurrence, number, step, tickets
-            )
+            requirements = self.requirements_of(job, occurrence, number, workers, now)
+            if requirements is None:
+                continue
+            suspects = lifecycle.suspects_among(job, occurrence, number, waiting)
+            step = requirements.step
+            if step.gang and suspects:
+                continue
             allowed = [
                 worker for worker in workers if meets_constraints(requirements, worker)
             ]
             if step.gang:
-                self._plan_gang(job, requirements, allowed, sorted(waiting), now)
+                chosen = choose_gang_workers(requirements, allowed, sorted(waiting))
+                if chosen is not None:
+                    self.assign_gang(job, requirements, chosen, now)
                 continue
-            self._plan_tasks(job, requirements, allowed, sorted(waiting), now)
+            positions = sorted(waiting - suspects)
+            self._plan_tasks(job, requirements, allowed, positions, now)
 
     def _plan_tasks(
         self,
@@ -110,9 +108,7 @@
         workers_by_fit = best_fit_order(requirements, workers)
         next_worker = 0
         for position in positions:
-            task = TaskId(
-                job.job_id, requirements.occurrence, requirements.step_number, position
-            )
+            task = requirements.task(position)
             workers_to_avoid = job.workers_to_avoid.get(task)
             worker: Worker | None
             if workers_by_fit is None or workers_to_avoid:
@@ -129,55 +125,7 @@
                 )
             if worker is None:
                 break
-            self._assign(job, task, worker, now)
-
-    def _plan_gang(
-        self,
-        job: Job,
-        requirements: StepRequirements,
-        workers: list[Worker],
-        positions: list[int],
-        now: float,
-    ) -> None:
-        chosen = choose_gang_workers(requirements, workers, positions)
-        if chosen is None:
-            return
-        step_progress = job.progress.occurrences[requirements.occurrence][
-            requirements.step_number
-        ]
-        number = max(step_progress.last_run_numbers.values(), default=0) + 1
-        checkpoint = max(step_progress.checkpoints.values(), default="")
-        for position, worker in chosen.items():
-            task = TaskId(
-                job.job_id, requirements.occurrence, requirements.step_number, position
-            )
-            self._assign(job, task, worker, now, number, checkpoint)
-
-    def _assign(
-        self,
-        job: Job,
-        task: TaskId,
-        worker: Worker,
-        now: float,
-        number: int | None = None,
-        checkpoint: str | None = None,
-    ) -> None:
-        step_progress = lifecycle.step_progress_of(job, task)
-        assert step_progress is not None
-        if number is None:
-            number = step_progress.last_run_numbers.get(task.position, 0) + 1
-        if checkpoint is None:
-            checkpoint = step_progress.checkpoints.get(task.position, "")
-        step = lifecycle.step_of(job, task)
-        run = Run(
-            task, number, worker.worker_id, worker.born_ms, step.reserved, step,
-            RunPhase.PLANNED, planned_at=now, checkpoint=checkpoint,
-        )  # fmt: skip
-        self.reserve_for_run(run, worker)
-        lifecycle.record_start(job, run)
-        run.job_version = job.version
-        self.planned_runs.append(run)
-        self.mark_dirty(job)
+            self.assign(job, task, worker, now)
 
     def waiting(
         self, now: float, can_start: bool, vms_on_way: Mapping[ServiceName, int]
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -6,8 +6,8 @@
 from ..ids import JobId, TaskId
 from ..jobs.model import Resources, StepSpec
 from . import lifecycle
+from .crashes import LostRun, is_crash
 from .health import WorkerHealth
-from .intake import JobIntake
 from .losses import LossCause, youngest_runs
 from .model import (
     EndedTask,
@@ -28,9 +28,11 @@
 
 # The most ends that a worker lists in one report; a full list may be incomplete.
 MAX_ENDS_PER_REPORT = 500
+# Ends that the task itself brought about, so that the worker has survived it.
+_OWN_ENDS = frozenset({RunOutcome.DONE, RunOutcome.FAILED})
 
 
-class ReportHandling(JobIntake, WorkerMonitor):
+class ReportHandling(WorkerMonitor):
     """Reconciles workers' reports with the runs that were ordered."""
 
     def handle_report(
@@ -42,6 +44,8 @@
         wall_ms: int,
     ) -> None:
         """Apply a worker's report; ``sent_at`` is when it was requested."""
+        # The latest time at which an earlier process under this id may have ended.
+        silent_since = worker.silent_since or worker.last_response_at or now
         if report.born_ms and worker.born_ms and report.born_ms != worker.born_ms:
             self._handle_restart(worker, report, now)
         if report.born_ms:
@@ -58,7 +62,9 @@
             listed.add((row.task, row.number))
             self._handle_running(worker, row, now)
         if len(report.ended) < MAX_ENDS_PER_REPORT:
-            self._handle_missing(worker, listed, sent_at, now)
+            missing = self._discard_missing(worker, listed, sent_at, now)
+            self._attribute_restart(worker, missing, silent_since, now, wall_ms)
+        self.clear_survivors(worker)
         self._throttle_best_effort_runs(worker, now)
         self.acknowledge_stored_ends(worker)
 
@@ -107,6 +113,8 @@
         run = worker.runs.get((end.task, end.number))
         if run is not None:
             self.release_run(run, worker)
+            if run.probation_seconds is not None and end.outcome in _OWN_ENDS:
+                self.clear_suspect(run, worker)
         job = self.jobs.get(end.task.job)
         if job is None:
             return None
@@ -179,6 +187,7 @@
             run.phase = RunPhase.CONFIRMED
             run.confirmed_at = now
             run.progress_changed_at = now
+        run.born_ms = worker.born_ms
         if row.percent != run.progress_percent:
             run.progress_percent = row.percent
             run.progress_changed_at = now
@@ -207,19 +216,39 @@
         self.reserve_for_run(run, worker)
         return run
 
-    def _handle_missing(
+    def _attribute_restart(
+        self,
+        worker: Worker,
+        missing: Iterable[Run],
+        silent_since: float,
+        now: float,
+        wall_ms: int,
+    ) -> None:
+        """Attribute the crash of an earlier process under this id, if there was one."""
+        lost = [run for run in missing if run.born_ms not in (0, worker.born_ms)]
+        if lost and is_crash(LossCause.RESTARTED, worker, lost[0].born_ms):
+            aged = [
+                LostRun(run, silent_since - (run.confirmed_at or run.planned_at))
+                for run in lost
+            ]
+            self.attribute_crash(aged, now, wall_ms)
+
+    def _discard_missing(
         self,
         worker: Worker,
         listed: set[tuple[TaskId, int]],
         sent_at: float,
         now: float,
-    ) -> None:
+    ) -> list[Run]:
         """Discard runs that certainly do not exist, and stop those that may yet start.
 
+        Returns the discarded runs.
+
         A missing run is gone if the report was requested after the run or its stop was
         confirmed. Runs of an earlier leader are gone in any case, since fencing keeps
         its pending orders from taking effect.
         """
+        missing: list[Run] = []
         for key, run in list(worker.runs.items()):
             if key in listed or run.phase in (RunPhase.PLANNED, RunPhase.ORDERED):
                 continue
@@ -236,9 +265,11 @@
                     Event.RUN_LOST, job=run.task.job, task=short_name(run.task),
                     run=run.number, worker=worker.worker_id, phase=run.phase.value,
                 )  # fmt: skip
+                missing.append(run)
                 self.discard_run(run, worker)
             elif run.phase is RunPhase.UNCERTAIN and run.report_requested:
                 self.stop_run(run, StopReason.UNANSWERED, now)
+        return missing
 
     def _throttle_best_effort_runs(self, worker: Worker, now: float) -> None:
         """Adapt the speed of best-effort runs to the latency of serving tasks."""
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -74,6 +74,9 @@
     speed_percent: int = 100
     # A report was requested because the start order got no answer.
     report_requested: bool = False
+    # The task may crash its workers: for so many seconds from its start nothing else
+    # starts on the worker. None for other tasks.
+    probation_seconds: float | None = None
 
     @property
     def key(self) -> tuple[TaskId, int]:
@@ -88,11 +91,17 @@
     entry: WorkerEntry
     # Start of the worker process in ms since 1970; differs after a restart.
     born_ms: int = 0
+    # The process that announced that it drains, by its start time; 0 if none has.
+    draining_born_ms: int = 0
+    # Service in which a later worker of the same VM has registered.
+    successor_service: ServiceName | None = None
     # The worker's entry has disappeared from the store.
     deregistered: bool = False
     # Its VM is about to be moved or put into maintenance, so it gets no new tasks.
     cordoned: bool = False
     runs: dict[tuple[TaskId, int], Run] = field(default_factory=dict)
+    # Those of ``runs`` that have a probation.
+    isolated_runs: dict[tuple[TaskId, int], Run] = field(default_factory=dict)
     used: Resources = field(default_factory=Resources)
     discovered_at: float = 0.0
     # When a poll first failed since the last report; None if none has.
@@ -156,10 +165,13 @@
     def add(self, run: Run) -> None:
         """Reserve capacity for a run."""
         self.runs[run.key] = run
+        if run.probation_seconds is not None:
+            self.isolated_runs[run.key] = run
         self._set_used(self.used + run.reserved)
 
     def remove(self, run: Run) -> None:
         """Release the capacity of a run; does nothing if it is not tracked here."""
+        self.isolated_runs.pop(run.key, None)
         if self.runs.pop(run.key, None) is not None:
             self._set_used(self.used - run.reserved)
 
@@ -195,6 +207,8 @@
     min_pending_cpu: int = 0
     # Workers on which a task has failed or got stuck; used again only as a last resort.
     workers_to_avoid: dict[TaskId, set[WorkerId]] = field(default_factory=dict)
+    # Tasks of the job may be suspected of crashing their workers.
+    has_suspects: bool = False
     # First scheduled occurrence that has not been started.
     next_due_occurrence: int = 0
     # Estimated critical path over all steps; None until first computed.
--- a/src/ebonyhub/scheduling/scheduler.py
+++ b/src/ebonyhub/scheduling/scheduler.py
@@ -23,7 +23,7 @@
             ):
                 self.mark_dirty(job)
         for worker in list(self.workers.values()):
-            self._check_worker(worker, now)
+            self._check_worker(worker, now, wall_ms)
         # No event tells when a quarantine ends or a worker responds again.
         self.services_to_plan.update(queue.service for queue in self.queues.values())
         self.services_to_plan.update(job.service for job in self.active.values())
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -13,8 +13,9 @@
 from ..fleet.demand import ArrivalMeter
 from ..ids import JobId, QueueName, ServiceName, TaskId, VmId, WorkerId
 from . import lifecycle
+from .crashes import Crash
 from .health import FLEET_AVERAGE_WEIGHT, SlowdownAverage
-from .losses import LossCause, youngest_runs
+from .losses import LossCause
 from .orders import Order, StopRun
 from .priority import Urgency, urgency
 from .runs import Job, Run, RunPhase, StopReason, Worker
@@ -28,6 +29,9 @@
 # platform's limit is 0.4 s.
 STOP_SETTLE_SECONDS = 0.6
 
+# Crashes whose evidence can still be withdrawn.
+MAX_CRASHES = 64
+
 # Job, occurrence and step number.
 StepKey = tuple[JobId, int, int]
 
@@ -90,6 +94,12 @@
         self.urgency: Callable[[Job, Queue | None, float, bool], Urgency] = urgency
         # Called with the cause and the number of runs when a worker is lost.
         self.on_worker_lost: Callable[[LossCause, int], None] = lambda *_: None
+        # Called with the queue when a job is given up since it crashes its workers.
+        self.on_job_given_up: Callable[[QueueName], None] = lambda _: None
+        # The latest crashes of workers, with the evidence against each suspect.
+        self.crashes: deque[Crash] = deque(maxlen=MAX_CRASHES)
+        # Workers on which no task starts until a suspected task can start there alone.
+        self.held_workers: dict[ServiceName, set[WorkerId]] = {}
         # VMs about to be moved or put into maintenance; their workers get no new tasks.
         self.cordoned_vms: set[VmId] = set()
 
@@ -161,18 +171,6 @@
         lifecycle.clear_run(job, run.task, run.checkpoint)
         self.mark_dirty(job)
 
-    def expire_worker(self, worker: Worker, cause: LossCause, now: float) -> None:
-        """Discard all runs of a worker whose lease has ended or whose VM is gone."""
-        worker.expired = True
-        log_event(
-            Event.WORKER_EXPIRED, worker=worker.worker_id, vm=worker.entry.vm,
-            cause=cause.value, runs=len(worker.runs),
-            youngest=youngest_runs(worker, now),
-        )  # fmt: skip
-        self.on_worker_lost(cause, len(worker.runs))
-        for run in list(worker.runs.values()):
-            self.discard_run(run, worker)
-
     def stop_run(self, run: Run, reason: StopReason, now: float) -> None:
         """Order a stop; call repeatedly, since an unconfirmed order is sent again."""
         if run.stop_reason is None:
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -5,6 +5,7 @@
 from ..events import Event, log_event
 from ..fleet.model import Vm
 from ..ids import VmId, WorkerId
+from .crash_attribution import CrashAttribution
 from .health import is_stuck
 from .losses import LossCause, loss_by_vm
 from .model import WorkerEntry
@@ -12,10 +13,10 @@
 from .overdue import is_report_overdue
 from .placement import StepRequirements, choose_worker, meets_constraints
 from .runs import Run, RunPhase, StopReason, Worker
-from .state import RESPONSE_MAX_AGE_SECONDS, SchedulerState, is_serving
+from .state import RESPONSE_MAX_AGE_SECONDS, is_serving
 
 
-class WorkerMonitor(SchedulerState):
+class WorkerMonitor(CrashAttribution):
     """Expires lost workers, and evicts long-running tasks from workers that leave."""
 
     def handle_worker_entry(self, entry: WorkerEntry, now: float) -> None:
@@ -24,6 +25,7 @@
         if worker is None:
             worker = Worker(entry, born_ms=entry.born_ms, discovered_at=now)
             self.workers[entry.worker] = worker
+            self._mark_predecessors(entry)
             log_event(
                 Event.WORKER_DISCOVERED, worker=entry.worker, service=entry.service,
                 address=entry.address, rack=entry.rack, draining=entry.draining,
@@ -33,10 +35,19 @@
             log_event(
                 Event.WORKER_DRAINING, worker=entry.worker, leaves_in=entry.leaves_in
             )
+        if entry.draining:
+            worker.draining_born_ms = worker.born_ms
         worker.update_entry(entry)
         worker.deregistered = False
         worker.cordoned = entry.vm in self.cordoned_vms
 
+    def _mark_predecessors(self, entry: WorkerEntry) -> None:
+        """Note on earlier workers of the VM that their process has ended."""
+        for worker in self.workers.values():
+            same_vm = entry.vm and worker.entry.vm == entry.vm
+            if same_vm and worker.born_ms < entry.born_ms:
+                worker.successor_service = entry.service
+
     def handle_worker_entry_removed(self, worker_id: WorkerId) -> None:
         """Mark a worker whose entry has disappeared from the store.
 
@@ -50,7 +61,9 @@
                 Event.WORKER_ENTRY_REMOVED, worker=worker_id, runs=len(worker.runs)
             )
 
-    def expire_workers_without_vm(self, vms: Iterable[Vm], now: float) -> None:
+    def expire_workers_without_vm(
+        self, vms: Iterable[Vm], now: float, wall_ms: int
+    ) -> None:
         """Expire the unresponsive workers that no longer exist by the cloud's VM list.
 
         All runs have ended on a VM that is moving, in maintenance, down, no longer
@@ -60,7 +73,7 @@
         for worker in self.unresponsive_workers(now):
             cause = loss_by_vm(worker, by_id.get(worker.entry.vm))
             if cause is not None:
-                self.expire_worker(worker, cause, now)
+                self.expire_worker(worker, cause, now, wall_ms)
 
     def unresponsive_workers(self, now: float) -> list[Worker]:
         """Return the workers with runs that do not respond.
@@ -83,15 +96,12 @@
         for worker in self.workers.values():
             worker.cordoned = worker.entry.vm in vms
 
-    def _check_worker(self, worker: Worker, now: float) -> None:
+    def _check_worker(self, worker: Worker, now: float, wall_ms: int) -> None:
         unresponsive = not self.is_responsive(worker, now)
-        has_runs = worker.runs and not worker.expired
-        if (
-            unresponsive
-            and has_runs
-            and worker.lease_has_ended(now, self.inherited_leases_until)
-        ):
-            self.expire_worker(worker, LossCause.LEASE_ENDED, now)
+        if worker.runs and not worker.expired:
+            cause = self._loss_by_silence(worker, unresponsive, now)
+            if cause is not None:
+                self.expire_worker(worker, cause, now, wall_ms)
         if worker.deregistered and not worker.runs and (unresponsive or worker.expired):
             del self.workers[worker.worker_id]
             return
@@ -104,6 +114,18 @@
                 self.check_progress(run, worker, now)
         self._request_overdue_report(worker, now)
 
+    def _loss_by_silence(
+        self, worker: Worker, unresponsive: bool, now: float
+    ) -> LossCause | None:
+        """Return why a silent worker cannot run anything any more, None if it may."""
+        successor = worker.successor_service
+        if successor is not None and (unresponsive or worker.poll_failed):
+            moved = successor != worker.entry.service
+            return LossCause.VM_MOVED if moved else LossCause.WORKER_REPLACED
+        if unresponsive and worker.lease_has_ended(now, self.inherited_leases_until):
+            return LossCause.LEASE_ENDED
+        return None
+
     def _request_overdue_report(self, worker: Worker, now: float) -> None:
         """Request a report if a run should have ended since the last one."""
         if is_report_overdue(worker, self.jobs, now):
--- a/standins/crashing_tasks.py
+++ b/standins/crashing_tasks.py
@@ -96,5 +96,5 @@
             if emulator.now >= self.next_list_at:
                 self.next_list_at = emulator.now + LIST_INTERVAL_SECONDS
                 emulator.scheduler.expire_workers_without_vm(
-                    self.vms.values(), emulator.now
+                    self.vms.values(), emulator.now, int(emulator.now * 1000)
                 )
--- a/standins/emulated_fleet.py
+++ b/standins/emulated_fleet.py
@@ -147,7 +147,9 @@
     def _plan(self, scheduler: Scheduler) -> None:
         now = self.emulator.now
         self.planner.update_vms(self.vm_listings[0][1], now)
-        scheduler.expire_workers_without_vm(self.vm_listings[0][1], now)
+        scheduler.expire_workers_without_vm(
+            self.vm_listings[0][1], now, int(now * 1000)
+        )
         self.planner.fleet_load = scheduler.fleet_load(now)
         changes = self.planner.plan(scheduler.demands(now), now)
         scheduler.set_cordoned(self.planner.cordoned_vms())
--- a/standins/replayed_fleet.py
+++ b/standins/replayed_fleet.py
@@ -422,7 +422,9 @@
 
     def _plan_fleet(self) -> None:
         self.planner.update_vms(list(self.vms.values()), self.now)
-        self.scheduler.expire_workers_without_vm(list(self.vms.values()), self.now)
+        self.scheduler.expire_workers_without_vm(
+            list(self.vms.values()), self.now, int(self.now * 1000)
+        )
         self.planner.fleet_load = self.scheduler.fleet_load(self.now)
         demands = self.scheduler.demands(self.now)
         changes = self.planner.plan(demands, self.now)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -155,7 +155,7 @@
         vm = VmId(f"vm-{victim}")
         pool = PoolName("p")
         vms.append(Vm(vm, pool, state, "z", RackId("r"), Resources(), listed_worker))
-    driver.scheduler.expire_workers_without_vm(vms, driver.now)
+    driver.scheduler.expire_workers_without_vm(vms, driver.now, 0)
     assert (not driver.worker(victim).runs) is discarded
 
 
@@ -166,7 +166,7 @@
     driver.wait(RESPONSE_MAX_AGE_SECONDS + 0.1)
     for run in runs:
         driver.report(run.worker, running=[listed(run)])
-    driver.scheduler.expire_workers_without_vm([], driver.now)
+    driver.scheduler.expire_workers_without_vm([], driver.now, 0)
     assert all(driver.worker(run.worker).runs for run in runs)
 
 
