Start the youngest suspect of a crash first

Cause: suspected tasks started alone in the order of their evidence, so a task whose start had no answer came last, although it was the youngest run at the crash.

Change: the order is that of the runs' ages at the crash. Once the cause is found, the others are cleared without a start of their own.

--- a/src/ebonyhub/scheduling/crashes.py
+++ b/src/ebonyhub/scheduling/crashes.py
@@ -118,6 +118,15 @@
     return Charge(late_crashes=1)
 
 
+def suspect_ranks(crashes: Iterable[Crash]) -> dict[TaskId, int]:
+    """Return the position of each suspect in its crash, from 0 for the youngest."""
+    ranks: dict[TaskId, int] = {}
+    for crash in crashes:
+        for rank, task in enumerate(crash.charges):
+            ranks[task] = min(rank, ranks.get(task, rank))
+    return ranks
+
+
 def is_suspected(progress: StepProgress, position: int) -> bool:
     """Return whether the task must start alone."""
     return (
--- a/src/ebonyhub/scheduling/isolation.py
+++ b/src/ebonyhub/scheduling/isolation.py
@@ -12,7 +12,7 @@
 from ..jobs.model import Resources
 from . import lifecycle
 from .assignment import Assignment
-from .crashes import is_isolating, is_on_probation
+from .crashes import is_isolating, is_on_probation, suspect_ranks
 from .placement import (
     StepRequirements,
     choose_gang_workers,
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SuspectedTasks:
-    """The waiting suspected tasks of one step."""
+    """A waiting suspected task, or a gang of which a member is suspected."""
 
     job: Job
     requirements: StepRequirements
@@ -54,11 +54,13 @@
             return open_workers
         waiting: list[SuspectedTasks] = []
         for tasks in suspected:
-            if tasks.requirements.step.gang:
-                done = self._assign_gang_alone(tasks, open_workers, now)
+            if unused <= 0:
+                assigned = False
+            elif tasks.requirements.step.gang:
+                assigned = self._assign_gang_alone(tasks, open_workers, now)
             else:
-                done = self._assign_alone(tasks, open_workers, unused, now)
-            if not done:
+                assigned = self._assign_alone(tasks, open_workers, now)
+            if not assigned:
                 waiting.append(tasks)
             unused -= sum(is_isolating(worker, now) for worker in open_workers)
             open_workers = [w for w in open_workers if not is_isolating(w, now)]
@@ -75,7 +77,11 @@
     def _suspected_tasks(
         self, jobs: list[Job], workers: list[Worker], now: float
     ) -> list[SuspectedTasks]:
-        """Return the waiting suspected tasks, those with the most evidence first."""
+        """Return the waiting suspected tasks, the youngest in their crash first.
+
+        Once the cause of a crash is found, the other suspects need not start alone.
+        """
+        ranks = suspect_ranks(self.crashes)
         found: list[tuple[int, SuspectedTasks]] = []
         for job in [job for job in jobs if job.has_suspects]:
             for (occurrence, number), waiting in list(job.pending.items()):
@@ -87,39 +93,46 @@
                 )
                 if requirements is None:
                     continue
-                gang = requirements.step.gang
-                positions = sorted(waiting if gang else suspects)
-                evidence = job.progress.occurrences[occurrence][number].crash_evidence
-                most = max((evidence.get(p, 0) for p in suspects), default=0)
-                found.append((most, SuspectedTasks(job, requirements, positions)))
-        found.sort(key=lambda pair: -pair[0])
+                rank_of = {
+                    position: ranks.get(requirements.task(position), len(ranks))
+                    for position in sorted(suspects)
+                }
+                if requirements.step.gang:
+                    gang = SuspectedTasks(job, requirements, sorted(waiting))
+                    found.append((min(rank_of.values()), gang))
+                    continue
+                found += [
+                    (rank, SuspectedTasks(job, requirements, [position]))
+                    for position, rank in rank_of.items()
+                ]
+        found.sort(key=lambda pair: pair[0])
         return [tasks for _, tasks in found]
 
     def _assign_alone(
-        self, tasks: SuspectedTasks, workers: list[Worker], limit: int, now: float
+        self, tasks: SuspectedTasks, workers: list[Worker], now: float
     ) -> bool:
-        """Assign each task to a worker of its own; return whether all were assigned."""
+        """Assign a task to a worker of its own; return whether there was one."""
         requirements = tasks.requirements
-        for count, position in enumerate(tasks.positions):
-            free = [
-                worker
-                for worker in _quiet_workers(requirements, workers, now)
-                if has_capacity(requirements, worker)
-            ]
-            if not free or count >= limit:
-                return False
-            task = requirements.task(position)
-            avoid = tasks.job.workers_to_avoid.get(task, set())
-            rack = requirements.step.data_rack
-            worker = min(
-                free,
-                key=lambda worker: (
-                    worker.worker_id in avoid,
-                    bool(rack) and worker.entry.rack != rack,
-                    len(worker.runs),
-                ),
-            )
-            self.assign(tasks.job, task, worker, now)
+        free = [
+            worker
+            for worker in _quiet_workers(requirements, workers, now)
+            if has_capacity(requirements, worker)
+        ]
+        if not free:
+            return False
+        (position,) = tasks.positions
+        task = requirements.task(position)
+        avoid = tasks.job.workers_to_avoid.get(task, set())
+        rack = requirements.step.data_rack
+        worker = min(
+            free,
+            key=lambda worker: (
+                worker.worker_id in avoid,
+                bool(rack) and worker.entry.rack != rack,
+                len(worker.runs),
+            ),
+        )
+        self.assign(tasks.job, task, worker, now)
         return True
 
     def _assign_gang_alone(
@@ -156,7 +169,7 @@
     held_before: Iterable[object],
     now: float,
 ) -> list[Worker]:
-    """Return the workers to hold for waiting suspected tasks, at most one for each.
+    """Return the workers to hold for waiting suspected tasks, one for each task.
 
     Workers that were held before come first, then those with the fewest runs that have
     to pass their probation.
