Check a worker again before a planned start is ordered; trust its capacity for a limited time

What callers see: nothing where a worker guards its capacity; elsewhere its tasks get slow. Rule LIMIT: a start over a capacity that has shrunk, ContactMs and one heartbeat later.

Cause: the capacity of the last heartbeat counted without limit. An outage of the store hides a shrink, and at its end tasks started at once, up to one heartbeat before the worker's entry was written. Starts that had waited for the store were ordered by a decision as old as the outage, whatever the worker had become meanwhile. The class of fault is that of the crashes: a belief about a worker is used without regard to its age.

A planned start is discarded if, once it is stored, its worker is no longer eligible or is overcommitted. E2310 logs a changed capacity.

--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -135,7 +135,8 @@
             )
         controller = Controller(
             term, self.store, self.mirror, advisor, self.clock, self.rng, self.metrics,
-            cloud, settings.status_retention_seconds, self.on_progress_stored,
+            cloud, settings.status_retention_seconds, settings.capacity_valid_seconds,
+            self.on_progress_stored,
         )  # fmt: skip
         self.mirror.take_changes()
         self.leadership.peer_server.broadcast(
--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -187,6 +187,9 @@
         "worker's store entry could not be decoded and is ignored",
         "Find out which program wrote it and correct the entry.",
     )
+    WORKER_CAPACITY_CHANGED = EventSpec(
+        2310, _I, "worker's capacity changed while it runs", "None."
+    )
     WAVE_RECEIVED = EventSpec(2401, _I, "maintenance wave received", "None.")
     WAVE_COMPLETED = EventSpec(2402, _I, "maintenance wave completed", "None.")
     VM_MOVE_PLANNED = EventSpec(2403, _I, "VM move planned", "None.")
--- a/src/ebonyhub/node_settings.py
+++ b/src/ebonyhub/node_settings.py
@@ -1,6 +1,7 @@
 """Settings that the platform gives to an entry process on one of its VMs."""
 
 from dataclasses import dataclass
+from math import inf
 
 from .ids import DataCentre, EntryId
 
@@ -28,6 +29,9 @@
     cores: float
     # Bandwidth of the VM's network link.
     link_mbps: float
+    # Seconds after a worker's heartbeat within which a start is allowed by the capacity
+    # that it told, whatever it is by then.
+    capacity_valid_seconds: float = inf
 
     @property
     def peer_port(self) -> int:
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -69,6 +69,7 @@
         metrics: Metrics,
         cloud: CloudClient | None,
         retention_seconds: float,
+        capacity_valid_seconds: float,
         on_stored: Callable[[], None],
     ) -> None:
         self.term = term
@@ -84,6 +85,7 @@
         self.scheduler.on_job_given_up = lambda queue: metrics.jobs_given_up.labels(
             queue
         ).inc()
+        self.scheduler.max_entry_age_seconds = capacity_valid_seconds
         self.committer = Committer(
             store, self.scheduler, term, clock, metrics, self._on_stored
         )
--- a/src/ebonyhub/scheduling/order_results.py
+++ b/src/ebonyhub/scheduling/order_results.py
@@ -14,7 +14,11 @@
     """Releases planned starts, and applies the results of start and stop orders."""
 
     def release_starts(self, now: float) -> None:
-        """Order the planned starts whose records are stored."""
+        """Order the planned starts whose records are stored.
+
+        The decision may be seconds old by then, so the worker is checked again: it may
+        be leaving, or its capacity may have shrunk.
+        """
         waiting: list[Run] = []
         for run in self.planned_runs:
             job = self.jobs.get(run.task.job)
@@ -27,6 +31,9 @@
             if job.stored_version < run.job_version:
                 waiting.append(run)
                 continue
+            if not self.is_eligible(worker, now) or worker.is_overcommitted:
+                self.discard_run(run, worker)
+                continue
             run.phase = RunPhase.ORDERED
             key = (run.task.job, run.task.occurrence, run.task.step)
             advice = self.advice.get(key)
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -104,6 +104,8 @@
     isolated_runs: dict[tuple[TaskId, int], Run] = field(default_factory=dict)
     used: Resources = field(default_factory=Resources)
     discovered_at: float = 0.0
+    # When the worker's entry was last read; each heartbeat writes it.
+    entry_seen_at: float = float("-inf")
     # When a poll first failed since the last report; None if none has.
     silent_since: float | None = None
     # Time of the last response to this leader; None before the first.
@@ -142,6 +144,11 @@
         """Return whether the last poll got no response."""
         return self.silent_since is not None
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Return whether the runs have reserved more than the worker's capacity."""
+        return not Resources().fits_into(self.free)
+
     def update_entry(self, entry: WorkerEntry) -> None:
         """Replace the entry; its capacity may differ."""
         self.entry = entry
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
+from math import inf
 
 from ..configuration import Configuration, Queue
 from ..events import Event, log_event
@@ -87,6 +88,8 @@
         self.services_to_plan: set[ServiceName] = set()
         # Workers with run ends that are not yet stored in the jobs' records.
         self.workers_with_unstored_ends: set[WorkerId] = set()
+        # Seconds after which a worker's entry may hide that its capacity has shrunk.
+        self.max_entry_age_seconds = inf
         # Cores of each service, including VMs that are moving to it; empty without a
         # fleet.
         self.pool_cores: Mapping[ServiceName, float] = {}
@@ -143,6 +146,7 @@
             and not worker.entry.draining
             and not worker.cordoned
             and not worker.expired
+            and now - worker.entry_seen_at <= self.max_entry_age_seconds
             and self.is_responsive(worker, now)
             and not worker.health.is_quarantined(now)
         )
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -37,6 +37,14 @@
             )
         if entry.draining:
             worker.draining_born_ms = worker.born_ms
+        if entry.capacity != worker.entry.capacity:
+            log_event(
+                Event.WORKER_CAPACITY_CHANGED, worker=entry.worker,
+                service=entry.service, cpu=entry.capacity.cpu,
+                memory=entry.capacity.memory, used_cpu=worker.used.cpu,
+            )  # fmt: skip
+            self.services_to_plan.add(entry.service)
+        worker.entry_seen_at = now
         worker.update_entry(entry)
         worker.deregistered = False
         worker.cordoned = entry.vm in self.cordoned_vms
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
+from math import inf
 
 import msgspec
 
@@ -29,7 +30,7 @@
 )
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources
 from ebonyhub.jobs.records import JobState, ProgressRecord
-from ebonyhub.scheduling.model import OrderFailure, StartOrder
+from ebonyhub.scheduling.model import OrderFailure, StartOrder, WorkerEntry
 from ebonyhub.scheduling.orders import FetchReport, StartRun, StopRun
 from ebonyhub.scheduling.scheduler import Scheduler
 from standins.fake_worker import FakeWorker
@@ -83,8 +84,11 @@
     faults: Faults = field(default_factory=Faults)
     now: float = 100.0
     store_up: bool = True
+    # Seconds between two writes of a worker's entry; 0 if changes are written at once.
+    heartbeat_seconds: float = 0.0
     # Seconds by which the leader's wall clock is ahead of the true time.
     clock_error: float = 0.0
+    max_entry_age_seconds: float = inf
 
     def __post_init__(self) -> None:
         """Create workers and the first leader."""
@@ -102,6 +106,9 @@
             for number in range(self.worker_count)
             for name in [WorkerId(f"w{number}")]
         }
+        # The workers' entries in the store, when heartbeats write them.
+        self.entries: dict[WorkerId, WorkerEntry] = {}
+        self.next_heartbeat_at: dict[WorkerId, float] = {}
         self.scheduler: Scheduler | None = None
         self.valid_until = 0.0
         self.next_poll_at: dict[WorkerId, float] = {}
@@ -134,9 +141,11 @@
         scheduler.inherited_leases_until = (
             self.now + LEASE_EXTENSION_SECONDS + WORKER_LEASE_SECONDS * 1.03 + 0.5
         )
+        scheduler.max_entry_age_seconds = self.max_entry_age_seconds
         for worker in self.workers.values():
             if worker.registered:
-                scheduler.handle_worker_entry(worker.entry, self.now)
+                entry = self.entries.get(worker.worker, worker.entry)
+                scheduler.handle_worker_entry(entry, self.now)
         self.scheduler = scheduler
         self.next_poll_at = dict.fromkeys(self.workers, self.now)
         self.revisions = {job: revision for job, (revision, _) in self.records.items()}
@@ -221,6 +230,8 @@
         for name, worker in self.workers.items():
             if not worker.registered:
                 scheduler.handle_worker_entry_removed(name)
+            elif self.heartbeat_seconds:
+                self._beat(scheduler, worker)
             elif name not in scheduler.workers or (
                 scheduler.workers[name].entry != worker.entry
             ):
@@ -234,6 +245,18 @@
         while scheduler.outbox:
             self._execute_order(scheduler, scheduler.outbox.popleft())
 
+    def _beat(self, scheduler: Scheduler, worker: FakeWorker) -> None:
+        """Write the worker's entry at its time, unless the store is down."""
+        name = worker.worker
+        first = self.now + self.rng.uniform(0, self.heartbeat_seconds)
+        if self.now < self.next_heartbeat_at.setdefault(name, first):
+            return
+        self.next_heartbeat_at[name] += self.heartbeat_seconds
+        if not self.store_up:
+            return
+        self.entries[name] = worker.entry
+        scheduler.handle_worker_entry(worker.entry, self.now)
+
     def _poll(self, scheduler: Scheduler, name: WorkerId) -> None:
         self.next_poll_at[name] = self.now + POLL_INTERVAL_SECONDS
         worker = scheduler.workers.get(name)
@@ -404,6 +427,11 @@
         self.next_poll_at[name] = self.now
         return self.workers[name]
 
+    def resize_worker(self, name: WorkerId, capacity: Resources) -> None:
+        """Change a worker's capacity while it runs; its next heartbeat tells it."""
+        self.oracle.record_resize(self.workers[name])
+        self.workers[name].capacity = capacity
+
     def restart_worker(self, name: WorkerId) -> None:
         """Restart a crashed worker under the same id."""
         if not self.workers[name].up:
--- a/standins/oracle.py
+++ b/standins/oracle.py
@@ -13,6 +13,11 @@
 CANCEL_TIMEOUT_SECONDS = 3.5
 
 
+# Time after which a capacity that has shrunk counts: the platform's ContactMs and one
+# heartbeat.
+SHRUNK_CAPACITY_SECONDS = 4.5
+
+
 class GuaranteeViolation(AssertionError):
     """A documented guarantee does not hold; the message starts with its code."""
 
@@ -48,6 +53,10 @@
     always_failing_jobs: set[JobId] = field(default_factory=set)
     # Tasks that crash each worker that starts them.
     crashing_tasks: set[TaskId] = field(default_factory=set)
+    # Capacities that a worker had, each with the time until which it had it.
+    earlier_capacities: dict[str, list[tuple[float, Resources]]] = field(
+        default_factory=dict
+    )
     # By worker process and sequence number of the end.
     unacknowledged_completions: dict[tuple[str, int], list[tuple[TaskId, int]]] = field(
         default_factory=dict
@@ -145,9 +154,26 @@
         used = Resources()
         for task in worker.runs:
             used = used + self._step(task).reserved
-        if not used.fits_into(worker.capacity):
+        if not used.fits_into(self._counted_capacity(worker)):
             raise GuaranteeViolation(f"LIMIT: {worker.worker} has {used} reserved")
 
+    def record_resize(self, worker: FakeWorker) -> None:
+        """Record the capacity that a worker has until now, before it changes."""
+        earlier = self.earlier_capacities.setdefault(worker.worker, [])
+        earlier.append((self.clock(), worker.capacity))
+
+    def _counted_capacity(self, worker: FakeWorker) -> Resources:
+        """Return the capacity that starts must respect: the largest one of late."""
+        counted = worker.capacity
+        for until, capacity in self.earlier_capacities.get(worker.worker, []):
+            if self.clock() < until + SHRUNK_CAPACITY_SECONDS:
+                counted = Resources(
+                    max(counted.cpu, capacity.cpu),
+                    max(counted.memory, capacity.memory),
+                    max(counted.accelerators, capacity.accelerators),
+                )
+        return counted
+
     def _check_max_per_worker(self, worker: FakeWorker, task: TaskId) -> None:
         limit = self._step(task).max_per_worker
         same = sum(1 for other in worker.runs if other[:3] == task[:3])
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -7,6 +7,7 @@
 import json
 import subprocess
 import sys
+from math import inf
 from pathlib import Path
 
 import pytest
@@ -137,6 +138,15 @@
     assert (settings.entry, settings.peer_port) == ("e1", 7060)
     assert settings.status_retention_seconds == 120.0
     assert (settings.cores, settings.link_mbps) == (1.0, 1000.0)
+    assert settings.capacity_valid_seconds == inf
+
+
+def test_capacity_is_valid_for_the_contact_time_and_a_heartbeat(tmp_path):
+    path = tmp_path / "settings.yaml"
+    data = json.loads(node_settings_text("e1", "127.0.0.1", "127.0.0.1:1", (1, 2)))
+    data["Bounds"]["ContactMs"], data["HeartbeatMs"] = 3000, 1500
+    path.write_text(json.dumps(data))
+    assert load_node_settings(path).ok.capacity_valid_seconds == 4.0
 
 
 @pytest.mark.parametrize("text", ["Node: x", "- 1", "a: [", ""])
