Size pools by the present capacity of their workers

Cause: pools were sized by the capacities of the VM list. A pool whose workers have shrunk got too few VMs, so its jobs waited.

Change: the loads that the planner reads carry what the workers tell of themselves.

Measured: a table test (three workers of 4 cores instead of 10 draw more VMs).

--- a/src/ebonyhub/fleet/model.py
+++ b/src/ebonyhub/fleet/model.py
@@ -70,6 +70,12 @@
     # Workers that have reported to this leader; None once every lease granted by an
     # earlier leader has expired, so that an unreported worker runs nothing.
     reported_workers: Set[WorkerId] | None = None
+    # Present capacities as the workers tell them; they may be below those of their VMs.
+    capacities: Mapping[VmId, Resources] = field(default_factory=dict)
+
+    def capacity_of(self, vm: Vm) -> Resources:
+        """Return the present capacity of a VM, the listed one if no worker tells it."""
+        return self.capacities.get(vm.vm_id, vm.capacity)
 
     def for_vm(self, vm: Vm) -> VmLoad:
         """Return the load of a VM, UNKNOWN_LOAD until its worker has reported."""
--- a/src/ebonyhub/fleet/state.py
+++ b/src/ebonyhub/fleet/state.py
@@ -131,8 +131,10 @@
 
     def cores_per_vm(self, pool: PoolName) -> float:
         """Return the mean cores of a VM in the pool, of all VMs if it has none."""
-        capacities = [vm.capacity.cpu for vm in self.vms.values() if vm.pool == pool]
-        capacities = capacities or [vm.capacity.cpu for vm in self.vms.values()]
+        vms = [vm for vm in self.vms.values() if vm.pool == pool]
+        capacities = [
+            self.fleet_load.capacity_of(vm).cpu for vm in vms or self.vms.values()
+        ]
         return max(1.0, sum(capacities) / max(1, len(capacities)) / 1000)
 
     def load_of(self, vm: Vm) -> VmLoad:
--- a/src/ebonyhub/fleet/waves.py
+++ b/src/ebonyhub/fleet/waves.py
@@ -147,7 +147,8 @@
             and other.state is VmState.UP
             and other.vm_id not in self.state.changes
             and self.state.load_of(other) is not UNKNOWN_LOAD
-            and other.capacity.cpu / 1000 - self.state.load_of(other).used_cores
+            and self.state.fleet_load.capacity_of(other).cpu / 1000
+            - self.state.load_of(other).used_cores
             >= load.long_running_cores
             for other in self.state.vms.values()
         )
--- a/src/ebonyhub/scheduling/views.py
+++ b/src/ebonyhub/scheduling/views.py
@@ -6,7 +6,7 @@
 from ..fleet.demand import Demand
 from ..fleet.model import FleetLoad, VmLoad
 from ..ids import PoolName, ServiceName, VmId, WorkerId
-from ..jobs.model import StepSpec
+from ..jobs.model import Resources, StepSpec
 from .overload import BacklogJob, Forecast, build_forecast
 from .priority import Rank, remaining_core_seconds
 from .runs import Job, Run, RunPhase, Worker
@@ -29,15 +29,20 @@
         """
         by_vm: dict[VmId, VmLoad] = {}
         reported_workers: set[WorkerId] = set()
+        capacities: dict[VmId, Resources] = {}
         for worker in self.workers.values():
             if worker.last_response_at is not None:
                 reported_workers.add(worker.worker_id)
             if worker.expired or not worker.entry.vm:
                 continue
+            if not worker.deregistered:
+                capacities[worker.entry.vm] = worker.entry.capacity
             before = by_vm.get(worker.entry.vm, VmLoad())
             by_vm[worker.entry.vm] = _add_load(before, worker, now)
         inherited_leases_ended = now > self.inherited_leases_until
-        return FleetLoad(by_vm, None if inherited_leases_ended else reported_workers)
+        return FleetLoad(
+            by_vm, None if inherited_leases_ended else reported_workers, capacities
+        )
 
     def forecasts(
         self, cores: Mapping[ServiceName, float], now: float
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -333,3 +333,14 @@
     ]
     planner.update_vms(listed, 2.8)
     assert not planner.plan({}, 2.8)
+
+
+@pytest.mark.parametrize(("cpu", "cores_per_vm"), [(10_000, 10.0), (4_000, 4.0)])
+def test_pool_is_sized_by_the_present_capacity_of_its_workers(cpu, cores_per_vm):
+    planner = planner_with((3, 3, 3))
+    capacities = {vm_id: Resources(cpu, 1, 0) for vm_id in planner.vms}
+    planner.fleet_load = FleetLoad(capacities=capacities)
+    assert planner.cores_per_vm(PoolName("a")) == cores_per_vm
+    planner.plan({PoolName("a"): Demand(waiting_cores=25.0)}, 1.0)
+    arriving = planner.vms_on_way().get(PoolName("a"), 0)
+    assert (arriving > 0) == (cpu < 10_000)
