--- a/src/ebonyhub/scheduling/crashes.py
+++ b/src/ebonyhub/scheduling/crashes.py
@@ -75,13 +75,12 @@
 
 
 def is_crash(cause: LossCause, worker: Worker, born_ms: int) -> bool:
-    """Return whether the loss of a worker process was unplanned."""
-    planned = (
-        worker.cordoned
-        or worker.entry.draining
-        or (born_ms != 0 and born_ms == worker.draining_born_ms)
-    )
-    return cause in _CRASHES and not planned
+    """Return whether the loss of a worker process was unplanned.
+
+    A cordoned VM is no exception: its change is ordered only once it is empty.
+    """
+    drained = born_ms != 0 and born_ms == worker.draining_born_ms
+    return cause in _CRASHES and not worker.entry.draining and not drained
 
 
 def suspects_of(lost: Iterable[LostRun]) -> list[LostRun]:
--- a/src/ebonyhub/scheduling/explain.py
+++ b/src/ebonyhub/scheduling/explain.py
@@ -1,6 +1,7 @@
 """Explains why the tasks of a job wait, from the scheduler's current state."""
 
 from ..ids import JobId
+from . import lifecycle
 from .placement import StepRequirements, has_capacity, meets_constraints
 from .runs import Job
 from .scheduler import Scheduler
@@ -38,8 +39,11 @@
     eligible = [worker for worker in workers if scheduler.is_eligible(worker, now)]
     allowed = [worker for worker in eligible if meets_constraints(requirements, worker)]
     with_capacity = [worker for worker in allowed if has_capacity(requirements, worker)]
+    waiting = job.pending[(occurrence, number)]
+    suspects = lifecycle.suspects_among(job, occurrence, number, waiting)
+    alone = f"; {len(suspects)} must start alone, see E2210" if suspects else ""
     return (
         f"step {number} of occurrence {occurrence}: {count} task(s) wait; service "
         f"{service} has {len(workers)} worker(s), {len(eligible)} take tasks, "
-        f"{len(allowed)} may run the step, {len(with_capacity)} have room"
+        f"{len(allowed)} may run the step, {len(with_capacity)} have room{alone}"
     )
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -84,20 +84,23 @@
                 self.expire_worker(worker, cause, now, wall_ms)
 
     def unresponsive_workers(self, now: float) -> list[Worker]:
-        """Return the workers with runs that do not respond.
-
-        A worker discovered only recently may not have been polled yet.
-        """
+        """Return the workers with runs that do not respond."""
         return [
             worker
             for worker in self.workers.values()
             if worker.runs
             and not worker.expired
             and worker.entry.vm
-            and now - worker.discovered_at > RESPONSE_MAX_AGE_SECONDS
-            and (worker.poll_failed or not self.is_responsive(worker, now))
+            and (worker.poll_failed or self._is_overdue(worker, now))
         ]
 
+    def _is_overdue(self, worker: Worker, now: float) -> bool:
+        """Return whether a response is overdue; a new worker is yet to be polled."""
+        known_for = now - worker.discovered_at
+        return known_for > RESPONSE_MAX_AGE_SECONDS and not self.is_responsive(
+            worker, now
+        )
+
     def set_cordoned(self, vms: set[VmId]) -> None:
         """Cordon the workers on exactly these VMs."""
         self.cordoned_vms = vms
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -11,7 +11,7 @@
 from ebonyhub.jobs.model import JobSpec, Resources, StepSpec
 from ebonyhub.jobs.records import JobState
 from standins.crashing_tasks import CrashingTasks
-from standins.emulator import Emulator, Faults
+from standins.emulator import STEP_SECONDS, Emulator, Faults
 
 SEEDS = range(40)
 WORKERS = 6
@@ -44,6 +44,22 @@
     assert states == [JobState.COMPLETED] * 8 + [JobState.RUNNING]
 
 
+# The planner takes the emptiest VM away, which is where a suspected task starts.
+def test_crash_of_a_cordoned_vm_counts():
+    emulator = Emulator(1, WORKERS)
+    crashing = CrashingTasks(emulator)
+    job = emulator.submit(short_spec())
+    task = crashing.mark(job)
+    for _ in range(200):
+        crashing.run(STEP_SECONDS)
+        workers = emulator.scheduler.workers.values()
+        emulator.scheduler.set_cordoned(
+            {worker.entry.vm for worker in workers if worker.isolated_runs}
+        )
+    assert emulator.state(job) is JobState.FAILED
+    assert emulator.oracle.tasks[task].crashes <= 3
+
+
 # Steady work beside them: each crash hits tasks that have just started, too.
 @pytest.mark.parametrize("seed", SEEDS)
 def test_jobs_beside_crashing_tasks_complete(seed):
