Count late crashes against tasks once all young suspects are cleared

Change: the crash is remembered with the runs that had passed their probation. When all young suspects have survived a start alone, it counts against those, unless a cause was found.

--- a/src/ebonyhub/scheduling/crash_attribution.py
+++ b/src/ebonyhub/scheduling/crash_attribution.py
@@ -3,14 +3,13 @@
 from collections.abc import Iterable
 
 from ..events import Event, log_event
-from ..ids import TaskId
 from ..jobs.records import JobState
 from . import lifecycle
 from .crashes import (
-    Charge,
     Crash,
     LostRun,
-    charges_of,
+    charge_of,
+    examine_crash,
     has_survived_probation,
     is_crash,
     must_be_given_up,
@@ -51,11 +50,10 @@
         if culprit is not None:
             self._give_up(culprit, now, wall_ms)
             return
-        charges = charges_of(lost)
-        for task, charge in charges.items():
-            self._charge(task, charge)
-        if charges:
-            self.crashes.append(Crash(charges))
+        crash = examine_crash(lost)
+        if crash.charges:
+            self.crashes.append(crash)
+            self._charge_suspects(crash)
 
     def _is_active(self, run: Run) -> bool:
         return run.task.job in self.active
@@ -74,19 +72,21 @@
             progress = lifecycle.step_progress_of(self.jobs[run.task.job], run.task)
             if run.probation_seconds is None or progress is None:
                 continue
-            charge = charges_of([item])[run.task]
-            if must_be_given_up(progress, run.task.position, charge):
+            if must_be_given_up(progress, run.task.position, charge_of(item)):
                 return run
         return None
 
-    def _charge(self, task: TaskId, charge: Charge) -> None:
-        job = self.jobs[task.job]
-        lifecycle.add_charge(job, task, charge)
-        self.mark_dirty(job)
-        log_event(
-            Event.TASK_SUSPECTED, job=task.job, task=short_name(task),
-            evidence=charge.evidence, late=charge.late_crashes,
-        )  # fmt: skip
+    def _charge_suspects(self, crash: Crash) -> None:
+        for task, charge in crash.charges.items():
+            job = self.active.get(task.job)
+            if job is None:
+                continue
+            lifecycle.add_charge(job, task, charge)
+            self.mark_dirty(job)
+            log_event(
+                Event.TASK_SUSPECTED, job=task.job, task=short_name(task),
+                evidence=charge.evidence, late=charge.late_crashes,
+            )  # fmt: skip
 
     def _give_up(self, run: Run, now: float, wall_ms: int) -> None:
         """Fail the job of a run that crashes its workers; clear those it explains."""
@@ -124,7 +124,9 @@
         worker.isolated_runs.pop(run.key, None)
         run.probation_seconds = None
         for crash in self.crashes:
-            crash.charges.pop(run.task, None)
+            if crash.charges.pop(run.task, None) and not crash.charges:
+                crash.charges, crash.deferred = crash.deferred, {}
+                self._charge_suspects(crash)
         job = self.active.get(run.task.job)
         if job is None or not lifecycle.clear_charges(job, run.task):
             return
--- a/src/ebonyhub/scheduling/crashes.py
+++ b/src/ebonyhub/scheduling/crashes.py
@@ -2,16 +2,16 @@
 
 A worker that crashes ends all of its runs without telling which of them was the cause.
 The suspects are the runs that had just started, since the others have shown that the
-worker survives them. If there is none, a run may crash its worker late, or the VM has
-failed: then every run that is not long-running is counted, and suspected from the
-second time on.
+worker survives them for a while. A run may also crash its worker later: once all of
+these suspects are cleared, the crash counts against the other runs that are not
+long-running, and from the second such crash their tasks are suspected, too.
 
 A suspected task starts alone: on a worker without other runs on probation, where
 nothing else starts during its own. If that worker crashes too, the task is the cause.
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import inf
 
 from ..ids import TaskId
@@ -27,7 +27,7 @@
 POSSIBLE_START_EVIDENCE = 1
 # A task is given up after two workers that have certainly crashed under it.
 GIVE_UP_EVIDENCE = 2 * CONFIRMED_START_EVIDENCE
-# Unexplained crashes later than the probation after which a task is suspected, and
+# Unexplained crashes later than its probation after which a task is suspected, and
 # after which it is given up.
 SUSPECT_LATE_CRASHES = 2
 GIVE_UP_LATE_CRASHES = 3
@@ -69,9 +69,13 @@
 
 @dataclass(slots=True)
 class Crash:
-    """The evidence of one crash against each suspect."""
+    """The evidence of one crash against each suspect.
+
+    ``deferred`` is used once none of the suspects in ``charges`` is left.
+    """
 
     charges: dict[TaskId, Charge]
+    deferred: dict[TaskId, Charge] = field(default_factory=dict)
 
 
 def is_crash(cause: LossCause, worker: Worker, born_ms: int) -> bool:
@@ -96,20 +100,23 @@
     return isolated or suspects
 
 
-def charges_of(lost: Iterable[LostRun]) -> dict[TaskId, Charge]:
-    """Return the evidence of a crash against each suspect."""
+def examine_crash(lost: Iterable[LostRun]) -> Crash:
+    """Return the evidence of a crash, the most likely suspect first."""
     lost = list(lost)
     suspects = suspects_of(lost)
-    if not suspects:
-        return {
-            item.run.task: Charge(late_crashes=1)
-            for item in lost
-            if not item.run.step.long_running
-        }
-    return {item.run.task: _charge(item) for item in suspects}
+    charges = {item.run.task: charge_of(item) for item in suspects}
+    if any(item.run.probation_seconds is not None for item in suspects):
+        return Crash(charges)
+    late = {
+        item.run.task: Charge(late_crashes=1)
+        for item in lost
+        if item.run.task not in charges and not item.run.step.long_running
+    }
+    return Crash(charges, late) if charges else Crash(late)
 
 
-def _charge(suspect: LostRun) -> Charge:
+def charge_of(suspect: LostRun) -> Charge:
+    """Return the evidence of a crash against a run on probation."""
     if suspect.run.phase is not RunPhase.CONFIRMED:
         return Charge(evidence=POSSIBLE_START_EVIDENCE)
     if suspect.age < PROBATION_SECONDS:
--- a/standins/crashing_tasks.py
+++ b/standins/crashing_tasks.py
@@ -67,12 +67,24 @@
         if not worker.up:
             return
         self.crashes += 1
+        broken = self._gangs_of(worker)
         self.emulator.crash_worker(worker.worker)
+        for other in self.emulator.workers.values():
+            other.end_gang(broken)
         self.vms[worker.vm] = replace(self.vms[worker.vm], state=VmState.DOWN)
         self.emulator.run_later(
             self.rng.uniform(*RETURN_SECONDS), lambda: self._return(worker)
         )
 
+    def _gangs_of(self, worker: FakeWorker) -> set[TaskId]:
+        """Return all members of the gangs that have one on the worker."""
+        members: set[TaskId] = set()
+        for task in worker.runs:
+            step = self.emulator.accepted[task.job].spec.steps[task.step]
+            if step.gang:
+                members |= {task._replace(position=i) for i in range(step.count)}
+        return members
+
     def _return(self, worker: FakeWorker) -> None:
         emulator = self.emulator
         if self.rng.random() >= self.new_id_rate:
--- a/standins/fake_worker.py
+++ b/standins/fake_worker.py
@@ -119,6 +119,11 @@
         )
         self.on_end(self, task, run.number, outcome)
 
+    def end_gang(self, tasks: set[TaskId]) -> None:
+        """End the runs of tasks whose gang has lost a member on another worker."""
+        for task in tasks & self.runs.keys():
+            self._end(task, RunOutcome.GANG_MEMBER_ENDED)
+
     def start(
         self,
         order: StartOrder,
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -44,6 +44,35 @@
     assert states == [JobState.COMPLETED] * 8 + [JobState.RUNNING]
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_task_that_crashes_its_workers_late_is_given_up(seed):
+    rng = random.Random(seed)
+    emulator = Emulator(seed, WORKERS)
+    crashing = CrashingTasks(emulator, delay=1.0)
+    job = emulator.submit(short_spec(2, estimate_ms=4000))
+    crashing.mark(job)
+    others = []
+    for _ in range(30):
+        others.append(emulator.submit(short_spec(rng.randint(1, 4))))
+        crashing.run(0.3)
+    crashing.run(RECOVERY_SECONDS)
+    assert emulator.state(job) is JobState.FAILED
+    assert all(emulator.state(other) is JobState.COMPLETED for other in others)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_gang_with_a_task_that_crashes_its_workers_is_given_up(seed):
+    emulator = Emulator(seed, WORKERS)
+    crashing = CrashingTasks(emulator)
+    step = StepSpec(4, Resources(3000, 500), 800, gang=True, max_per_worker=2)
+    others = [emulator.submit(short_spec(4)) for _ in range(8)]
+    job = emulator.submit(JobSpec("text", (step,)))
+    crashing.mark(job, position=2)
+    crashing.run(RECOVERY_SECONDS)
+    assert emulator.state(job) is JobState.FAILED
+    assert all(emulator.state(other) is JobState.COMPLETED for other in others)
+
+
 # The planner takes the emptiest VM away, which is where a suspected task starts.
 def test_crash_of_a_cordoned_vm_counts():
     emulator = Emulator(1, WORKERS)
