Isolated starts: look at the runs on probation once a pass; settings decode only

Cause: in a storm each suspected task looked at all runs of all workers again; platform/settings.py derived a limit, although it only decodes.

Change: quiet workers are found once a pass; NodeSettings derives capacity_valid_seconds; the controller's scheduler is built in a method of its own. No change of behaviour.

--- a/src/ebonyhub/node_settings.py
+++ b/src/ebonyhub/node_settings.py
@@ -7,6 +7,8 @@
 
 # Traffic of a leader (orders and reports) for each core that this work keeps busy.
 LINK_MBPS_PER_CORE = 25.0
+# Time for a start order to reach its worker.
+START_MARGIN_SECONDS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,9 +31,10 @@
     cores: float
     # Bandwidth of the VM's network link.
     link_mbps: float
-    # Seconds after a worker's heartbeat within which a start is allowed by the capacity
-    # that it told, whatever it is by then.
-    capacity_valid_seconds: float = inf
+    # Time that the platform allows for learning of a change, and the interval at which
+    # workers write their entries; infinity if the platform sets no limit.
+    contact_seconds: float = inf
+    heartbeat_seconds: float = inf
 
     @property
     def peer_port(self) -> int:
@@ -42,3 +45,12 @@
     def effective_cores(self) -> float:
         """Return how many cores a leader can use; a slow link limits them."""
         return min(self.cores, self.link_mbps / LINK_MBPS_PER_CORE)
+
+    @property
+    def capacity_valid_seconds(self) -> float:
+        """Return for how long after a heartbeat a worker's capacity may be used.
+
+        A capacity that has shrunk counts after the contact time and one heartbeat.
+        """
+        seconds = self.contact_seconds + self.heartbeat_seconds
+        return max(0.0, seconds - START_MARGIN_SECONDS)
--- a/src/ebonyhub/platform/settings.py
+++ b/src/ebonyhub/platform/settings.py
@@ -1,7 +1,7 @@
 """The settings file that the platform provides to an entry process."""
 
-import math
 import os
+from math import inf
 from pathlib import Path
 from typing import Any
 
@@ -16,8 +16,6 @@
 DEFAULT_STATUS_RETENTION_SECONDS = 120.0
 # Used if the file sets no bandwidth limit for the VM's link.
 DEFAULT_LINK_MBPS = 1000.0
-# Time for a start order to reach its worker.
-CAPACITY_MARGIN_SECONDS = 0.5
 DEFAULT_SETTINGS_PATH = "/etc/ebonyhub/settings.yaml"
 
 
@@ -61,21 +59,14 @@
         status_retention_seconds=float(
             data["Bounds"].get("status_s", DEFAULT_STATUS_RETENTION_SECONDS)
         ),
-        capacity_valid_seconds=_capacity_valid_seconds(data),
+        contact_seconds=_seconds(data["Bounds"].get("ContactMs")),
+        heartbeat_seconds=_seconds(data.get("HeartbeatMs")),
         # In the file, "Cores" is the speed of a core and "CpuShare" the share of one.
         cores=float(limits["CpuShare"]) * float(limits["Cores"]),
         link_mbps=float(limits.get("LinkMbps", DEFAULT_LINK_MBPS)),
     )
 
 
-def _capacity_valid_seconds(data: dict[str, Any]) -> float:
-    """Return for how long a worker's capacity may be used, infinity if not limited.
-
-    A capacity that has shrunk counts after the contact time and one heartbeat.
-    """
-    contact_ms = data["Bounds"].get("ContactMs")
-    heartbeat_ms = data.get("HeartbeatMs")
-    if contact_ms is None or heartbeat_ms is None:
-        return math.inf
-    seconds = (float(contact_ms) + float(heartbeat_ms)) / 1000
-    return max(0.0, seconds - CAPACITY_MARGIN_SECONDS)
+def _seconds(milliseconds: float | None) -> float:
+    """Convert a time limit; infinity if the file sets none."""
+    return inf if milliseconds is None else milliseconds / 1000
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -80,12 +80,7 @@
         self.rng = rng
         self.metrics = metrics
         self.notify_stored = on_stored
-        self.scheduler = Scheduler()
-        self.scheduler.on_worker_lost = self._count_lost_worker
-        self.scheduler.on_job_given_up = lambda queue: metrics.jobs_given_up.labels(
-            queue
-        ).inc()
-        self.scheduler.max_entry_age_seconds = capacity_valid_seconds
+        self.scheduler = self._new_scheduler(capacity_valid_seconds)
         self.committer = Committer(
             store, self.scheduler, term, clock, metrics, self._on_stored
         )
@@ -119,13 +114,19 @@
         self.wait_causes: dict[ServiceName, WaitCause] = {}
         # Steps with a pending call to the advisor.
         self.advice_in_progress: set[StepKey] = set()
-        now = clock.monotonic()
+
+    def _new_scheduler(self, capacity_valid_seconds: float) -> Scheduler:
+        scheduler = Scheduler()
+        scheduler.on_worker_lost = self._count_lost_worker
+        scheduler.on_job_given_up = self._count_job_given_up
+        scheduler.max_entry_age_seconds = capacity_valid_seconds
         # An earlier leader may still renew workers' leases for LEASE_EXTENSION_SECONDS;
         # the last of them then runs its full time on a slow clock. 0.5 s is margin.
         lease = WORKER_LEASE_SECONDS * SLOW_CLOCK_FACTOR
-        self.scheduler.inherited_leases_until = (
-            now + LEASE_EXTENSION_SECONDS + lease + 0.5
+        scheduler.inherited_leases_until = (
+            self.clock.monotonic() + LEASE_EXTENSION_SECONDS + lease + 0.5
         )
+        return scheduler
 
     # Inputs
 
@@ -456,6 +457,9 @@
         self.metrics.workers_lost.labels(cause.value).inc()
         self.metrics.runs_lost.labels(cause.value).inc(runs)
 
+    def _count_job_given_up(self, queue: QueueName) -> None:
+        self.metrics.jobs_given_up.labels(queue).inc()
+
     def _on_fenced(self, worker: Worker) -> None:
         if not self.term.ended:
             log_event(
--- a/src/ebonyhub/scheduling/isolation.py
+++ b/src/ebonyhub/scheduling/isolation.py
@@ -4,11 +4,10 @@
 worker with the fewest runs is chosen, since a crash ends all of them.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 from math import ceil
 
-from ..ids import ServiceName
+from ..ids import ServiceName, WorkerId
 from ..jobs.model import Resources
 from . import lifecycle
 from .assignment import Assignment
@@ -52,27 +51,34 @@
         suspected = self._suspected_tasks(jobs, workers, now)
         if not suspected:
             return open_workers
+        waiting = self._assign_suspects(suspected, open_workers, unused, now)
+        still_open = [w for w in open_workers if not is_isolating(w, now)]
+        unused -= len(open_workers) - len(still_open)
+        held = _workers_to_hold(waiting, still_open, held_before, unused, now)
+        if held:
+            self.held_workers[service] = held
+        return [worker for worker in still_open if worker.worker_id not in held]
+
+    def _assign_suspects(
+        self,
+        suspected: list[SuspectedTasks],
+        workers: list[Worker],
+        limit: int,
+        now: float,
+    ) -> list[SuspectedTasks]:
+        """Assign tasks until ``limit`` workers isolate one; return those that wait."""
+        quiet = [worker for worker in workers if not _count_on_probation(worker, now)]
+        count = len(quiet)
         waiting: list[SuspectedTasks] = []
         for tasks in suspected:
-            if unused <= 0:
-                assigned = False
-            elif tasks.requirements.step.gang:
-                assigned = self._assign_gang_alone(tasks, open_workers, now)
+            assigned = count - len(quiet) < limit and self._assign_alone(
+                tasks, quiet, now
+            )
+            if assigned:
+                quiet = [w for w in quiet if not _count_on_probation(w, now)]
             else:
-                assigned = self._assign_alone(tasks, open_workers, now)
-            if not assigned:
                 waiting.append(tasks)
-            unused -= sum(is_isolating(worker, now) for worker in open_workers)
-            open_workers = [w for w in open_workers if not is_isolating(w, now)]
-        held = {
-            worker.worker_id
-            for worker in _workers_to_hold(waiting, open_workers, held_before, now)[
-                : max(0, unused)
-            ]
-        }
-        if held:
-            self.held_workers[service] = held
-        return [worker for worker in open_workers if worker.worker_id not in held]
+        return waiting
 
     def _suspected_tasks(
         self, jobs: list[Job], workers: list[Worker], now: float
@@ -109,15 +115,19 @@
         return [tasks for _, tasks in found]
 
     def _assign_alone(
-        self, tasks: SuspectedTasks, workers: list[Worker], now: float
+        self, tasks: SuspectedTasks, quiet: list[Worker], now: float
     ) -> bool:
-        """Assign a task to a worker of its own; return whether there was one."""
+        """Assign a task or a gang to workers without runs on probation, if it fits."""
         requirements = tasks.requirements
-        free = [
-            worker
-            for worker in _quiet_workers(requirements, workers, now)
-            if has_capacity(requirements, worker)
+        allowed = [
+            worker for worker in quiet if meets_constraints(requirements, worker)
         ]
+        if requirements.step.gang:
+            chosen = choose_gang_workers(requirements, allowed, tasks.positions)
+            if chosen is not None:
+                self.assign_gang(tasks.job, requirements, chosen, now)
+            return chosen is not None
+        free = [worker for worker in allowed if has_capacity(requirements, worker)]
         if not free:
             return False
         (position,) = tasks.positions
@@ -135,29 +145,6 @@
         self.assign(tasks.job, task, worker, now)
         return True
 
-    def _assign_gang_alone(
-        self, tasks: SuspectedTasks, workers: list[Worker], now: float
-    ) -> bool:
-        """Assign a gang to workers of its own; return whether it was assigned."""
-        quiet = _quiet_workers(tasks.requirements, workers, now)
-        chosen = choose_gang_workers(tasks.requirements, quiet, tasks.positions)
-        if chosen is None:
-            return False
-        self.assign_gang(tasks.job, tasks.requirements, chosen, now)
-        return True
-
-
-def _quiet_workers(
-    requirements: StepRequirements, workers: Iterable[Worker], now: float
-) -> list[Worker]:
-    """Return the workers that may run the step and have no run on probation."""
-    return [
-        worker
-        for worker in workers
-        if meets_constraints(requirements, worker)
-        and not _count_on_probation(worker, now)
-    ]
-
 
 def _count_on_probation(worker: Worker, now: float) -> int:
     return sum(is_on_probation(run, worker, now) for run in worker.runs.values())
@@ -166,15 +153,15 @@
 def _workers_to_hold(
     waiting: list[SuspectedTasks],
     workers: list[Worker],
-    held_before: Iterable[object],
+    held_before: set[WorkerId],
+    limit: int,
     now: float,
-) -> list[Worker]:
-    """Return the workers to hold for waiting suspected tasks, one for each task.
+) -> set[WorkerId]:
+    """Return at most ``limit`` workers to hold, one for each waiting task.
 
     Workers that were held before come first, then those with the fewest runs that have
     to pass their probation.
     """
-    held_before = set(held_before)
     ranked = sorted(
         workers,
         key=lambda worker: (
@@ -183,14 +170,17 @@
             -worker.free.cpu,
         ),
     )
-    chosen: list[Worker] = []
+    held: set[WorkerId] = set()
     for tasks in waiting:
         for _ in tasks.positions:
+            if len(held) >= limit:
+                return held
             for worker in ranked:
-                if worker not in chosen and _can_ever_fit(tasks.requirements, worker):
-                    chosen.append(worker)
+                unheld = worker.worker_id not in held
+                if unheld and _can_ever_fit(tasks.requirements, worker):
+                    held.add(worker.worker_id)
                     break
-    return chosen
+    return held
 
 
 def _can_ever_fit(requirements: StepRequirements, worker: Worker) -> bool:
