Test crashing tasks with real entry processes

A worker of the stand-in crashes on each start of a job with a certain text and is back after a second under its id; with and without a kill of the leader.

--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -33,6 +33,10 @@
 LOST_ANSWER_DELAY_SECONDS = 8.0
 # Text of a job whose tasks run until they are stopped.
 LONG_RUNNING_TEXT = "lasts"
+# A job with this text crashes each worker that starts a task of it, which is back after
+# CRASH_SECONDS.
+CRASHING_TEXT = "crash"
+CRASH_SECONDS = 1.0
 
 _REASON_BY_FAILURE = {
     OrderFailure.FENCED: "fence",
@@ -209,6 +213,7 @@
         self.advertised = f"{listener.address}:{listener.port}"
         self.started_tasks: list[str] = []
         self.completed_tasks: list[str] = []
+        self.restart_task: asyncio.Task[None] | None = None
         self.fake.on_end = self._record_end
         handlers: dict[str, Handler] = {
             "POST /run-start": self.start,
@@ -283,8 +288,17 @@
         failure = self.fake.start(order, time.monotonic(), duration, RunOutcome.DONE)
         if failure is None:
             self.started_tasks.append(data["Task"])
+            if order.text == CRASHING_TEXT:
+                self.restart_task = asyncio.create_task(self._crash())
         return self._answer(failure)
 
+    async def _crash(self) -> None:
+        """Crash and come back under the same id."""
+        self.fake.crash()
+        await asyncio.sleep(CRASH_SECONDS)
+        self.fake.restart(int(time.time() * 1000))
+        self.register()
+
     async def stop(self, request: Request) -> Response:
         """Stop a run."""
         data = await request.json()
--- a/tests/test_job_path.py
+++ b/tests/test_job_path.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import json
 import signal
 
 import pytest
@@ -12,6 +13,7 @@
 from standins.job_cluster import JobCluster
 from standins.job_demo import wait_until_ready
 from standins.job_load import run_jobs
+from standins.job_platform import CRASHING_TEXT
 
 JOBS = 20
 GAP_SECONDS = 0.1
@@ -76,3 +78,40 @@
     finally:
         await cluster.platform.stop()
         cluster.close()
+
+
+async def wait_for_state(cluster, job, state):
+    async with asyncio.timeout(COMPLETION_LIMIT_SECONDS):
+        while True:
+            answer = await cluster.call(cluster.names[0], "GET", job)
+            if answer is not None and json.loads(answer.body).get("State") == state:
+                return
+            await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize("cause_fault", [no_fault, kill_leader])
+async def test_job_that_crashes_its_workers_is_shown_as_failed(cause_fault):
+    cluster = JobCluster(3, 4)
+    job = "00000000000000aa"
+    step = {"Count": 1, "Cpu": 500, "MemMb": 100, "EstimatedMs": 300}
+    try:
+        await cluster.platform.start()
+        for name in cluster.names:
+            cluster.start_entry(name)
+        await wait_until_ready(cluster)
+        load = asyncio.create_task(
+            run_jobs(cluster, JOBS, GAP_SECONDS, 7, COMPLETION_LIMIT_SECONDS)
+        )
+        body = {"Spec": CRASHING_TEXT, "Steps": [step]}
+        answer = await cluster.call(cluster.names[0], "POST", job, body)
+        assert answer.status == 200
+        await asyncio.sleep(0.7)
+        await cause_fault(cluster)
+        await wait_for_state(cluster, job, "failed")
+        report = await load
+        assert report.counts["completed"] == JOBS, report.counts
+        started = [t for w in cluster.platform.workers for t in w.started_tasks]
+        assert sum(task.startswith(job) for task in started) <= 5
+    finally:
+        await cluster.platform.stop()
+        cluster.close()
