--- a/src/ebonyhub/scheduling/crash_attribution.py
+++ b/src/ebonyhub/scheduling/crash_attribution.py
@@ -8,7 +8,7 @@
 from .crashes import (
     Crash,
     LostRun,
-    charge_of,
+    evidence_of,
     examine_crash,
     has_survived_probation,
     is_crash,
@@ -44,21 +44,21 @@
     def attribute_crash(
         self, lost: Iterable[LostRun], now: float, wall_ms: int
     ) -> None:
-        """Charge the suspects of a crash; give up the job that has caused it."""
+        """CrashEvidence the suspects of a crash; give up the job that has caused it."""
         lost = [item for item in lost if self._is_active(item.run)]
-        culprit = self._find_culprit(lost)
-        if culprit is not None:
-            self._give_up(culprit, now, wall_ms)
+        cause = self._find_cause(lost)
+        if cause is not None:
+            self._give_up(cause, now, wall_ms)
             return
         crash = examine_crash(lost)
-        if crash.charges:
+        if crash.evidence:
             self.crashes.append(crash)
-            self._charge_suspects(crash)
+            self._record_evidence(crash)
 
     def _is_active(self, run: Run) -> bool:
         return run.task.job in self.active
 
-    def _find_culprit(self, lost: list[LostRun]) -> Run | None:
+    def _find_cause(self, lost: list[LostRun]) -> Run | None:
         """Return the run that has crashed its worker for the last time, if it is sure.
 
         It must have been started alone. The members of a gang may share a worker, since
@@ -72,20 +72,20 @@
             progress = lifecycle.step_progress_of(self.jobs[run.task.job], run.task)
             if run.probation_seconds is None or progress is None:
                 continue
-            if must_be_given_up(progress, run.task.position, charge_of(item)):
+            if must_be_given_up(progress, run.task.position, evidence_of(item)):
                 return run
         return None
 
-    def _charge_suspects(self, crash: Crash) -> None:
-        for task, charge in crash.charges.items():
+    def _record_evidence(self, crash: Crash) -> None:
+        for task, evidence in crash.evidence.items():
             job = self.active.get(task.job)
             if job is None:
                 continue
-            lifecycle.add_charge(job, task, charge)
+            lifecycle.add_crash_evidence(job, task, evidence)
             self.mark_dirty(job)
             log_event(
                 Event.TASK_SUSPECTED, job=task.job, task=short_name(task),
-                evidence=charge.evidence, late=charge.late_crashes,
+                evidence=evidence.at_start, late=evidence.late,
             )  # fmt: skip
 
     def _give_up(self, run: Run, now: float, wall_ms: int) -> None:
@@ -96,17 +96,17 @@
             run=run.number, worker=run.worker,
         )  # fmt: skip
         self.on_job_given_up(job.queue)
-        for crash in [c for c in self.crashes if run.task in c.charges]:
+        for crash in [c for c in self.crashes if run.task in c.evidence]:
             self.crashes.remove(crash)
             self._withdraw(crash, job)
         self.finish_job(job, JobState.FAILED, StopReason.JOB_ENDED, now, wall_ms)
 
-    def _withdraw(self, crash: Crash, culprit: Job) -> None:
-        for task, charge in crash.charges.items():
+    def _withdraw(self, crash: Crash, given_up: Job) -> None:
+        for task, evidence in crash.evidence.items():
             job = self.active.get(task.job)
-            if job is None or job is culprit:
+            if job is None or job is given_up:
                 continue
-            lifecycle.withdraw_charge(job, task, charge)
+            lifecycle.withdraw_crash_evidence(job, task, evidence)
             self.mark_dirty(job)
             log_event(
                 Event.SUSPICION_ENDED, job=task.job, task=short_name(task),
@@ -124,11 +124,11 @@
         worker.isolated_runs.pop(run.key, None)
         run.probation_seconds = None
         for crash in self.crashes:
-            if crash.charges.pop(run.task, None) and not crash.charges:
-                crash.charges, crash.deferred = crash.deferred, {}
-                self._charge_suspects(crash)
+            if crash.evidence.pop(run.task, None) and not crash.evidence:
+                crash.evidence, crash.deferred = crash.deferred, {}
+                self._record_evidence(crash)
         job = self.active.get(run.task.job)
-        if job is None or not lifecycle.clear_charges(job, run.task):
+        if job is None or not lifecycle.clear_crash_evidence(job, run.task):
             return
         self.mark_dirty(job)
         log_event(
--- a/src/ebonyhub/scheduling/crashes.py
+++ b/src/ebonyhub/scheduling/crashes.py
@@ -60,22 +60,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Charge:
-    """Evidence against one task from one crash."""
+class CrashEvidence:
+    """What one crash tells against one task, see ``StepProgress``."""
 
-    evidence: int = 0
-    late_crashes: int = 0
+    at_start: int = 0
+    late: int = 0
 
 
 @dataclass(slots=True)
 class Crash:
     """The evidence of one crash against each suspect.
 
-    ``deferred`` is used once none of the suspects in ``charges`` is left.
+    ``deferred`` is used once none of the suspects in ``evidence`` is left.
     """
 
-    charges: dict[TaskId, Charge]
-    deferred: dict[TaskId, Charge] = field(default_factory=dict)
+    evidence: dict[TaskId, CrashEvidence]
+    deferred: dict[TaskId, CrashEvidence] = field(default_factory=dict)
 
 
 def is_crash(cause: LossCause, worker: Worker, born_ms: int) -> bool:
@@ -104,31 +104,31 @@
     """Return the evidence of a crash, the most likely suspect first."""
     lost = list(lost)
     suspects = suspects_of(lost)
-    charges = {item.run.task: charge_of(item) for item in suspects}
+    evidence = {item.run.task: evidence_of(item) for item in suspects}
     if any(item.run.probation_seconds is not None for item in suspects):
-        return Crash(charges)
+        return Crash(evidence)
     late = {
-        item.run.task: Charge(late_crashes=1)
+        item.run.task: CrashEvidence(late=1)
         for item in lost
-        if item.run.task not in charges and not item.run.step.long_running
+        if item.run.task not in evidence and not item.run.step.long_running
     }
-    return Crash(charges, late) if charges else Crash(late)
+    return Crash(evidence, late) if evidence else Crash(late)
 
 
-def charge_of(suspect: LostRun) -> Charge:
+def evidence_of(suspect: LostRun) -> CrashEvidence:
     """Return the evidence of a crash against a run on probation."""
     if suspect.run.phase is not RunPhase.CONFIRMED:
-        return Charge(evidence=POSSIBLE_START_EVIDENCE)
+        return CrashEvidence(at_start=POSSIBLE_START_EVIDENCE)
     if suspect.age < PROBATION_SECONDS:
-        return Charge(evidence=CONFIRMED_START_EVIDENCE)
-    return Charge(late_crashes=1)
+        return CrashEvidence(at_start=CONFIRMED_START_EVIDENCE)
+    return CrashEvidence(late=1)
 
 
 def suspect_ranks(crashes: Iterable[Crash]) -> dict[TaskId, int]:
     """Return the position of each suspect in its crash, from 0 for the youngest."""
     ranks: dict[TaskId, int] = {}
     for crash in crashes:
-        for rank, task in enumerate(crash.charges):
+        for rank, task in enumerate(crash.evidence):
             ranks[task] = min(rank, ranks.get(task, rank))
     return ranks
 
@@ -151,11 +151,13 @@
     return PROBATION_SECONDS if is_suspected(progress, position) else None
 
 
-def must_be_given_up(progress: StepProgress, position: int, charge: Charge) -> bool:
+def must_be_given_up(
+    progress: StepProgress, position: int, evidence: CrashEvidence
+) -> bool:
     """Return whether one more crash, under the task alone, makes it the cause."""
-    evidence = progress.crash_evidence.get(position, 0) + charge.evidence
-    late_crashes = progress.late_crashes.get(position, 0) + charge.late_crashes
-    return evidence >= GIVE_UP_EVIDENCE or late_crashes >= GIVE_UP_LATE_CRASHES
+    at_start = progress.crash_evidence.get(position, 0) + evidence.at_start
+    late = progress.late_crashes.get(position, 0) + evidence.late
+    return at_start >= GIVE_UP_EVIDENCE or late >= GIVE_UP_LATE_CRASHES
 
 
 def is_on_probation(run: Run, worker: Worker, now: float) -> bool:
--- a/src/ebonyhub/scheduling/lifecycle.py
+++ b/src/ebonyhub/scheduling/lifecycle.py
@@ -6,7 +6,7 @@
 from ..ids import TaskId, VmId
 from ..jobs.model import StepSpec
 from ..jobs.records import JobState, ProgressRecord, RunRecord, StepProgress
-from .crashes import Charge, is_suspected
+from .crashes import CrashEvidence, is_suspected
 from .runs import Job, Run
 
 
@@ -171,24 +171,24 @@
     return {position for position in positions if is_suspected(progress, position)}
 
 
-def add_charge(job: Job, task: TaskId, charge: Charge) -> None:
+def add_crash_evidence(job: Job, task: TaskId, evidence: CrashEvidence) -> None:
     """Add evidence that the task crashes its workers."""
     progress = step_progress_of(job, task)
     if progress is None or job.is_final:
         return
     position = task.position
-    _add(progress.crash_evidence, position, charge.evidence)
-    _add(progress.late_crashes, position, charge.late_crashes)
+    _add(progress.crash_evidence, position, evidence.at_start)
+    _add(progress.late_crashes, position, evidence.late)
     job.has_suspects = True
     job.version += 1
 
 
-def withdraw_charge(job: Job, task: TaskId, charge: Charge) -> None:
+def withdraw_crash_evidence(job: Job, task: TaskId, evidence: CrashEvidence) -> None:
     """Withdraw evidence that another task's crash has explained."""
-    add_charge(job, task, Charge(-charge.evidence, -charge.late_crashes))
+    add_crash_evidence(job, task, CrashEvidence(-evidence.at_start, -evidence.late))
 
 
-def clear_charges(job: Job, task: TaskId) -> bool:
+def clear_crash_evidence(job: Job, task: TaskId) -> bool:
     """Drop all evidence against the task; return whether there was any."""
     progress = step_progress_of(job, task)
     if progress is None:
