--- a/src/ebonyhub/scheduling/isolation.py
+++ b/src/ebonyhub/scheduling/isolation.py
@@ -83,7 +83,7 @@
     def _suspected_tasks(
         self, jobs: list[Job], workers: list[Worker], now: float
     ) -> list[SuspectedTasks]:
-        """Return the waiting suspected tasks, the youngest in their crash first.
+        """Return the waiting suspected tasks, by the age of their runs at the crash.
 
         Once the cause of a crash is found, the other suspects need not start alone.
         """
