--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A queue with an advisor loses its route, the leader restarts; its jobs stand still."""
+"""A queue with an advisor loses its route, the leader restarts; jobs stand still."""
 
 import asyncio
 import signal
