--- a/review/standins.py
+++ b/review/standins.py
@@ -25,7 +25,7 @@
 STORE_PORT, CLOUD_PORT, ADVISOR_PORT, MINION_PORT = 8621, 8620, 8619, 8700
 FRONT_PORT, READY_PORT, PEER_PORTS = 8624, 8622, [7060, 7075]
 HEARTBEAT_S, STOP_S, STARTUP_S, MAX_HOLD_MS = 1.5, 0.2, 0.3, 10_000
-CONTACT_S, CANCEL_S, VISIBLE_S, FINISH_S = 3.0, 3.0, 3.0, 14.0
+CONTACT_S, CANCEL_S, VISIBLE_S, FINISH_S, MAINTENANCE_S = 3.0, 3.0, 3.0, 14.0, 2.0
 Answer = tuple[int, Any] | None
 Handler = Callable[[str, str, dict[str, str], Any], Awaitable[Answer]]
 
@@ -555,6 +555,11 @@
         self.restarts = 0
         # Number of refused starts by work item and reason.
         self.refused: dict[tuple[str, str], int] = {}
+        self.machine_states: dict[str, str] = {}
+        self.machine_fences: dict[str, int] = {}
+        # The upkeeps that have begun: wave and machine.
+        self.upkeeps: list[tuple[int, str]] = []
+        self.keepers: set[asyncio.Task[None]] = set()
         self.tickets: dict[str, tuple[str, float]] = {}
         self.lose_order: Callable[[Minion, str, Any], bool] = lambda *_: False
         self.on_start: Callable[[Minion, str], None] = lambda *_: None
@@ -770,23 +775,61 @@
     async def _cloud(
         self, method: str, target: str, headers: dict[str, str], data: Any
     ) -> Answer:
-        del headers
-        if method != "GET":
-            self.record.write(f"cloud: {target} {data}")
+        await asyncio.sleep(0.004)
+        if method == "GET":
+            return 200, {"Machines": [self._machine_row(m) for m in self.minions]}
+        minion = next((m for m in self.minions if m.machine == data["Machine"]), None)
+        answer = self._change_machine(target, minion, headers, data)
+        holder = headers.get("x-lease-holder")
+        self.record.write(f"cloud: {holder} {target} {data} -> {answer}")
+        return answer
+
+    def _machine_row(self, minion: Minion) -> dict[str, Any]:
+        state = self.machine_states.get(minion.machine, "up" if minion.up else "down")
+        row = {
+            "Machine": minion.machine,
+            "Pool": minion.service,
+            "State": state,
+            "Zone": "z1",
+            "Labels": minion.labels,
+            "Capacity": minion.capacity,
+        }
+        return {**row, "Id": minion.name} if minion.up else row
+
+    def _change_machine(
+        self,
+        target: str,
+        minion: Minion | None,
+        headers: dict[str, str],
+        data: Any,
+    ) -> tuple[int, Any]:
+        if minion is None:
+            return 400, {}
+        token = int(headers.get("x-fencing-token", "0"))
+        if token < self.machine_fences.get(minion.machine, 0):
+            return 409, {"Reason": "fence"}
+        self.machine_fences[minion.machine] = token
+        if target != "/machine-upkeep":
             return 409, {"Reason": "busy"}
-        rows = [
-            {
-                "Machine": m.machine,
-                "Pool": m.service,
-                "State": "up" if m.up else "down",
-                "Zone": "z1",
-                "Labels": m.labels,
-                "Capacity": m.capacity,
-                "Id": m.name,
-            }
-            for m in self.minions
-        ]
-        return 200, {"Machines": rows}
+        wave = json.loads(self.store.value(f"op/wave/{data['Wave']}") or b"{}")
+        if minion.machine not in wave.get("Machines", ()):
+            return 409, {"Reason": "wave"}
+        if (data["Wave"], minion.machine) in self.upkeeps:
+            return 200, {}
+        if not minion.up or minion.machine in self.machine_states:
+            return 409, {"Reason": "busy"}
+        self.upkeeps.append((data["Wave"], minion.machine))
+        self.keepers.add(asyncio.create_task(self._upkeep(minion)))
+        return 200, {}
+
+    async def _upkeep(self, minion: Minion) -> None:
+        self.machine_states[minion.machine] = "upkeep"
+        minion.crash()
+        self.store.delete(f"servers/{minion.name}")
+        await asyncio.sleep(MAINTENANCE_S)
+        minion.name += "u"
+        await minion.start()
+        del self.machine_states[minion.machine]
 
     def overlaps(self) -> list[tuple[Interval, Interval]]:
         """Return the pairs of runs of one work item that ran at the same time."""
