--- a/review/standins.py
+++ b/review/standins.py
@@ -23,6 +23,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 STORE_PORT, CLOUD_PORT, ADVISOR_PORT, MINION_PORT = 8621, 8620, 8619, 8700
+# Bound on the last address of a network while a run uses it.
+LOCK_PORT = 10009
 FRONT_PORT, READY_PORT, PEER_PORTS = 8624, 8622, [7060, 7075]
 HEARTBEAT_S, STOP_S, STARTUP_S, MAX_HOLD_MS = 1.5, 0.2, 0.3, 10_000
 CONTACT_S, CANCEL_S, VISIBLE_S, FINISH_S, MAINTENANCE_S = 3.0, 3.0, 3.0, 14.0, 2.0
@@ -536,13 +538,10 @@
         for number in random.sample(range(20, 240), 50):
             self.lock = socket.socket()
             try:
-                self.lock.bind((f"127.{number}.254.253", 9))
+                self.lock.bind((f"127.{number}.254.253", LOCK_PORT))
             except OSError:
-                try:
-                    self.lock.bind((f"127.{number}.254.253", 10009))
-                except OSError:
-                    self.lock.close()
-                    continue
+                self.lock.close()
+                continue
             self.network = number
             break
         else:
