Soak: foreign documents, repeated ends of terms, and a check of acknowledged ends

Entries of another writer that could not be decoded ended the terms of leaders many times a second, and tasks whose end had been acknowledged started again. The soak had drawn neither. A second sequence of faults now adds foreign entries, waves and statuses that stay or come and go, leaders whose lease or key is removed again and again, odd answers to polls, workers that leave, late writes of the store, and series of restarts.

The oracle also checks that no task starts after an end that is acknowledged later, or over a second after its job was shown as completed. Failed ends of a worker that crashed or whose lease lapsed before the acknowledgement no longer count as attempts: no leader can have learnt of them, and the rule on attempts counts acknowledged ends only.

The entry points of the soak read the acknowledgements from the polls themselves, not from a loop that ran every 10 ms.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,23 +5,24 @@
 import random
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Any
 
 from ebonyhub.http_client import RequestHead, open_connection, send_and_receive
 from ebonyhub.ids import JobId
 from ebonyhub.platform.submissions import decode_submission
 from standins.job_cluster import CALLER_PORT, HOST, PREFIX, JobCluster
-from standins.job_platform import LONG_RUNNING_TEXT
-from standins.oracle import Oracle
+from standins.oracle import GuaranteeViolation, Oracle
 
-# Range of the seconds between two submissions.
+from .workload import DrawnJob, JobKind, draw_job, draw_lasting_job
+
+# Range of the seconds between two submissions, for this number of workers.
 JOB_INTERVAL_SECONDS = (0.05, 0.3)
+REFERENCE_WORKERS = 4
 RETRY_DELAY_SECONDS = 0.2
-# Shares of jobs that are cancelled, and of callers that do not retry a refusal.
-CANCEL_SHARE = 0.1
-ABANDON_SHARE = 0.3
-# Seconds between two calls on a persistent connection.
-CALL_INTERVAL_SECONDS = 0.15
+# Seconds between two calls on a persistent connection; there is one of each to every
+# entry.
+CALL_INTERVALS_SECONDS = (0.03, 0.15, 0.9)
+# Seconds between two reads of the state of a random job.
+STATE_READ_INTERVAL_SECONDS = 0.05
 ANSWER_TIMEOUT_SECONDS = 8.0
 # Time in which a process that has closed its connections exits.
 EXIT_TIMEOUT_SECONDS = 1.5
@@ -49,40 +50,28 @@
     oracle: Oracle
     rng: random.Random
     reported_outcomes: dict[str, ReportedOutcome] = field(default_factory=dict)
-    long_running_task_counts: dict[str, int] = field(default_factory=dict)
+    jobs: dict[str, DrawnJob] = field(default_factory=dict)
+    # Jobs that had finished before the run.
+    finished_jobs: list[str] = field(default_factory=list)
     problems: list[str] = field(default_factory=list)
     answered_calls: int = 0
 
     async def submit_jobs(self) -> None:
-        """Submit long-running jobs, then short ones until the task is cancelled."""
+        """Submit long-running jobs, then all kinds until the task is cancelled."""
+        scale = len(self.cluster.platform.workers) / REFERENCE_WORKERS
         async with asyncio.TaskGroup() as group:
             for _ in range(LONG_RUNNING_JOBS):
-                group.create_task(self._run_job(long_running=True))
+                group.create_task(self._run_job(draw_lasting_job(self.rng)))
             while True:
-                group.create_task(self._run_job(long_running=False))
-                await asyncio.sleep(self.rng.uniform(*JOB_INTERVAL_SECONDS))
-
-    def _draw_job(self, long_running: bool) -> tuple[str, dict[str, Any]]:
-        job = f"{self.rng.getrandbits(64):016x}"
-        count = self.rng.randint(1, 4)
-        if long_running:
-            self.long_running_task_counts[job] = count
-            step = {
-                "Count": count, "Cpu": 1000, "MemMb": 100, "EstimatedMs": 500,
-                "LongRunning": True, "AntiAffinity": 2, "MayMiss": 1,
-            }  # fmt: skip
-            return job, {"Spec": LONG_RUNNING_TEXT, "Steps": [step]}
-        run_time = self.rng.choice([50, 300, 1200])
-        first = {"Count": count, "Cpu": 1500, "MemMb": 100, "EstimatedMs": run_time}
-        second = {"Count": 1, "Cpu": 500, "MemMb": 100, "EstimatedMs": 50, "After": [0]}
-        return job, {"Spec": str(run_time), "Steps": [first, second]}
-
-    async def _run_job(self, long_running: bool) -> None:
-        job, body = self._draw_job(long_running)
+                group.create_task(self._run_job(draw_job(self.rng)))
+                pause = self.rng.uniform(*JOB_INTERVAL_SECONDS)
+                await asyncio.sleep(pause / scale)
+
+    async def _run_job(self, drawn: DrawnJob) -> None:
+        job, body = drawn.job, drawn.body
         spec = decode_submission(json.dumps(body).encode())
         self.oracle.record_submission(JobId(job), spec.ok)
-        abandons = not long_running and self.rng.random() < ABANDON_SHARE
-        cancels = not long_running and self.rng.random() < CANCEL_SHARE
+        self.jobs[job] = drawn
         self.reported_outcomes[job] = ReportedOutcome.REFUSED
         while self.reported_outcomes[job] is not ReportedOutcome.ACCEPTED:
             entry = self.rng.choice(self.cluster.names)
@@ -95,10 +84,11 @@
                 self.reported_outcomes[job] = ReportedOutcome.ACCEPTED
             elif answer is not None and answer.status in (429, 503):
                 self.reported_outcomes[job] = previous
-                if abandons:
+                if drawn.abandons:
                     return
             await asyncio.sleep(RETRY_DELAY_SECONDS)
-        if cancels:
+        if drawn.cancel_after is not None:
+            await asyncio.sleep(drawn.cancel_after)
             await self._cancel(job)
 
     async def _cancel(self, job: str) -> None:
@@ -120,7 +110,43 @@
                 return
             await asyncio.sleep(RETRY_DELAY_SECONDS)
 
-    async def use_persistent_connection(self, entry: str) -> None:
+    async def read_states(self) -> None:
+        """Read the states of random accepted jobs and compare them with the runs."""
+        while True:
+            await asyncio.sleep(STATE_READ_INTERVAL_SECONDS)
+            accepted = [
+                job
+                for job, outcome in self.reported_outcomes.items()
+                if outcome is ReportedOutcome.ACCEPTED
+            ]
+            if not accepted:
+                continue
+            job = self.rng.choice(accepted)
+            entry = self.rng.choice(self.cluster.names)
+            answer = await self.cluster.call(entry, "GET", job)
+            if answer is not None and answer.status == 200:
+                self._check_state(entry, job, json.loads(answer.body).get("State"))
+
+    def _check_state(self, entry: str, job: str, state: str) -> None:
+        """Check that the tasks of a job shown as ended have ended so.
+
+        An entry may still show a completed job as running, for a moment.
+        """
+        if state == "completed":
+            try:
+                self.oracle.record_shown_completed(JobId(job))
+            except GuaranteeViolation as violation:
+                self.problems.append(f"{violation}; {entry} shows it")
+        fails = self.jobs[job].kind is JobKind.FAILING
+        uncancelled = self.reported_outcomes[job] is ReportedOutcome.ACCEPTED
+        if (state == "failed" and not fails) or (state == "cancelled" and uncancelled):
+            self.problems.append(
+                f"LOST: {entry} shows job {job} as {state} without a cause"
+            )
+
+    async def use_persistent_connection(
+        self, entry: str, interval_seconds: float
+    ) -> None:
         """Call on one connection until the entry closes it, then connect again.
 
         A stopping entry still answers requests on open connections. New connections go
@@ -154,6 +180,6 @@
                 self.answered_calls += 1
                 if result.ok.header(b"connection") == b"close":
                     break
-                await asyncio.sleep(CALL_INTERVAL_SECONDS)
+                await asyncio.sleep(interval_seconds)
             opened.ok.close()
             await asyncio.sleep(RETRY_DELAY_SECONDS)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,18 +5,31 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ebonyhub.ids import JobId
+from ebonyhub.ids import JobId, TaskId
+from ebonyhub.platform.workers import task_name
+from ebonyhub.scheduling.model import RunOutcome
 from standins.fake_worker import FakeWorker
 from standins.job_cluster import JobCluster
 from standins.oracle import GuaranteeViolation, Oracle
 
 from .callers import Callers, ReportedOutcome
 from .injector import versioned_prefix
+from .stored_progress import StoredProgressCheck
+from .timeline import Timeline
+from .workload import JobKind
 
 # Time without faults in which every job ends and long-running tasks run again.
 RECOVERY_TIMEOUT_SECONDS = 25.0
 POLL_INTERVAL_SECONDS = 0.3
 PROBE_INTERVAL_SECONDS = 0.4
+# State in which jobs that are not cancelled are after the recovery.
+FINAL_STATES = {
+    JobKind.STEPS: "completed",
+    JobKind.TIMED: "completed",
+    JobKind.LONG_RUNNING: "running",
+    JobKind.FAILING: "failed",
+    JobKind.FLAKY: "completed",
+}
 
 
 @dataclass
@@ -25,38 +38,68 @@
 
     cluster: JobCluster
     oracle: Oracle
+    stored_progress: StoredProgressCheck
+    timeline: Timeline
     problems: list[str] = field(default_factory=list)
 
     def attach(self) -> None:
-        """Pass every start, end and lease expiry on the workers to the oracle."""
+        """Pass every start, end and loss of runs on the workers to the oracle."""
         for worker in self.cluster.platform.workers:
             fake, ended = worker.fake, worker.fake.on_end
-            fake.on_start = self._record_violations(self.oracle.check_start)
-            fake.on_end = self._record_violations(
-                _call_both(ended, self.oracle.record_end)
-            )
+            fake.on_start = self._record_violations(self._check_start)
+            fake.on_end = self._record_violations(_call_both(ended, self._record_end))
             fake.on_lease_expired = self._record_violations(
                 self.oracle.record_lease_expiry
             )
+            worker.on_crash = self._record_violations(self._record_crash)
+            worker.on_acknowledged = self._record_violations(
+                self._check_acknowledgement
+            )
+
+    def _check_start(self, worker: FakeWorker, task: TaskId, number: int) -> None:
+        name = task_name(task)
+        self.timeline.write(
+            f"start {name} run={number} worker={worker.worker} token={worker.token}"
+        )
+        self.oracle.check_start(worker, task, number)
+
+    def _record_end(
+        self, worker: FakeWorker, task: TaskId, number: int, outcome: RunOutcome
+    ) -> None:
+        self.timeline.write(
+            f"end {task_name(task)} run={number} worker={worker.worker} "
+            f"sequence={worker.sequence} {outcome.value}"
+        )
+        self.oracle.record_end(worker, task, number, outcome)
+
+    def _record_crash(self, worker: FakeWorker) -> None:
+        self.timeline.write(f"worker {worker.worker} crashes or leaves")
+        self.oracle.record_crash(worker)
+
+    def _check_acknowledgement(self, worker: FakeWorker, sequence: int) -> None:
+        """Check that acknowledged completions are stored and were the last runs."""
+        tasks = self.oracle.record_acknowledgement(worker, sequence)
+        for task in tasks:
+            self.timeline.write(
+                f"acknowledged {task_name(task)} worker={worker.worker} "
+                f"sequence={sequence} token={worker.token}"
+            )
+        for problem in self.stored_progress.check_acknowledged(tasks):
+            self._add_problem(problem)
+
+    def _add_problem(self, problem: str) -> None:
+        self.timeline.write(f"violation {problem}")
+        self.problems.append(problem)
 
     def _record_violations(self, check: Callable[..., None]) -> Callable[..., None]:
         def recording_check(*arguments: object) -> None:
             try:
                 check(*arguments)
             except GuaranteeViolation as violation:
-                self.problems.append(str(violation))
+                self._add_problem(str(violation))
 
         return recording_check
 
-    async def follow_acknowledgements(self) -> None:
-        """Tell the oracle which ends the leader has acknowledged."""
-        while True:
-            for worker in self.cluster.platform.workers:
-                self.oracle.record_acknowledgement(
-                    worker.fake, worker.fake.acknowledged_sequence
-                )
-            await asyncio.sleep(0.01)
-
     async def probe_configuration(self, newest_version: Callable[[], int]) -> None:
         """Check that no entry process returns to an older configuration."""
         applied_version: dict[int, int] = {}
@@ -70,8 +113,9 @@
                 if status == 200:
                     applied_version[process.pid] = version
                 elif status == 404 and applied_version.get(process.pid) == version:
-                    self.problems.append(
-                        f"{name} returned to a configuration before version {version}"
+                    self._add_problem(
+                        f"CONFIG: {name} returned to a configuration before version "
+                        f"{version}"
                     )
             await asyncio.sleep(PROBE_INTERVAL_SECONDS)
 
@@ -118,24 +162,45 @@
         state = json.loads(answer.body)["State"]
         if state not in expected_states(callers, job):
             wrong.append(f"job {job} is {state}")
-    for job, count in callers.long_running_task_counts.items():
+    for job, drawn in callers.jobs.items():
+        if drawn.kind is not JobKind.LONG_RUNNING:
+            continue
         running = len(running_tasks(cluster, JobId(job)))
+        count = drawn.task_count
         if (
             callers.reported_outcomes[job] is ReportedOutcome.ACCEPTED
             and running != count
         ):
             wrong.append(f"{running} of {count} tasks of long-running job {job} run")
+    return wrong + await unknown_finished_jobs(callers, cluster)
+
+
+async def unknown_finished_jobs(callers: Callers, cluster: JobCluster) -> list[str]:
+    """Return the jobs from before the run that entries do not show as completed."""
+    wrong: list[str] = []
+    for number, job in enumerate(callers.finished_jobs):
+        entry = cluster.names[number % len(cluster.names)]
+        answer = await cluster.call(entry, "GET", job)
+        if answer is None or answer.status != 200:
+            status = answer.status if answer else "nothing"
+            wrong.append(f"{entry} answers {status} for the finished job {job}")
+        elif json.loads(answer.body)["State"] != "completed":
+            wrong.append(f"finished job {job} is shown as {answer.body!r}")
     return wrong
 
 
 def expected_states(callers: Callers, job: str) -> tuple[str, ...]:
     """Return the states that an accepted job may have after the recovery."""
-    if job in callers.long_running_task_counts:
-        return ("running",)
-    if callers.reported_outcomes[job] is not ReportedOutcome.ACCEPTED:
-        # The last task may have ended before the leader read the cancellation.
-        return ("cancelled", "completed")
-    return ("completed",)
+    final = FINAL_STATES[callers.jobs[job].kind]
+    match callers.reported_outcomes[job]:
+        case ReportedOutcome.ACCEPTED:
+            return (final,)
+        case ReportedOutcome.CANCELLED if final == "running":
+            return ("cancelled",)
+        case _:
+            # The last task may have ended before the leader read the cancellation,
+            # and a cancellation without an answer may not have been stored.
+            return ("cancelled", final)
 
 
 def running_tasks(cluster: JobCluster, job: JobId) -> list[FakeWorker]:
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -9,11 +9,20 @@
 from standins.job_cluster import JobCluster
 from standins.job_platform import WorkerServer, demo_configuration
 
+from .foreign_writer import ForeignWriter
 from .proxy import LinkMode, Proxy
-from .schedule import Fault, FaultKind
+from .schedule import FOREIGN_FAULT_PARAMETERS, Fault, FaultKind
+from .timeline import Timeline
 
 SLOW_STORE_SECONDS = 0.25
 CONFIGURATION_KEY = "op/config"
+# Longer than the entries wait for the store, so that their calls fail and take effect
+# later.
+LATE_WRITE_SECONDS = 1.5
+# Kinds that ForeignWriter injects.
+FOREIGN_KINDS = FOREIGN_FAULT_PARAMETERS.keys() - {
+    FaultKind.WORKER_LEAVES, FaultKind.STORE_WRITES_LATE,
+}  # fmt: skip
 
 
 @dataclass
@@ -23,11 +32,18 @@
     cluster: JobCluster
     store_links: dict[str, Proxy]
     worker_links: dict[str, Proxy]
+    foreign_writer: ForeignWriter
+    timeline: Timeline
     configuration_version: int = 1
 
     async def inject_fault(self, fault: Fault) -> None:
         """Start a fault, wait for its duration, and end it."""
+        if fault.kind in FOREIGN_KINDS:
+            self.timeline.write(f"fault {fault}")
+            await self.foreign_writer.inject_fault(fault)
+            return
         entry = self._select_entry(fault)
+        self.timeline.write(f"fault {fault} entry={entry}")
         workers = self.cluster.platform.workers
         worker = workers[fault.target % len(workers)]
         match fault.kind:
@@ -55,6 +71,8 @@
                 self.cluster.platform.core.delete(f"servers/{worker.fake.worker}")
                 await asyncio.sleep(fault.seconds)
                 worker.register()
+            case FaultKind.WORKER_LEAVES:
+                await self._drain_worker(worker, fault.seconds)
             case FaultKind.CONFIGURE:
                 self.write_configuration()
             case _:
@@ -99,13 +117,27 @@
         """Crash a worker and restart it under the same id."""
         if not worker.fake.up:
             return
-        worker.fake.crash()
+        worker.crash()
         # A crash also closes the connections of the worker process.
         self.worker_links[worker.fake.worker].reset()
         await asyncio.sleep(seconds)
         worker.fake.restart(int(time.time() * 1000))
         worker.register()
 
+    async def _drain_worker(self, worker: WorkerServer, seconds: float) -> None:
+        """Let a worker drain and leave, and start anew under the same id."""
+        if not worker.fake.up or worker.fake.draining:
+            return
+        born = worker.fake.born_ms
+        worker.fake.draining = True
+        worker.remaining_ms = int(seconds * 1000)
+        worker.register()
+        await asyncio.sleep(seconds)
+        # Another fault may have ended the process in the meantime.
+        if worker.fake.up and worker.fake.born_ms == born:
+            self.cluster.platform.core.delete(f"servers/{worker.fake.worker}")
+            await self._crash_worker(worker, seconds)
+
     async def _impair_store(self, fault: Fault) -> None:
         store, core = self.cluster.platform.store, self.cluster.platform.core
         match fault.kind:
@@ -120,6 +152,8 @@
                 store.answer_delay_seconds = SLOW_STORE_SECONDS
             case FaultKind.STORE_LOSES_ANSWERS:
                 store.loses_answers = True
+            case FaultKind.STORE_WRITES_LATE:
+                store.commit_delay_seconds = LATE_WRITE_SECONDS
         await asyncio.sleep(fault.seconds)
         match fault.kind:
             case FaultKind.STORE_DOWN:
@@ -128,6 +162,8 @@
                 store.answer_delay_seconds = 0.0
             case FaultKind.STORE_LOSES_ANSWERS:
                 store.loses_answers = False
+            case FaultKind.STORE_WRITES_LATE:
+                store.commit_delay_seconds = 0.0
 
     def write_configuration(self) -> str:
         """Write the next configuration version, with a queue that only it has.
@@ -145,13 +181,18 @@
         return prefix
 
     def clear_faults(self) -> None:
-        """End all faults and restart what is down."""
+        """End all faults and restart what is down.
+
+        Permanent foreign documents stay, since the guarantees hold beside them.
+        """
         store = self.cluster.platform.store
         store.down, store.answer_delay_seconds, store.loses_answers = False, 0.0, False
+        store.commit_delay_seconds = 0.0
         for link in [*self.store_links.values(), *self.worker_links.values()]:
             link.set_mode(LinkMode.PASS)
         for worker in self.cluster.platform.workers:
             worker.fake.partitioned = False
+            worker.odd_report = None
             if not worker.fake.up:
                 worker.fake.restart(int(time.time() * 1000))
             worker.register()
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,16 +14,22 @@
 from standins.job_demo import wait_until_ready
 from standins.oracle import Oracle
 
-from .callers import Callers
+from .callers import CALL_INTERVALS_SECONDS, Callers
 from .checks import GuaranteeMonitor, get_status, unexpected_runs, wait_for_recovery
+from .finished_jobs import store_finished_jobs
+from .foreign_writer import ForeignWriter
 from .injector import Injector
 from .proxy import Proxy
 from .schedule import draw_faults
+from .stored_progress import StoredProgressCheck
+from .timeline import Timeline
 
 MAX_ATTEMPTS = 3
 PROXY_PORT = 8900
 # Time in which every entry applies a new configuration when there are no faults.
 CONFIGURATION_TIMEOUT_SECONDS = 2.0
+# Problems of a seed that are printed; all of them are in its problems.txt.
+MAX_PRINTED_PROBLEMS = 15
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,57 +87,112 @@
     ]
 
 
+@dataclass(frozen=True, slots=True)
+class SoakRun:
+    """The parts of one run: the cluster, its load, its faults and its checks."""
+
+    cluster: JobCluster
+    oracle: Oracle
+    callers: Callers
+    monitor: GuaranteeMonitor
+    injector: Injector
+    links: tuple[Proxy, ...]
+
+    def start_tasks(self) -> list[asyncio.Task[None]]:
+        """Start the checks and callers that run until they are cancelled."""
+        monitor, callers, injector = self.monitor, self.callers, self.injector
+        return [
+            asyncio.create_task(monitor.stored_progress.follow()),
+            asyncio.create_task(
+                monitor.probe_configuration(lambda: injector.configuration_version)
+            ),
+            asyncio.create_task(callers.read_states()),
+            *(
+                asyncio.create_task(callers.use_persistent_connection(name, interval))
+                for name in self.cluster.names
+                for interval in CALL_INTERVALS_SECONDS
+            ),
+        ]
+
+    async def final_problems(self) -> list[str]:
+        """Wait for the recovery; return all violations of the run."""
+        problems = await wait_for_recovery(self.callers, self.cluster)
+        problems += await check_configuration(self.injector, self.cluster)
+        problems += unexpected_runs(self.callers, self.oracle, self.cluster)
+        problems += self.monitor.stored_progress.check_all_acknowledged()
+        problems += self.monitor.stored_progress.problems
+        return self.monitor.problems + self.callers.problems + problems
+
+    async def close(self) -> None:
+        """End the faults, the links and all processes."""
+        self.injector.foreign_writer.stop()
+        await self.cluster.platform.stop()
+        for link in self.links:
+            await link.stop()
+        self.injector.timeline.close()
+        self.cluster.close()
+
+
+async def prepare_run(seed: int, entries: int, workers: int) -> SoakRun:
+    """Start the platform and the links of a run; its entries are not started yet."""
+    cluster = JobCluster(entries, workers)
+    oracle = Oracle(time.time, MAX_ATTEMPTS)
+    callers = Callers(cluster, oracle, random.Random(seed))
+    timeline = Timeline(Path(cluster.directory.name) / "soak.log")
+    stored_progress = StoredProgressCheck(cluster.platform.core, oracle)
+    monitor = GuaranteeMonitor(cluster, oracle, stored_progress, timeline)
+    store_links, worker_links = await start_proxies(cluster)
+    await cluster.platform.start()
+    monitor.attach()
+    callers.finished_jobs = store_finished_jobs(
+        cluster.platform.core, oracle, random.Random(f"{seed}/finished")
+    )
+    injector = Injector(
+        cluster, store_links, worker_links, ForeignWriter(cluster), timeline
+    )
+    links = (*store_links.values(), *worker_links.values())
+    return SoakRun(cluster, oracle, callers, monitor, injector, links)
+
+
 async def run_seed(seed: int, seconds: float, entries: int, workers: int) -> SeedReport:
     """Run one seed on a cluster of its own; SIGTERM ends it and its processes."""
     run_task = asyncio.current_task()
     assert run_task is not None
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, run_task.cancel)
-    cluster = JobCluster(entries, workers)
-    oracle = Oracle(time.monotonic, MAX_ATTEMPTS)
-    callers = Callers(cluster, oracle, random.Random(seed))
-    monitor = GuaranteeMonitor(cluster, oracle)
+    run = await prepare_run(seed, entries, workers)
     tasks: list[asyncio.Task[None]] = []
     try:
-        store_links, worker_links = await start_proxies(cluster)
-        await cluster.platform.start()
-        monitor.attach()
-        for name in cluster.names:
-            cluster.start_entry(name)
-        await wait_until_ready(cluster)
-        injector = Injector(cluster, store_links, worker_links)
-        tasks = [
-            asyncio.create_task(monitor.follow_acknowledgements()),
-            asyncio.create_task(
-                monitor.probe_configuration(lambda: injector.configuration_version)
-            ),
-            *(
-                asyncio.create_task(callers.use_persistent_connection(name))
-                for name in cluster.names
-            ),
-        ]
-        submission_task = asyncio.create_task(callers.submit_jobs())
-        tasks.append(submission_task)
-        fault_count = await inject(injector, seed, seconds)
-        injector.clear_faults()
+        for name in run.cluster.names:
+            run.cluster.start_entry(name)
+        await wait_until_ready(run.cluster)
+        tasks = run.start_tasks()
+        submission_task = asyncio.create_task(run.callers.submit_jobs())
+        fault_count = await inject(run.injector, seed, seconds)
+        run.injector.clear_faults()
         submission_task.cancel()
         await asyncio.wait([submission_task])
-        problems = await wait_for_recovery(callers, cluster)
-        problems += await check_configuration(injector, cluster)
-        problems += unexpected_runs(callers, oracle, cluster)
-        problems += monitor.problems + callers.problems
-        starts = sum(history.starts for history in oracle.tasks.values())
+        problems = await run.final_problems()
+        watched = [submission_task, *tasks, *run.cluster.platform.clock_tasks]
+        problems += failures_of_tasks(watched)
+        starts = sum(history.starts for history in run.oracle.tasks.values())
         if problems:
-            save_logs(cluster, seed, problems)
-        return SeedReport(
-            seed, fault_count, len(callers.reported_outcomes), starts, tuple(problems)
-        )
+            run.injector.timeline.flush()
+            save_logs(run.cluster, seed, problems)
+        jobs = len(run.callers.reported_outcomes)
+        return SeedReport(seed, fault_count, jobs, starts, tuple(problems))
     finally:
         for task in tasks:
             task.cancel()
-        await cluster.platform.stop()
-        for link in [*store_links.values(), *worker_links.values()]:
-            await link.stop()
-        cluster.close()
+        await run.close()
+
+
+def failures_of_tasks(tasks: list[asyncio.Task[None]]) -> list[str]:
+    """Return the errors of the soak's own tasks, which would else hide violations."""
+    return [
+        f"task of the soak failed: {task.exception()!r}"
+        for task in tasks
+        if task.done() and not task.cancelled() and task.exception() is not None
+    ]
 
 
 def save_logs(cluster: JobCluster, seed: int, problems: list[str]) -> None:
@@ -172,8 +233,10 @@
             f"seed {seed}: {verdict}, {report.faults} faults, {report.jobs} jobs, "
             f"{report.starts} starts", flush=True,
         )  # fmt: skip
-        for problem in report.problems:
+        for problem in report.problems[:MAX_PRINTED_PROBLEMS]:
             print(f"  {problem}", flush=True)
+        if len(report.problems) > MAX_PRINTED_PROBLEMS:
+            print(f"  {len(report.problems)} problems in all", flush=True)
     return 1 if failed_seeds else 0
 
 
--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -36,6 +36,9 @@
 # A job with this text crashes each worker that starts a task of it, which is back after
 # CRASH_SECONDS.
 CRASHING_TEXT = "crash"
+# Texts of jobs whose tasks fail: in every run, and in their first run only.
+FAILING_TEXT = "fails"
+FLAKY_TEXT = "fails once"
 CRASH_SECONDS = 1.0
 
 _REASON_BY_FAILURE = {
@@ -98,6 +101,8 @@
         self.answer_delay_seconds = 0.0
         # Whether commits take effect but their answers are lost.
         self.loses_answers = False
+        # Delay before each commit; it takes effect even if its caller has given up.
+        self.commit_delay_seconds = 0.0
         handlers: dict[str, Handler] = {
             "GET /kv-key": self.get,
             "GET /kv-range": self.list,
@@ -153,6 +158,8 @@
     async def commit(self, request: Request) -> Response:
         """Commit a transaction; 412 on a conflict, 404 if its lease has ended."""
         data = await request.json()
+        if self.commit_delay_seconds:
+            await asyncio.sleep(self.commit_delay_seconds)
         result = self.core.commit(
             Transaction(
                 {row["Key"]: Revision(row["Revision"]) for row in data["Expect"]},
@@ -194,6 +201,12 @@
     return int(text) if text.isdigit() else DEFAULT_TASK_MS
 
 
+def run_outcome(text: str, number: int) -> RunOutcome:
+    """Return how a run ends that nothing interrupts."""
+    fails = text == FAILING_TEXT or (text == FLAKY_TEXT and number == 1)
+    return RunOutcome.FAILED if fails else RunOutcome.DONE
+
+
 class WorkerServer:
     """HTTP interface of one worker; records started and completed tasks."""
 
@@ -214,7 +227,15 @@
         self.started_tasks: list[str] = []
         self.completed_tasks: list[str] = []
         self.restart_task: asyncio.Task[None] | None = None
+        # Time until a draining worker leaves, in its entry.
+        self.remaining_ms = 0
         self.fake.on_end = self._record_end
+        # Called before the worker process crashes, and after each poll with the highest
+        # sequence number that has been acknowledged.
+        self.on_crash: Callable[[FakeWorker], None] = lambda _: None
+        self.on_acknowledged: Callable[[FakeWorker, int], None] = lambda *_: None
+        # Body that is sent in place of a report, if not None.
+        self.odd_report: bytes | None = None
         handlers: dict[str, Handler] = {
             "POST /run-start": self.start,
             "POST /run-stop": self.stop,
@@ -251,7 +272,7 @@
             "Zone": "a",
             "Version": "v1",
             "Slots": 8,
-            "State": "ready",
+            "State": "draining" if self.fake.draining else "ready",
             "Sequence": 1,
             "ColdRemainingMs": 0,
             "born": self.fake.born_ms,
@@ -259,6 +280,8 @@
             "Labels": ["a", self.fake.rack],
             "Machine": f"m-{self.fake.worker}",
         }
+        if self.fake.draining:
+            entry["RemainingMs"] = self.remaining_ms
         key = f"servers/{self.fake.worker}"
         self.core.put(key, json.dumps(entry).encode())
 
@@ -285,7 +308,8 @@
             token=LeaderToken(data["FencingToken"]),
         )
         duration = run_time_ms(order.text)
-        failure = self.fake.start(order, time.monotonic(), duration, RunOutcome.DONE)
+        outcome = run_outcome(order.text, order.number)
+        failure = self.fake.start(order, time.monotonic(), duration, outcome)
         if failure is None:
             self.started_tasks.append(data["Task"])
             if order.text == CRASHING_TEXT:
@@ -294,11 +318,16 @@
 
     async def _crash(self) -> None:
         """Crash and come back under the same id."""
-        self.fake.crash()
+        self.crash()
         await asyncio.sleep(CRASH_SECONDS)
         self.fake.restart(int(time.time() * 1000))
         self.register()
 
+    def crash(self) -> None:
+        """End the worker process and all of its runs."""
+        self.on_crash(self.fake)
+        self.fake.crash()
+
     async def stop(self, request: Request) -> Response:
         """Stop a run."""
         data = await request.json()
@@ -322,9 +351,12 @@
             )
             if isinstance(report, OrderFailure):
                 return self._answer(report)
+            self.on_acknowledged(self.fake, self.fake.acknowledged_sequence)
             if report.ended or now >= deadline:
                 break
             await asyncio.sleep(WORKER_STEP_SECONDS)
+        if self.odd_report is not None:
+            return Response(200, content=Content(b"application/json", self.odd_report))
         running = [
             [task_name(r.task), r.number, r.checkpoint, r.percent, r.usage]
             for r in report.running
