--- a/soak/foreign_documents.py
+++ b/soak/foreign_documents.py
@@ -1,6 +1,7 @@
 """Documents of other writers: entries that name no worker, odd waves and statuses."""
 
 import json
+import time
 from enum import Enum
 
 # Deeper than any decoder of the entries follows.
@@ -122,9 +123,13 @@
     """Return the value of an entry; ``machine`` is that of a sound worker."""
     if form in _RAW_ENTRIES:
         return _RAW_ENTRIES[form]
-    # Only this form claims a worker's machine, so that each form has one fault.
-    named_machine = machine if form is EntryForm.SAME_MACHINE else "m-agent"
-    entry = _entry(address, named_machine)
+    # Only this form claims a worker's machine, so that each form has one fault. It also
+    # claims to be the later process on that machine.
+    if form is EntryForm.SAME_MACHINE:
+        born_ms = int(time.time() * 1000)
+        entry = {**_entry(address, machine), "born": born_ms}
+    else:
+        entry = _entry(address, "m-agent")
     if form in _WRONG_ENTRY_TEXTS:
         fields, text = _WRONG_ENTRY_TEXTS[form]
         return _with_text({**entry, **fields}, text)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,17 +1,31 @@
-"""The fault soak: its proxy and schedule, and a short run of it.
+"""The fault soak: its proxy, schedule and foreign documents, and a short run of it.
 
 Guards against a soak that injects no faults, and against guarantees that are violated
-only with real processes, sockets and signals.
+only with real processes, sockets and signals. Its checks have tests of their own in
+test_soak_checks.py.
 """
 
 import asyncio
+import json
 from itertools import pairwise
+from types import SimpleNamespace
 
 import pytest
 
+from soak.foreign_documents import (
+    DocumentForm,
+    EntryForm,
+    EntryName,
+    foreign_entry,
+    odd_report,
+    odd_status,
+    odd_wave,
+)
+from soak.foreign_writer import ForeignWriter
 from soak.proxy import LinkMode, Proxy
 from soak.run import parse_seeds, run_seed
-from soak.schedule import FaultKind, draw_faults
+from soak.schedule import Fault, FaultKind, ForeignChange, draw_faults
+from standins.memory_store import StoreCore
 from standins.network import claim_network
 
 ECHO_PORT = 8901
@@ -124,6 +138,83 @@
     assert len(overlapping) == len(runs)
 
 
+def test_fifty_seeds_draw_every_kind_of_foreign_entry():
+    """Entries that stay, and entries that come and go many times a second."""
+    faults = [fault for seed in range(1, 51) for fault in draw_faults(seed, 15.0)]
+    changes = [f.foreign for f in faults if f.kind is FaultKind.FOREIGN_ENTRY]
+    assert {change.entry_form for change in changes} == set(EntryForm)
+    assert {change.entry_name for change in changes} == set(EntryName)
+    cycles = [c.present_seconds + c.absent_seconds for c in changes if c.absent_seconds]
+    assert 0 < len(cycles) < len(changes)
+    assert min(cycles) < 0.2
+    assert {change.permanent for change in changes} == {True, False}
+
+
+def test_foreign_entries_sort_before_and_behind_the_workers():
+    names = [name.value for name in EntryName]
+    assert any(name < "w8700" for name in names)
+    assert any(name > "w8999" for name in names)
+
+
+def test_foreign_documents_differ_from_each_other():
+    """Two forms with the same bytes would test one of them only."""
+    entries = {foreign_entry(form, "127.0.0.1:9100", "m-w8700") for form in EntryForm}
+    assert len(entries) == len(EntryForm)
+    for document in (odd_wave, odd_status, odd_report):
+        assert len({document(form) for form in DocumentForm}) == len(DocumentForm)
+
+
+def test_entry_on_a_workers_machine_is_well_formed():
+    """Only its service, which no configuration names, tells it from a worker."""
+    entry = json.loads(foreign_entry(EntryForm.SAME_MACHINE, "a:1", "m-w8700"))
+    assert entry["Machine"] == "m-w8700"
+    assert entry["Service"] == "watchdog"
+
+
+def foreign_fault(absent_seconds, permanent):
+    change = ForeignChange(
+        EntryForm.EMPTY, EntryName.LAST, DocumentForm.NULL, 0.01, absent_seconds,
+        permanent,
+    )  # fmt: skip
+    kind = FaultKind.FOREIGN_ENTRY
+    return Fault(0.0, kind, 0.2, 0, False, LinkMode.PASS, change)
+
+
+@pytest.fixture
+def foreign_writer():
+    worker = SimpleNamespace(
+        advertised="127.0.0.1:8900", fake=SimpleNamespace(worker="w8700")
+    )
+    core = StoreCore(lambda: 0.0)
+    platform = SimpleNamespace(core=core, workers=[worker])
+    writer = ForeignWriter(SimpleNamespace(platform=platform))
+    yield writer, core
+    writer.stop()
+
+
+async def test_foreign_entry_comes_and_goes(foreign_writer):
+    writer, core = foreign_writer
+    await writer.inject_fault(foreign_fault(0.01, permanent=False))
+    assert len(core.history) >= 4
+    assert not core.items
+
+
+async def test_lasting_foreign_entry_is_removed_at_the_end_of_its_fault(foreign_writer):
+    writer, core = foreign_writer
+    fault = asyncio.create_task(writer.inject_fault(foreign_fault(0.0, False)))
+    await asyncio.sleep(0.1)
+    assert "servers/~agent" in core.items
+    await fault
+    assert not core.items
+
+
+async def test_permanent_foreign_entry_outlasts_its_fault(foreign_writer):
+    writer, core = foreign_writer
+    await writer.inject_fault(foreign_fault(0.0, permanent=True))
+    await asyncio.sleep(0.05)
+    assert "servers/~agent" in core.items
+
+
 def test_seeds_are_parsed_from_a_number_or_a_range():
     assert parse_seeds("7") == [7]
     assert parse_seeds("2-4") == [2, 3, 4]
