--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -45,6 +45,10 @@
     # An entry took a listing of submissions that arrived after the leader's states, and
     # showed finished jobs as queued. Failed once in 50 seeds of 15 seconds.
     42,
+    # An entry of another writer that was nested too deeply ended each term, and links
+    # of ended terms went on to acknowledge ends that no record held: the tasks started
+    # again. Failed 5 of 5 times.
+    12,
 ]
 SHORT_SECONDS = 6.0
 
