Log ends of unknown runs, conflicts of progress records and closed controllers

Cause: the logs could not tell the hypotheses of the incident apart: nothing said whether a worker's end belonged to a job that the leader knows, whether a progress record was replaced that the leader had not read, or whether a controller's links were closed with its term. Change: E2213, E2012 and E2011. No logic changes. Tests of committer, reports and catalogues pass.

--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -124,6 +124,18 @@
         "reload requested; settings are read only at start",
         "Restart the process if its settings have changed.",
     )
+    CONTROLLER_CLOSED = EventSpec(
+        2011,
+        _I,
+        "scheduling controller closed its links to the workers",
+        "None; each E2006 is followed by one of these.",
+    )
+    PROGRESS_CONFLICT = EventSpec(
+        2012,
+        _W,
+        "stored progress record differs from the one that the leader replaces",
+        "None if it is an own commit whose answer was lost; else report it.",
+    )
     CALL_ANSWERED = EventSpec(2101, _I, "call answered", "None.")
     CALL_REFUSED = EventSpec(
         2102, _W, "call refused", "Look up the error kind in docs/OPERATIONS.md."
@@ -162,6 +174,12 @@
         "Ask the owner of the job to check the named task.",
     )
     SUSPICION_ENDED = EventSpec(2212, _I, "task is no longer suspected", "None.")
+    RUN_END_UNKNOWN = EventSpec(
+        2213,
+        _W,
+        "worker lists the end of a run that the leader does not know",
+        "None if the job's records have been removed; else report it.",
+    )
     WORKER_DISCOVERED = EventSpec(2301, _I, "worker discovered in the store", "None.")
     WORKER_DRAINING = EventSpec(2302, _I, "worker is draining", "None.")
     WORKER_ENTRY_REMOVED = EventSpec(2303, _I, "worker's store entry removed", "None.")
--- a/src/ebonyhub/scheduling/committer.py
+++ b/src/ebonyhub/scheduling/committer.py
@@ -163,4 +163,9 @@
         for job in batch:
             item = current.get(progress_key(job.job_id))
             if item is not None:
+                log_event(
+                    Event.PROGRESS_CONFLICT, job=job.job_id,
+                    expected=self.revisions.get(job.job_id, Revision(0)),
+                    found=item.revision, token=self.term.token,
+                )  # fmt: skip
                 self.revisions[job.job_id] = item.revision
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -215,6 +215,10 @@
             self._close()
 
     def _close(self) -> None:
+        log_event(
+            Event.CONTROLLER_CLOSED, token=self.term.token, links=len(self.links),
+            orders=len(self.order_tasks), jobs=len(self.scheduler.jobs),
+        )  # fmt: skip
         for task in [*self.link_tasks.values(), *self.order_tasks]:
             task.cancel()
         self.link_tasks.clear()
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -117,6 +117,11 @@
                 self.clear_suspect(run, worker)
         job = self.jobs.get(end.task.job)
         if job is None:
+            log_event(
+                Event.RUN_END_UNKNOWN, job=end.task.job, task=short_name(end.task),
+                run=end.number, worker=worker.worker_id, how=end.outcome.value,
+                jobs=len(self.jobs),
+            )  # fmt: skip
             return None
         log_event(
             Event.RUN_ENDED, job=end.task.job, task=short_name(end.task),
