--- /dev/null
+++ b/tests/test_term_churn.py
@@ -0,0 +1,143 @@
+"""Leaders whose terms end early, overlap, or end many times a second.
+
+Guards against tasks that start again although their end was acknowledged: an end that a
+leader acknowledges without having stored it is forgotten by its worker.
+"""
+
+import asyncio
+
+import pytest
+
+from ebonyhub.cluster.leadership import LEADER_KEY
+from ebonyhub.jobs.records import JobState
+from ebonyhub.platform.config import WORKER_PREFIX
+from ebonyhub.scheduling import controller as controller_module
+from standins.term_cluster import TermCluster
+
+COMPLETION_LIMIT_SECONDS = 60.0
+# Sorts behind the keys of all workers, so that their links are open when it is read.
+POISONED_KEY = "servers/zz"
+
+
+@pytest.fixture
+def poisoned_entry(monkeypatch):
+    """Let one store entry raise an error that no boundary foresees."""
+    decode = controller_module.decode_worker
+
+    def decode_or_fail(key, value):
+        if key == POISONED_KEY:
+            raise RuntimeError("unforeseen")
+        return decode(key, value)
+
+    monkeypatch.setattr(controller_module, "decode_worker", decode_or_fail)
+
+
+async def complete(cluster, entry, jobs):
+    """Let an entry lead until the jobs are shown as completed."""
+    await cluster.begin_term(entry)
+    await cluster.wait_until(
+        lambda: all(cluster.state_of(entry, j) is JobState.COMPLETED for j in jobs),
+        COMPLETION_LIMIT_SECONDS,
+    )
+
+
+async def test_end_is_not_acknowledged_by_a_term_that_failed_before_loading_jobs(
+    poisoned_entry,
+):
+    cluster = TermCluster(entries=2, workers=2, seed=1)
+    await cluster.platform.start()
+    try:
+        job = cluster.accept(1, task_ms=400, steps=1, width=4)
+        first, second = cluster.entries
+        await cluster.begin_term(first)
+        await cluster.wait_until(lambda: len(cluster.history.starts) == 4, 10.0)
+        cluster.core.put(POISONED_KEY, b"{}")
+        await cluster.begin_term(second)
+        await cluster.wait_until(lambda: len(cluster.history.done) == 4, 10.0)
+        # Time for several polls by links that outlived their term.
+        await asyncio.sleep(0.5)
+        acknowledged = [w.fake.acknowledged_sequence for w in cluster.platform.workers]
+        cluster.core.delete(POISONED_KEY)
+        await complete(cluster, first, [job])
+        assert cluster.history.repeated_starts() == []
+        assert len(cluster.history.starts) == 4
+        assert acknowledged == [0, 0]
+    finally:
+        await cluster.stop()
+
+
+async def test_records_of_a_term_survive_the_end_of_an_earlier_one_in_the_process():
+    """A slow listing of the first term ends only after the second one has loaded."""
+    cluster = TermCluster(entries=2, workers=2, seed=2)
+    await cluster.platform.start()
+    try:
+        job = cluster.accept(1, task_ms=400, steps=1, width=4)
+        first, second = cluster.entries
+        await cluster.begin_term(first)
+        await cluster.wait_until(lambda: len(cluster.history.starts) == 4, 10.0)
+        first_listing = asyncio.Event()
+        list_keys = second.store.list
+
+        async def end_first_term_while_workers_are_listed(prefix):
+            result = await list_keys(prefix)
+            if prefix == WORKER_PREFIX:
+                await cluster.wait_until(lambda: len(cluster.history.done) == 4, 10.0)
+                first_listing.set()
+                await asyncio.sleep(0.05)
+            return result
+
+        async def list_slowly(prefix):
+            second.store.list = end_first_term_while_workers_are_listed
+            result = await list_keys(prefix)
+            await first_listing.wait()
+            return result
+
+        second.store.list = list_slowly
+        await cluster.begin_term(second)
+        await asyncio.sleep(0.05)
+        # Another entry replaces the leader, and then asks it to take over again.
+        successor = await cluster.begin_term(first)
+        second.update_leader(cluster.core.items[LEADER_KEY])
+        first.end_term("handed_over")
+        await second.take_over(successor.token)
+        await cluster.wait_until(lambda: len(cluster.history.done) == 4, 10.0)
+        first_listing.set()
+        await asyncio.sleep(0.5)
+        await complete(cluster, first, [job])
+        assert cluster.history.repeated_starts() == []
+        assert len(cluster.history.starts) == 4
+    finally:
+        await cluster.stop()
+
+
+async def end_terms_at_random(cluster, terms, jobs):
+    """Begin and end ``terms`` terms, several a second, while jobs arrive."""
+    rng = cluster.rng
+    for _ in range(terms):
+        if rng.random() < 0.4:
+            jobs.append(cluster.accept(len(jobs) + 1, rng.randint(50, 400), 2, 3))
+        if rng.random() < 0.5:
+            cluster.core.put(POISONED_KEY, b"{}")
+        else:
+            cluster.core.delete(POISONED_KEY)
+        entry = rng.choice(cluster.entries)
+        await cluster.begin_term(entry)
+        await asyncio.sleep(rng.choice((0.0, 0.005, 0.02, 0.1, 0.4)))
+        if rng.random() < 0.5:
+            entry.end_term("test")
+    cluster.core.delete(POISONED_KEY)
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+async def test_done_task_stays_done_while_terms_end_many_times_a_second(
+    seed, poisoned_entry
+):
+    cluster = TermCluster(entries=3, workers=3, seed=seed)
+    await cluster.platform.start()
+    try:
+        jobs = []
+        await end_terms_at_random(cluster, 60, jobs)
+        await complete(cluster, cluster.entries[0], jobs)
+        assert cluster.history.repeated_starts() == []
+    finally:
+        await cluster.stop()
