Acknowledge an end only if the leader has loaded the records of all jobs

A worker forgets an end once it is acknowledged. Ends of jobs that the scheduler did not know were acknowledged at once, and links polled before the jobs were loaded: a term that raised while it read the workers' entries left the links of the entries read before open, without any job and under the newest token. Their polls made the workers forget what had ended; the record still held the run, the next leader did not find it on the worker, and started the task again.

Now an end counts as stored only once its job's record is, or once all records are loaded and the job is not among them; what a worker runs of an unknown job is not stopped either. Links open after the jobs are loaded. run() closes its links and orders whatever ends it, and waits for them. An error in one worker's report, in one start order or in one job's records concerns that worker, order or job, not the term.

--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -34,6 +34,7 @@
     """Return a scheduler with idle workers and enough waiting jobs to fill them."""
     rng = random.Random(1)
     scheduler = Scheduler()
+    scheduler.records_loaded = True
     scheduler.configure(one_queue_configuration())
     for number in range(workers):
         rack = RackId(f"r{number // 4}")
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -145,18 +145,31 @@
     def handle_job_change(self, job_id: JobId) -> None:
         """Load a job that is new in the mirror, or cancel a known one."""
         mirrored = self.mirror.jobs.get(job_id)
-        if mirrored is None or mirrored.accepted is None:
+        if mirrored is None:
+            return
+        if mirrored.accepted is None:
+            self.scheduler.unreadable_jobs.add(job_id)
             return
         now, wall_ms = self.clock.monotonic(), self._wall_ms()
         known = job_id in self.scheduler.jobs
         if known and not mirrored.cancelled:
             return
-        progress = None if known else mirrored.decode_progress()
-        if not known:
-            self.committer.revisions[job_id] = mirrored.progress_revision
-        self.scheduler.load_job(
-            mirrored.accepted, progress, mirrored.cancelled, now, wall_ms
-        )
+        try:
+            progress = None if known else mirrored.decode_progress()
+            if not known:
+                self.committer.revisions[job_id] = mirrored.progress_revision
+            self.scheduler.load_job(
+                mirrored.accepted, progress, mirrored.cancelled, now, wall_ms
+            )
+        except Exception as error:
+            # One job must not end the term; nothing of it starts.
+            log_event(
+                Event.BACKGROUND_TASK_FAILED, task="load", job=job_id,
+                error=repr(error),
+            )  # fmt: skip
+            self.scheduler.abandon_job(job_id)
+            return
+        self.scheduler.unreadable_jobs.discard(job_id)
         if not known:
             self._log_loaded(mirrored.accepted)
         self.wake.set()
@@ -194,35 +207,51 @@
     # Run loop
 
     async def run(self) -> None:
-        """Schedule until the term ends."""
-        await self._load_workers()
+        """Schedule until the term ends; nothing of the term goes on afterwards."""
+        try:
+            await self._load_workers()
+            self._load_jobs()
+            parts = [self.committer.run, self._watch_workers, self.retention.run]
+            if self.fleet is not None:
+                parts.append(self.fleet.run)
+            async with asyncio.TaskGroup() as group:
+                tasks = [group.create_task(part()) for part in parts]
+                await self._drive_scheduler()
+                for task in tasks:
+                    task.cancel()
+        finally:
+            await self._close()
+
+    def _load_jobs(self) -> None:
+        """Load all jobs, and only then poll the workers.
+
+        A worker forgets an end that was acknowledged, so no report may be handled while
+        its jobs are unknown.
+        """
         for job_id in list(self.mirror.jobs):
             self.handle_job_change(job_id)
+        self.scheduler.records_loaded = True
         log_event(
             Event.CONTROLLER_STARTED, token=self.term.token,
             workers=len(self.scheduler.workers), jobs=len(self.scheduler.active),
         )  # fmt: skip
-        try:
-            async with asyncio.TaskGroup() as group:
-                group.create_task(self.committer.run())
-                group.create_task(self._watch_workers())
-                group.create_task(self.retention.run())
-                if self.fleet is not None:
-                    group.create_task(self.fleet.run())
-                await self._drive_scheduler()
-                raise asyncio.CancelledError
-        finally:
-            self._close()
+        for worker in self.scheduler.workers.values():
+            if not worker.deregistered:
+                self._open_link(worker)
 
-    def _close(self) -> None:
+    async def _close(self) -> None:
+        """Cancel the links and orders, and wait until they have ended."""
         log_event(
             Event.CONTROLLER_CLOSED, token=self.term.token, links=len(self.links),
             orders=len(self.order_tasks), jobs=len(self.scheduler.jobs),
         )  # fmt: skip
-        for task in [*self.link_tasks.values(), *self.order_tasks]:
-            task.cancel()
+        self.term.ended = True
+        tasks = [*self.link_tasks.values(), *self.order_tasks]
         self.link_tasks.clear()
         self.links.clear()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _load_workers(self) -> None:
         while not self.term.ended:
@@ -259,6 +288,8 @@
             self.fleet.handle_worker_registered(
                 entry.vm, PoolName(entry.service), worker_id
             )
+        if not self.scheduler.records_loaded:
+            return
         if address_changed or worker_id not in self.links:
             self._open_link(self.scheduler.workers[worker_id])
 
@@ -398,7 +429,12 @@
             failure = OrderFailure.NOT_SENT
             self.scheduler.handle_start_result(run, failure, now)
             return
-        outcome = await link.start(run, job.accepted.spec.text, order.ticket)
+        try:
+            outcome = await link.start(run, job.accepted.spec.text, order.ticket)
+        except Exception as error:
+            # Without a result, the run would count as ordered for good.
+            log_event(Event.BACKGROUND_TASK_FAILED, task="start", error=repr(error))
+            outcome = OrderFailure.UNKNOWN
         self.scheduler.handle_start_result(run, outcome, self.clock.monotonic())
 
     def _request_advice(self) -> None:
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -96,20 +96,17 @@
             if end.sequence <= worker.last_seen_sequence:
                 continue
             worker.last_seen_sequence = last = end.sequence
-            job = self._handle_end(worker, end, now, wall_ms)
-            if job is not None:
-                job_versions[job.job_id] = job.version
+            self._handle_end(worker, end, now, wall_ms)
+            job = self.jobs.get(end.task.job)
+            job_versions[end.task.job] = job.version if job else 0
         if last:
             worker.unstored_ends.append((last, job_versions))
             self.workers_with_unstored_ends.add(worker.worker_id)
 
     def _handle_end(
         self, worker: Worker, end: EndedTask, now: float, wall_ms: int
-    ) -> Job | None:
-        """Apply a run's end.
-
-        Returns the job whose record must be stored before the end is acknowledged.
-        """
+    ) -> None:
+        """Apply a run's end."""
         run = worker.runs.get((end.task, end.number))
         if run is not None:
             self.release_run(run, worker)
@@ -122,14 +119,14 @@
                 run=end.number, worker=worker.worker_id, how=end.outcome.value,
                 jobs=len(self.jobs),
             )  # fmt: skip
-            return None
+            return
         log_event(
             Event.RUN_ENDED, job=end.task.job, task=short_name(end.task),
             run=end.number, worker=worker.worker_id, how=end.outcome.value,
             after=round(now - run.planned_at, 3) if run else None,
         )  # fmt: skip
         if job.is_final or not lifecycle.is_current(job, end.task, end.number):
-            return job if job.version > job.stored_version else None
+            return
         step = lifecycle.step_of(job, end.task)
         self._update_health(worker, end, run, step, now)
         if end.outcome is RunOutcome.DONE and not step.long_running:
@@ -146,7 +143,6 @@
         self.mark_dirty(job)
         if job.is_final:
             self.close_job(job, now, StopReason.JOB_ENDED)
-        return job
 
     def _max_attempts(self, job: Job) -> int:
         queue = self.queues.get(job.queue)
@@ -199,7 +195,10 @@
         run.checkpoint = row.checkpoint or run.checkpoint
         run.usage = row.usage
         job = self.jobs.get(row.task.job)
-        if job is None or job.is_final:
+        if job is None:
+            if self.is_removed(row.task.job):
+                self.stop_run(run, StopReason.JOB_ENDED, now)
+        elif job.is_final:
             self.stop_run(run, StopReason.JOB_ENDED, now)
         elif not lifecycle.is_current(job, row.task, row.number):
             self.stop_run(run, StopReason.UNKNOWN_RUN, now)
@@ -298,10 +297,19 @@
         """Advance the acknowledged sequence over ends whose records are stored."""
         while worker.unstored_ends:
             sequence, versions = worker.unstored_ends[0]
-            for job_id, version in versions.items():
-                job = self.jobs.get(job_id)
-                if job is not None and job.stored_version < version:
-                    return
+            if not all(self._is_stored(job, v) for job, v in versions.items()):
+                return
             worker.acknowledged_sequence = sequence
             worker.unstored_ends.pop(0)
         self.workers_with_unstored_ends.discard(worker.worker_id)
+
+    def _is_stored(self, job_id: JobId, version: int) -> bool:
+        """Return whether a version of a job's record is stored, or has been removed.
+
+        The worker forgets an end once it is acknowledged. An end of a job that is not
+        loaded must therefore stay on the worker for a leader that knows the job.
+        """
+        job = self.jobs.get(job_id)
+        if job is None:
+            return self.is_removed(job_id)
+        return job.stored_version >= version
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -62,6 +62,11 @@
         # Includes queues removed from the configuration, since their jobs still run.
         self.queues: dict[QueueName, Queue] = {}
         self.jobs: dict[JobId, Job] = {}
+        # Whether all stored jobs have been loaded. Until then, a job that is not in
+        # ``jobs`` may well exist.
+        self.records_loaded = False
+        # Jobs with records that could not be loaded.
+        self.unreadable_jobs: set[JobId] = set()
         # Jobs that have not ended.
         self.active: dict[JobId, Job] = {}
         self.workers: dict[WorkerId, Worker] = {}
@@ -121,12 +126,26 @@
         if job.stored_version >= job.version:
             self.dirty.pop(job.job_id, None)
 
+    def is_removed(self, job_id: JobId) -> bool:
+        """Return whether the store certainly holds no record of the job any more."""
+        return (
+            self.records_loaded
+            and job_id not in self.jobs
+            and job_id not in self.unreadable_jobs
+        )
+
     def remove_job(self, job_id: JobId) -> None:
         """Remove a finished job whose records were deleted from the store."""
         self.jobs.pop(job_id, None)
         self.workers_of_job.pop(job_id, None)
         self.dirty.pop(job_id, None)
 
+    def abandon_job(self, job_id: JobId) -> None:
+        """Forget a job that could not be loaded, but keep what workers run of it."""
+        self.unreadable_jobs.add(job_id)
+        self.active.pop(job_id, None)
+        self.remove_job(job_id)
+
     def mark_dirty(self, job: Job) -> None:
         """Schedule storing of the job's record and planning of its service."""
         self.dirty[job.job_id] = job
--- a/src/ebonyhub/scheduling/worker_link.py
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -28,6 +28,8 @@
 MAX_SILENCE_SECONDS = LONG_POLL_SECONDS + 0.6
 # Seconds between polls of a worker that does not respond.
 RETRY_DELAY_SECONDS = 0.25
+# Seconds until the next poll after an internal error in handling a report.
+ERROR_DELAY_SECONDS = 0.5
 # Seconds within which a start order must reach its worker. Less than the 2 s for which
 # an order without an answer may still be executed.
 START_VALID_SECONDS = 1.8
@@ -64,10 +66,17 @@
         self.reachable = True
 
     async def run(self) -> None:
-        """Poll the worker until cancelled."""
+        """Poll the worker until cancelled; an internal error does not end the polls."""
         try:
             while True:
-                await self.poll_once(self._wait_seconds())
+                try:
+                    await self.poll_once(self._wait_seconds())
+                except Exception as error:
+                    log_event(
+                        Event.BACKGROUND_TASK_FAILED, task="link", error=repr(error),
+                        worker=self.worker.worker_id,
+                    )  # fmt: skip
+                    await asyncio.sleep(ERROR_DELAY_SECONDS)
         finally:
             self.client.close()
 
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -192,15 +192,16 @@
         Time since the worker's last response does not count as time without progress.
         """
         responded_at = worker.last_response_at
+        job = self.jobs.get(run.task.job)
         if (
             responded_at is None
+            or job is None
             or run.phase is not RunPhase.CONFIRMED
             or run.speed_percent < 100
         ):
             return
         if is_stuck(max(run.progress_changed_at, run.confirmed_at), responded_at):
-            job = self.jobs.get(run.task.job)
-            if job is not None and not job.is_final:
+            if not job.is_final:
                 job.workers_to_avoid.setdefault(run.task, set()).add(worker.worker_id)
             self.stop_run(run, StopReason.NO_PROGRESS, now)
             if not worker.health.is_quarantined(now):
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -137,6 +137,7 @@
         self.revision += 1
         self.token = LeaderToken(self.revision)
         scheduler = Scheduler()
+        scheduler.records_loaded = True
         scheduler.configure(one_queue_configuration())
         scheduler.inherited_leases_until = (
             self.now + LEASE_EXTENSION_SECONDS + WORKER_LEASE_SECONDS * 1.03 + 0.5
--- a/tests/test_committer.py
+++ b/tests/test_committer.py
@@ -41,6 +41,7 @@
     record = LeaderRecord(EntryId("e"), "a:1", 1)
     term = (await LeaderElection(store, SystemClock(), record).acquire()).ok
     scheduler = Scheduler()
+    scheduler.records_loaded = True
     for number in range(jobs):
         accepted = AcceptedJob(
             JobId(f"{number:016x}"), QueueName("q"), ServiceName("s"), 3, 0, SPEC
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -43,6 +43,7 @@
 
     def __init__(self, names=("w1", "w2")):
         self.scheduler = Scheduler()
+        self.scheduler.records_loaded = True
         self.scheduler.configure(one_queue_configuration())
         self.now = 10.0
         for name in names:
