Run one term at a time in a process, and back off after terms that fail

An entry that was asked to take over began its term while its earlier one was still closing, for example in a slow listing of records. The end of the earlier one cleared the controller, the term and the mirror's records of the new one, which then led without jobs: it stopped what ran and acknowledged ends that nobody had stored.

begin_term now elects and runs one term at a time and refuses while another closes.

--- a/src/ebonyhub/entry/leadership_manager.py
+++ b/src/ebonyhub/entry/leadership_manager.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import msgspec
-from expression import Error, Result
+from expression import Error, Ok, Result
 
 from ..clock import Clock
 from ..cluster.leadership import (
@@ -43,6 +43,7 @@
 from ..jobs.records import JOB_PREFIX, PROGRESS_PREFIX
 from ..node_settings import NodeSettings
 from ..scheduling.controller import Controller
+from .term_backoff import TermBackoff
 
 CLUSTER_PREFIX = "eb/n/"
 # Longest wait of one watch call on the leader key. A stalled connection can hide a
@@ -104,7 +105,10 @@
         self.leader_stream: PeerStream | None = None
         self.term: Term | None = None
         self.controller: Controller | None = None
-        self.takeover_task: asyncio.Task[None] | None = None
+        self.electing = False
+        # The task of this entry's term, until the term has closed.
+        self.term_task: asyncio.Task[None] | None = None
+        self.backoff = TermBackoff(clock, rng)
         self.stopping = False
         self.watch = PrefixWatch(
             store, CLUSTER_PREFIX, clock, self.on_cluster_batch, WATCH_TIMEOUT_SECONDS
@@ -178,7 +182,7 @@
             leader = self.leader
             if self.stopping or not self.watch.has_listed:
                 await asyncio.sleep(ELECTION_RETRY_SECONDS)
-            elif self.term is not None:
+            elif self.term_task is not None:
                 await self._wait_for_change(ELECTION_RETRY_SECONDS)
             elif leader is None and self.store.failing:
                 await self.connect_to_any_peer()
@@ -263,14 +267,17 @@
         current_revision = self.leader.revision if self.leader else ABSENT
         if self.store.failing or self.stopping or current_revision != expected_revision:
             return 1, None
-        result = await self.election.acquire(expected_revision)
-        if result.is_error():
+        if self.backoff.remaining_seconds() > 0.0:
             return 1, None
-        self.takeover_task = asyncio.create_task(self.lead(result.ok))
-        return 0, None
+        result = await self.begin_term(expected_revision)
+        return (1 if result.is_error() else 0), None
 
     async def campaign(self, expected_revision: Revision) -> None:
         """Try to become leader; if elected, lead until the term ends."""
+        backoff_seconds = self.backoff.remaining_seconds()
+        if backoff_seconds > 0.0:
+            await self._wait_for_change(backoff_seconds)
+            return
         missing_cores = max(0.0, SUFFICIENT_CORES - self.settings.effective_cores)
         pause = missing_cores * ELECTION_DELAY_SECONDS_PER_CORE
         await asyncio.sleep(pause + self.rng.uniform(0.0, ELECTION_JITTER_SECONDS))
@@ -280,36 +287,61 @@
         current_revision = self.leader.revision if self.leader else ABSENT
         if current_revision != expected_revision:
             return
-        result = await self.election.acquire(expected_revision)
-        if result.is_error():
-            if result.error is StoreFailure.CONFLICT:
-                await self._wait_for_change(ELECTION_RETRY_SECONDS)
-            else:
-                await asyncio.sleep(ELECTION_RETRY_SECONDS)
-            return
-        await self.lead(result.ok)
+        result = await self.begin_term(expected_revision)
+        if result.is_ok():
+            await asyncio.wait({result.ok})
+        elif result.error is StoreFailure.CONFLICT:
+            await self._wait_for_change(ELECTION_RETRY_SECONDS)
+        else:
+            await asyncio.sleep(ELECTION_RETRY_SECONDS)
+
+    async def begin_term(
+        self, expected_revision: Revision
+    ) -> Result[asyncio.Task[None], StoreFailure]:
+        """Become leader and return the task of the term.
 
-    async def lead(self, term: Term) -> None:
+        Fails with REFUSED while an earlier term of this entry is closing: its end
+        drops the controller and the records that the next term would use.
+        """
+        if self.electing or self.term_task is not None:
+            return Error(StoreFailure.REFUSED)
+        self.electing = True
+        try:
+            elected = await self.election.acquire(expected_revision)
+        finally:
+            self.electing = False
+        if elected.is_error():
+            return Error(elected.error)
+        self.term_task = asyncio.create_task(self._lead(elected.ok))
+        self.term_task.add_done_callback(self._on_term_closed)
+        return Ok(self.term_task)
+
+    def _on_term_closed(self, task: asyncio.Task[None]) -> None:
+        self.term_task = None
+        if not task.cancelled() and task.exception() is not None:
+            log_event(
+                Event.BACKGROUND_TASK_FAILED, task="term", error=repr(task.exception())
+            )
+
+    async def _lead(self, term: Term) -> None:
         """Run the controller until the term ends, then resign."""
+        began_at = self.clock.monotonic()
+        failed = False
         self.term = term
         value = msgspec.msgpack.encode(self.record)
         self.update_leader(Item(LEADER_KEY, value, Revision(int(term.token))))
+        if self.newest_leader_revision > int(term.token):
+            # Another entry has replaced this one before its own answer arrived.
+            self.end_term("key")
         renewals = asyncio.create_task(self.maintain_lease(term))
         self.mirror.retain_records(True)
         try:
-            await self.load_job_records(term)
-            controller = None if term.ended else self.build_controller(term)
-            if controller is None:
-                return
-            self.controller = controller
-            running = asyncio.create_task(controller.run())
-            await asyncio.wait({running})
-            if not running.cancelled() and running.exception() is not None:
-                log_event(
-                    Event.BACKGROUND_TASK_FAILED,
-                    task="controller",
-                    error=repr(running.exception()),
-                )
+            await self._run_controller(term)
+        except Exception as error:
+            failed = True
+            log_event(
+                Event.BACKGROUND_TASK_FAILED, task="controller", error=repr(error)
+            )
         finally:
             self.controller = None
             self.term = None
@@ -320,8 +352,18 @@
                 self.watch.has_listed = False
             for stream in list(self.peer_server.streams):
                 stream.close()
+            seconds = self.clock.monotonic() - began_at
+            self.backoff.record_term(seconds, failed)
             await self.election.resign(term)
 
+    async def _run_controller(self, term: Term) -> None:
+        """Load the records and schedule until the term ends."""
+        await self.load_job_records(term)
+        controller = None if term.ended else self.build_controller(term)
+        if controller is not None:
+            self.controller = controller
+            await controller.run()
+
     async def load_job_records(self, term: Term) -> None:
         """Load all job records into the mirror; retries while the term lasts."""
         while not term.ended:
--- a/standins/term_cluster.py
+++ b/standins/term_cluster.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 from prometheus_client import CollectorRegistry
@@ -18,7 +19,15 @@
 from ebonyhub.cluster.mirror import JobMirror
 from ebonyhub.configuration import Configuration
 from ebonyhub.entry.leadership_manager import LeadershipManager
-from ebonyhub.ids import DataCentre, EntryId, JobId, QueueName, ServiceName, TaskId
+from ebonyhub.ids import (
+    DataCentre,
+    EntryId,
+    JobId,
+    QueueName,
+    Revision,
+    ServiceName,
+    TaskId,
+)
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec
 from ebonyhub.jobs.records import JobState, accepted_key
 from ebonyhub.metrics import Metrics
@@ -34,6 +43,8 @@
 STORE_PORT = 8600
 FIRST_WORKER_PORT = 8700
 POLL_SECONDS = 0.01
+# Time for a term to close, so that the entry's next one can begin.
+TERM_CHANGE_SECONDS = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,7 +121,6 @@
         for worker in self.platform.workers:
             self.history.attach(worker.fake)
         self.entries = [self._manager(number) for number in range(1, entries + 1)]
-        self.lead_tasks: set[asyncio.Task[None]] = set()
 
     def _manager(self, number: int) -> LeadershipManager:
         ip = self.network.address(1, number)
@@ -153,15 +163,16 @@
         self.core.put(accepted_key(job), msgspec.msgpack.encode(record))
         return job
 
-    async def begin_term(self, entry: LeadershipManager) -> Term:
-        """Let an entry replace the present leader, and lead until its term ends."""
-        current = self.core.items.get(LEADER_KEY)
-        expected = current.revision if current else ABSENT
-        term = (await entry.election.acquire(expected)).ok
-        task = asyncio.create_task(entry.lead(term))
-        self.lead_tasks.add(task)
-        task.add_done_callback(self.lead_tasks.discard)
-        return term
+    async def begin_term(self, entry: LeadershipManager) -> Revision:
+        """Let an entry replace the present leader; return the term's token."""
+        async with asyncio.timeout(TERM_CHANGE_SECONDS):
+            while True:
+                current = self.core.items.get(LEADER_KEY)
+                begun = await entry.begin_term(current.revision if current else ABSENT)
+                if begun.is_ok():
+                    return self.core.items[LEADER_KEY].revision
+                entry.end_term("test")
+                await asyncio.sleep(POLL_SECONDS)
 
     async def wait_until(self, condition: Callable[[], bool], seconds: float) -> None:
         """Wait until a condition holds; raises TimeoutError after ``seconds``."""
@@ -178,8 +189,8 @@
         """End all terms and stop the workers."""
         for entry in self.entries:
             entry.end_term("test")
-        if self.lead_tasks:
-            await asyncio.wait(self.lead_tasks, timeout=5.0)
+            if entry.term_task is not None:
+                await asyncio.wait({entry.term_task}, timeout=TERM_CHANGE_SECONDS)
         await self.platform.stop()
         self.network.close()
 
@@ -187,5 +198,5 @@
 class _NoPeers:
     """Handles no messages: the entries of a TermCluster are not connected."""
 
-    def __getattr__(self, name: str) -> Callable[..., None]:
+    def __getattr__(self, name: str) -> Any:
         return lambda *_: None
--- a/tests/test_term_churn.py
+++ b/tests/test_term_churn.py
@@ -99,7 +99,7 @@
         successor = await cluster.begin_term(first)
         second.update_leader(cluster.core.items[LEADER_KEY])
         first.end_term("handed_over")
-        await second.take_over(successor.token)
+        await second.take_over(successor)
         await cluster.wait_until(lambda: len(cluster.history.done) == 4, 10.0)
         first_listing.set()
         await asyncio.sleep(0.5)
