Never replace a progress record that the leader has not read

After a conflict the committer took any present record for a late commit of its own, adopted the revision and replaced the record.

Now the record must be one that this term has sent without an answer; any other, or one that is gone, ends the term, and the next one reads the records anew. The test of a late commit of an earlier leader is replaced: such a commit names a revision of the leader's key that no longer holds, so the store refuses it. The new tests are as strict about own late commits, and failed before for an unread record.

--- a/src/ebonyhub/scheduling/committer.py
+++ b/src/ebonyhub/scheduling/committer.py
@@ -1,13 +1,15 @@
 """Stores progress records in batches, provided that this entry still leads."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+import hashlib
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
 from ..clock import Clock
 from ..cluster.leadership import LEADER_KEY, Term
 from ..cluster.metadata_store import (
+    ABSENT,
     MAX_TRANSACTION_OPERATIONS,
     Item,
     MetadataStore,
@@ -15,6 +17,7 @@
     Transaction,
     Write,
 )
+from ..decoding import describe
 from ..events import Event, log_event
 from ..ids import JobId, Revision
 from ..jobs.records import progress_key
@@ -56,6 +59,11 @@
         self.metrics = metrics
         self.on_stored = on_stored
         self.revisions: dict[JobId, Revision] = {}
+        # Digests of the records that were sent without an answer since the last known
+        # revision; one of them may have been stored.
+        self.unanswered: dict[JobId, set[bytes]] = {}
+        # Jobs with a record that cannot be encoded.
+        self.unencodable: set[JobId] = set()
         self.in_flight: set[JobId] = set()
         self.work_available = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -93,7 +101,7 @@
     def _next_batch(self) -> list[Job]:
         batch: list[Job] = []
         for job_id, job in self.scheduler.dirty.items():
-            if job_id in self.in_flight:
+            if job_id in self.in_flight or job_id in self.unencodable:
                 continue
             batch.append(job)
             if len(batch) == MAX_JOBS_PER_COMMIT:
@@ -111,22 +119,27 @@
 
     async def _commit(self, batch: list[Job]) -> None:
         versions = {job.job_id: job.version for job in batch}
+        values = {job.job_id: value for job in batch if (value := self._encode(job))}
+        if not values:
+            return
         conditions = {LEADER_KEY: Revision(int(self.term.token))}
-        writes: list[Write] = []
-        for job in batch:
-            key = progress_key(job.job_id)
-            conditions[key] = self.revisions.get(job.job_id, Revision(0))
-            writes.append(Write(key, msgspec.msgpack.encode(job.progress)))
+        for job_id in values:
+            conditions[progress_key(job_id)] = self.revisions.get(job_id, ABSENT)
+        writes = [Write(progress_key(job_id), v) for job_id, v in values.items()]
         started = self.clock.monotonic()
         result = await self.store.commit(Transaction(conditions, tuple(writes)))
         self.metrics.commit_seconds.observe(self.clock.monotonic() - started)
         if result.is_ok():
-            self._handle_success(batch, versions, writes, result.ok)
+            stored = [job for job in batch if job.job_id in values]
+            self._handle_success(stored, versions, writes, result.ok)
             return
         failure = result.error
         if failure.kind is StoreFailure.CONFLICT:
-            self._resolve_conflict(batch, failure.current)
+            self._resolve_conflict(values, failure.current)
             return
+        if failure.kind is StoreFailure.UNKNOWN:
+            for job_id, value in values.items():
+                self.unanswered.setdefault(job_id, set()).add(_digest(value))
         if self.healthy:
             self.healthy = False
             log_event(
@@ -135,6 +148,18 @@
             )  # fmt: skip
         await asyncio.sleep(RETRY_DELAY_SECONDS)
 
+    def _encode(self, job: Job) -> bytes | None:
+        """Encode a job's record; one that cannot be encoded holds up no other job."""
+        try:
+            return msgspec.msgpack.encode(job.progress)
+        except (msgspec.MsgspecError, OverflowError, TypeError, ValueError) as error:
+            self.unencodable.add(job.job_id)
+            log_event(
+                Event.BACKGROUND_TASK_FAILED, task="commit", job=job.job_id,
+                error=describe(error),
+            )  # fmt: skip
+            return None
+
     def _handle_success(
         self,
         batch: list[Job],
@@ -147,25 +172,45 @@
             log_event(Event.STORE_RECOVERED, operation="commit")
         for job in batch:
             self.revisions[job.job_id] = revision
+            self.unanswered.pop(job.job_id, None)
             self.scheduler.mark_stored(job, versions[job.job_id])
         self.on_stored([Item(w.key, w.value, revision) for w in writes])
 
-    def _resolve_conflict(self, batch: list[Job], current: Mapping[str, Item]) -> None:
-        """Adopt the revisions of earlier commits that took effect late.
+    def _resolve_conflict(
+        self, job_ids: Iterable[JobId], current: Mapping[str, Item]
+    ) -> None:
+        """Adopt the revisions of own commits whose answers were lost.
 
-        If the leader's key is gone or has another revision, this term has ended.
+        If the leader's key is gone or has another revision, this term has ended. So
+        has it if a record is not one that this term wrote: replacing a record that
+        was not read would start tasks again that it says are done.
         """
         leader = current.get(LEADER_KEY)
         if leader is None or int(leader.revision) != int(self.term.token):
-            log_event(Event.LEADERSHIP_LOST, cause="commit", token=self.term.token)
-            self.term.ended = True
+            self._end_term("commit")
             return
-        for job in batch:
-            item = current.get(progress_key(job.job_id))
-            if item is not None:
-                log_event(
-                    Event.PROGRESS_CONFLICT, job=job.job_id,
-                    expected=self.revisions.get(job.job_id, Revision(0)),
-                    found=item.revision, token=self.term.token,
-                )  # fmt: skip
-                self.revisions[job.job_id] = item.revision
+        for job_id in job_ids:
+            expected = self.revisions.get(job_id, ABSENT)
+            item = current.get(progress_key(job_id))
+            found = item.revision if item else ABSENT
+            if found == expected:
+                continue
+            value = item.value if item and item.value else b""
+            own = _digest(value) in self.unanswered.get(job_id, ())
+            log_event(
+                Event.PROGRESS_CONFLICT, job=job_id, expected=expected, found=found,
+                own=own, token=self.term.token,
+            )  # fmt: skip
+            if not own:
+                self._end_term("record")
+                return
+            self.revisions[job_id] = found
+
+    def _end_term(self, cause: str) -> None:
+        if not self.term.ended:
+            log_event(Event.LEADERSHIP_LOST, cause=cause, token=self.term.token)
+        self.term.ended = True
+
+
+def _digest(value: bytes) -> bytes:
+    return hashlib.blake2b(value, digest_size=16).digest()
