Test: finished tasks start again after a term that ends while workers are read

An entry below servers/ that ends each term sorts behind the workers' ids; the tasks of a running job end meanwhile. Their ends are acknowledged, their record is not stored, and the next leader starts all of them again.

The stand-in workers record starts, ends and acknowledgements (run_log).

--- a/standins/fake_worker.py
+++ b/standins/fake_worker.py
@@ -20,6 +20,8 @@
 NO_TOKEN = LeaderToken(0)
 NO_VM = VmId("")
 
+AcknowledgementHook = Callable[["FakeWorker", EndedTask, LeaderToken], None]
+
 
 @dataclass(slots=True)
 class FakeRun:
@@ -69,6 +71,8 @@
     on_lease_expired: Callable[["FakeWorker"], None] = lambda *_: None
     on_end: Callable[["FakeWorker", TaskId, int, RunOutcome], None] = lambda *_: None
     on_stop: Callable[["FakeWorker", TaskId], None] = lambda *_: None
+    # Called with each end that a leader acknowledges, and that leader's token.
+    on_acknowledge: AcknowledgementHook = lambda *_: None
 
     @property
     def entry(self) -> WorkerEntry:
@@ -185,9 +189,8 @@
         self.acknowledged_sequence = max(
             self.acknowledged_sequence, acknowledged_sequence
         )
-        self.ended = [
-            end for end in self.ended if end.sequence > self.acknowledged_sequence
-        ]
+        while self.ended and self.ended[0].sequence <= self.acknowledged_sequence:
+            self.on_acknowledge(self, self.ended.pop(0), token)
         running = tuple(
             RunningTask(task, run.number, "", run.progress_percent(clock), 0.0)
             for task, run in self.runs.items()
--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -23,6 +23,7 @@
 from ebonyhub.settings import Listener
 from standins.fake_worker import FakeWorker
 from standins.memory_store import StoreCore
+from standins.run_log import RunLog
 
 # Interval at which a worker's runs and lease are checked.
 WORKER_STEP_SECONDS = 0.02
@@ -352,6 +353,9 @@
             WorkerServer(f"w{port}", "plans", Listener(address, port), self.core)
             for port in worker_ports
         ]
+        self.run_log = RunLog(time.monotonic)
+        for worker in self.workers:
+            self.run_log.observe(worker.fake)
         self.tasks: list[asyncio.Task[None]] = []
         self.clock_tasks: list[asyncio.Task[None]] = []
 
