--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ebonyhub.ids import JobId, TaskId
+from ebonyhub.ids import JobId, LeaderToken, TaskId
 from ebonyhub.platform.workers import task_name
-from ebonyhub.scheduling.model import RunOutcome
+from ebonyhub.scheduling.model import EndedTask, RunOutcome
 from standins.fake_worker import FakeWorker
 from standins.job_cluster import JobCluster
 from standins.oracle import GuaranteeViolation, Oracle
@@ -45,16 +45,16 @@
     def attach(self) -> None:
         """Pass every start, end and loss of runs on the workers to the oracle."""
         for worker in self.cluster.platform.workers:
-            fake, ended = worker.fake, worker.fake.on_end
-            fake.on_start = self._record_violations(self._check_start)
-            fake.on_end = self._record_violations(_call_both(ended, self._record_end))
-            fake.on_lease_expired = self._record_violations(
-                self.oracle.record_lease_expiry
+            fake = worker.fake
+            fake.on_start = self._after(fake.on_start, self._check_start)
+            fake.on_end = self._after(fake.on_end, self._record_end)
+            fake.on_lease_expired = self._after(
+                fake.on_lease_expired, self.oracle.record_lease_expiry
             )
-            worker.on_crash = self._record_violations(self._record_crash)
-            worker.on_acknowledged = self._record_violations(
-                self._check_acknowledgement
+            fake.on_acknowledge = self._after(
+                fake.on_acknowledge, self._check_acknowledgement
             )
+            worker.on_crash = self._after(worker.on_crash, self._record_crash)
 
     def _check_start(self, worker: FakeWorker, task: TaskId, number: int) -> None:
         name = task_name(task)
@@ -76,14 +76,15 @@
         self.timeline.write(f"worker {worker.worker} crashes or leaves")
         self.oracle.record_crash(worker)
 
-    def _check_acknowledgement(self, worker: FakeWorker, sequence: int) -> None:
-        """Check that acknowledged completions are stored and were the last runs."""
-        tasks = self.oracle.record_acknowledgement(worker, sequence)
-        for task in tasks:
-            self.timeline.write(
-                f"acknowledged {task_name(task)} worker={worker.worker} "
-                f"sequence={sequence} token={worker.token}"
-            )
+    def _check_acknowledgement(
+        self, worker: FakeWorker, end: EndedTask, token: LeaderToken
+    ) -> None:
+        """Check that an acknowledged completion is stored and was the last run."""
+        self.timeline.write(
+            f"acknowledged {task_name(end.task)} run={end.number} "
+            f"worker={worker.worker} sequence={end.sequence} token={token}"
+        )
+        tasks = self.oracle.record_acknowledgement(worker, end.sequence)
         for problem in self.stored_progress.check_acknowledged(tasks):
             self._add_problem(problem)
 
@@ -91,8 +92,13 @@
         self.timeline.write(f"violation {problem}")
         self.problems.append(problem)
 
-    def _record_violations(self, check: Callable[..., None]) -> Callable[..., None]:
+    def _after(
+        self, recorded: Callable[..., None], check: Callable[..., None]
+    ) -> Callable[..., None]:
+        """Return a hook that calls the earlier one, then records violations."""
+
         def recording_check(*arguments: object) -> None:
+            recorded(*arguments)
             try:
                 check(*arguments)
             except GuaranteeViolation as violation:
@@ -120,16 +126,6 @@
             await asyncio.sleep(PROBE_INTERVAL_SECONDS)
 
 
-def _call_both(
-    first: Callable[..., None], second: Callable[..., None]
-) -> Callable[..., None]:
-    def call_both(*arguments: object) -> None:
-        first(*arguments)
-        second(*arguments)
-
-    return call_both
-
-
 async def get_status(cluster: JobCluster, entry: str, prefix: str) -> int | None:
     """Return the status of a job count under ``prefix``; None without an answer."""
     answer = await cluster.call(entry, "GET", "", prefix=prefix)
--- a/soak/run.py
+++ b/soak/run.py
@@ -183,6 +183,7 @@
     finally:
         for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await run.close()
 
 
--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -231,10 +231,8 @@
         # Time until a draining worker leaves, in its entry.
         self.remaining_ms = 0
         self.fake.on_end = self._record_end
-        # Called before the worker process crashes, and after each poll with the highest
-        # sequence number that has been acknowledged.
+        # Called before the worker process crashes.
         self.on_crash: Callable[[FakeWorker], None] = lambda _: None
-        self.on_acknowledged: Callable[[FakeWorker, int], None] = lambda *_: None
         # Body that is sent in place of a report, if not None.
         self.odd_report: bytes | None = None
         handlers: dict[str, Handler] = {
@@ -352,7 +350,6 @@
             )
             if isinstance(report, OrderFailure):
                 return self._answer(report)
-            self.on_acknowledged(self.fake, self.fake.acknowledged_sequence)
             if report.ended or now >= deadline:
                 break
             await asyncio.sleep(WORKER_STEP_SECONDS)
