Decode entries of workers, the configuration and waves into typed structs

The decoders let RecursionError pass, and returned fields of any type: a list as Service, a port like '²' or 99999, or a born over 64 bits ended the term of each leader. A malformed queue or service costs no longer the whole configuration.

--- a/src/ebonyhub/configuration.py
+++ b/src/ebonyhub/configuration.py
@@ -66,6 +66,8 @@
     services: Mapping[ServiceName, Service]
     limits: ConfigurationLimits = ConfigurationLimits()
     queues_by_host: Mapping[str, tuple[Queue, ...]] = field(default_factory=dict)
+    # Why rows for a queue or service were left out, as texts for the log.
+    rejected_rows: tuple[str, ...] = ()
 
     def queue_for(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of ``path``, or None."""
@@ -80,6 +82,7 @@
     queues: Mapping[QueueName, Queue],
     services: Mapping[ServiceName, Service],
     limits: ConfigurationLimits,
+    rejected_rows: tuple[str, ...] = (),
 ) -> Configuration:
     """Return a configuration with its routing table by host, longest prefix first."""
     queues_by_host: dict[str, list[Queue]] = {}
@@ -89,4 +92,6 @@
         host: tuple(sorted(host_queues, key=lambda queue: -len(queue.prefix)))
         for host, host_queues in queues_by_host.items()
     }
-    return Configuration(version, queues, services, limits, routing_table)
+    return Configuration(
+        version, queues, services, limits, routing_table, rejected_rows
+    )
--- a/src/ebonyhub/decoding.py
+++ b/src/ebonyhub/decoding.py
@@ -4,6 +4,8 @@
 boundary. Input that cannot be used becomes an ``Error``, never an exception.
 """
 
+import re
+from ipaddress import AddressValueError, IPv4Address
 from typing import Annotated, Any, Protocol, TypeVar
 
 import msgspec
@@ -25,6 +27,9 @@
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Name = Annotated[str, msgspec.Meta(max_length=256)]
 
+_ADDRESS = re.compile(r"([0-9.]{7,15}):([0-9]{1,5})")
+MAX_PORT = 65_535
+
 
 class Decoder(Protocol[T_co]):
     """Decodes bytes, as the decoders of msgspec do."""
@@ -52,3 +57,22 @@
         return Ok(msgspec.convert(value, target))
     except DECODE_ERRORS as error:
         return Error(describe(error))
+
+
+def parse_address(text: str) -> Result[tuple[str, int], str]:
+    """Return host and port of a literal IPv4 address; the error is for the log.
+
+    Host names are refused, because looking one up may block and may fail with errors
+    other than OSError.
+    """
+    found = _ADDRESS.fullmatch(text)
+    if found is None:
+        return Error(f"not an IPv4 address and port: {text[:80]!r}")
+    host, port = found[1], int(found[2])
+    try:
+        IPv4Address(host)
+    except AddressValueError as error:
+        return Error(describe(error))
+    if not 1 <= port <= MAX_PORT:
+        return Error(f"port out of range: {text!r}")
+    return Ok((host, port))
--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -209,6 +209,26 @@
         "platform answer could not be decoded; it counts as lost",
         "Compare its fields with docs/platform.md.",
     )
+    INPUT_REJECTED = EventSpec(
+        2503,
+        _W,
+        "input from another program could not be used and was left out",
+        "Find the writer of the named key or stream; ebonyhub_inputs_rejected_total "
+        "counts repetitions.",
+    )
+    BATCH_HANDLER_FAILED = EventSpec(
+        2504,
+        _E,
+        "a change from the store could not be applied and was left out",
+        "Report it with the key and its value; this is a fault of the program.",
+    )
+    JOB_PROGRESS_UNREADABLE = EventSpec(
+        2505,
+        _E,
+        "progress of a job cannot be used; the job is not loaded",
+        "Find what wrote the record. The job starts nothing until a readable record "
+        "replaces it; cancel it by removing its records.",
+    )
     JOB_RECORDS_REMOVED = EventSpec(
         2501, _I, "records of finished jobs removed", "None."
     )
