Decode the store's answers item by item, and end a listing whose pages repeat

One item whose value is not base64 made every answer that contains it unusable. A page that repeats was requested without end, and an empty page ended a listing as if it were complete.

--- a/src/ebonyhub/platform/store.py
+++ b/src/ebonyhub/platform/store.py
@@ -1,7 +1,8 @@
 """HTTP client of the platform's metadata store."""
 
 import base64
-from typing import Any, TypeVar
+from collections.abc import Iterable
+from typing import Annotated, Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -15,11 +16,13 @@
     StoreFailure,
     Transaction,
 )
-from ..events import Event, log_event
+from ..decoding import MAX_INTEGER, Count, try_decode
+from ..events import Event
 from ..http_client import SmallResponse
 from ..http_session import HttpSession
 from ..ids import Revision, StoreLease
 from ..metrics import Metrics
+from ..rejections import InputSource, Rejections
 
 # A healthy store answers within milliseconds, a slow one within 250 ms.
 CALL_TIMEOUT_SECONDS = 0.7
@@ -29,18 +32,23 @@
 # A failure counts for this long unless a call succeeds; watches retry more often.
 FAILURE_WINDOW_SECONDS = 1.5
 
+# Limit on the pages of one listing, each of about 500 items.
+MAX_PAGES = 4_000
+
 AnswerT = TypeVar("AnswerT")
+Key = Annotated[str, msgspec.Meta(max_length=1024)]
+PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
 
 
-class ItemRow(msgspec.Struct):
+class ItemRow(msgspec.Struct, rename="pascal"):
     """An item, or a watch event that reports the deletion of a key."""
 
-    key: str = msgspec.field(name="Key")
-    revision: int = msgspec.field(name="Revision")
+    key: Key
+    revision: Count
     # Encoded in base64 on the wire.
-    value: bytes | None = msgspec.field(name="Value", default=None)
-    lease: int | None = msgspec.field(name="Lease", default=None)
-    deleted: bool = msgspec.field(name="Deleted", default=False)
+    value: bytes | None = None
+    lease: Count | None = None
+    deleted: bool = False
 
     def to_item(self) -> Item:
         """Convert to an item; its value is None if the key was deleted."""
@@ -49,32 +57,47 @@
         return Item(self.key, value, Revision(self.revision), lease)
 
 
+class KeyRow(msgspec.Struct, rename="pascal"):
+    """The key of an item whose other fields cannot be used."""
+
+    key: Key
+
+
 class RangeAnswer(msgspec.Struct):
-    """One page of a prefix listing."""
+    """One page of a prefix listing; its rows are decoded one by one."""
 
-    revision: int = msgspec.field(name="AtRevision")
-    items: list[ItemRow] = msgspec.field(default_factory=list)
+    revision: Count = msgspec.field(name="AtRevision")
+    items: list[msgspec.Raw] = msgspec.field(default_factory=list)
     has_more: bool = msgspec.field(name="HasMore", default=False)
 
 
 class WatchAnswer(msgspec.Struct):
     """Answer to a watch: changes after the requested revision."""
 
-    revision: int = msgspec.field(name="AtRevision")
-    events: list[ItemRow] = msgspec.field(default_factory=list)
+    revision: Count = msgspec.field(name="AtRevision")
+    events: list[msgspec.Raw] = msgspec.field(default_factory=list)
 
 
 class CommitAnswer(msgspec.Struct):
-    """Answer to a commit: the new revision, or on a conflict the present items."""
+    """Answer to a commit that was applied."""
+
+    revision: PositiveCount = msgspec.field(name="Revision")
 
-    revision: int = msgspec.field(name="Revision", default=0)
-    items: list[ItemRow] = msgspec.field(default_factory=list)
+
+class ConflictAnswer(msgspec.Struct):
+    """Answer to a commit of which a condition did not hold: the present items."""
+
+    items: list[msgspec.Raw] = msgspec.field(default_factory=list)
 
 
 class LeaseAnswer(msgspec.Struct):
     """Answer to the creation of a lease."""
 
-    lease: int = msgspec.field(name="Lease")
+    lease: PositiveCount = msgspec.field(name="Lease")
+
+
+_decode_item_row = msgspec.json.Decoder(ItemRow).decode
+_decode_key_row = msgspec.json.Decoder(KeyRow).decode
 
 
 class PlatformStore:
@@ -84,6 +107,7 @@
         self.session = HttpSession(address, clock, CONNECTION_LIMIT)
         self.clock = clock
         self.metrics = metrics
+        self.rejections = Rejections(metrics, clock)
         self.last_answer_at = float("-inf")
         self.last_failure_at = float("-inf")
 
@@ -126,28 +150,70 @@
             return Error(result.error)
         if result.ok.status == 404:
             return Ok(None)
-        row = self._decode("get", result.ok, ItemRow)
-        return Ok(row.to_item()) if row else Error(StoreFailure.UNKNOWN)
+        if result.ok.status != 200:
+            return Error(StoreFailure.UNKNOWN)
+        items = self._items([result.ok.body], "", Revision(0))
+        if not items or items[0].key != key:
+            self._note_unreadable("get", "no item of the key")
+            return Error(StoreFailure.UNKNOWN)
+        return Ok(items[0])
 
     def _decode(
         self, operation: str, answer: SmallResponse, answer_type: type[AnswerT]
     ) -> AnswerT | None:
         """Decode an answer; one that cannot be decoded counts as lost."""
-        try:
-            return msgspec.json.decode(answer.body, type=answer_type)
-        except msgspec.MsgspecError as error:
-            self.last_failure_at = self.clock.monotonic()
-            log_event(
-                Event.PLATFORM_ANSWER_UNREADABLE, call=operation, error=repr(error)
-            )
-            return None
+        decoded = try_decode(msgspec.json.Decoder(answer_type).decode, answer.body)
+        if decoded.is_ok():
+            return decoded.ok
+        self._note_unreadable(operation, decoded.error)
+        return None
+
+    def _note_unreadable(self, operation: str, error: str) -> None:
+        self.last_failure_at = self.clock.monotonic()
+        minute = int(self.clock.monotonic() // 60)
+        self.rejections.add(
+            InputSource.STORE,
+            operation,
+            minute,
+            error,
+            Event.PLATFORM_ANSWER_UNREADABLE,
+        )
+
+    def _items(
+        self, rows: Iterable[bytes], prefix: str, revision: Revision
+    ) -> list[Item]:
+        """Decode the rows of an answer; one without a key below the prefix is left out.
+
+        An item of which only the key can be read gets an empty value and the revision
+        of the answer: if it were left out, it would count as deleted.
+        """
+        items = []
+        for row in rows:
+            decoded = try_decode(_decode_item_row, bytes(row))
+            if decoded.is_ok():
+                item = decoded.ok.to_item()
+            else:
+                named = try_decode(_decode_key_row, bytes(row))
+                if named.is_error():
+                    self._reject(prefix, bytes(row), decoded.error)
+                    continue
+                self._reject(named.ok.key, bytes(row), decoded.error)
+                item = Item(named.ok.key, b"", revision)
+            if item.key.startswith(prefix):
+                items.append(item)
+            else:
+                self._reject(item.key, bytes(row), f"outside the prefix {prefix}")
+        return items
+
+    def _reject(self, name: str, row: bytes, error: str) -> None:
+        self.rejections.add(InputSource.STORE, name, row, error)
 
     async def list(self, prefix: str) -> Result[Batch, StoreFailure]:
         """Read all keys that start with a prefix, page by page."""
         items: list[Item] = []
         revision: Revision | None = None
         after = ""
-        while True:
+        for _ in range(MAX_PAGES):
             target = f"/kv-range?PathPrefix={quote(prefix, safe='')}"
             if after:
                 target += f"&After={quote(after, safe='')}"
@@ -159,10 +225,16 @@
                 return Error(StoreFailure.UNKNOWN)
             if revision is None:
                 revision = Revision(page.revision)
-            items += [row.to_item() for row in page.items]
-            if not page.has_more or not page.items:
+            found = self._items(page.items, prefix, Revision(page.revision))
+            items += found
+            if not page.has_more:
                 return Ok(Batch(items, revision))
-            after = page.items[-1].key
+            if not found or found[-1].key == after:
+                break
+            after = found[-1].key
+        # A listing without its end would make the items there look deleted.
+        self._note_unreadable("list", "the pages of a listing do not end")
+        return Error(StoreFailure.UNKNOWN)
 
     async def watch(
         self, prefix: str, after: Revision, wait_seconds: float
@@ -180,8 +252,8 @@
         answer = self._decode("watch", result.ok, WatchAnswer)
         if answer is None:
             return Error(StoreFailure.UNKNOWN)
-        events = [row.to_item() for row in answer.events]
-        return Ok(Batch(events, Revision(answer.revision)))
+        revision = Revision(answer.revision)
+        return Ok(Batch(self._items(answer.events, prefix, revision), revision))
 
     async def commit(self, transaction: Transaction) -> Result[Revision, CommitFailure]:
         """Apply a transaction atomically; return the revision that it created."""
@@ -205,12 +277,18 @@
             return Error(CommitFailure(result.error))
         if result.ok.status == 404:
             return Error(CommitFailure(StoreFailure.LEASE_ENDED))
+        if result.ok.status == 412:
+            conflict = self._decode("commit", result.ok, ConflictAnswer)
+            if conflict is None:
+                return Error(CommitFailure(StoreFailure.UNKNOWN))
+            rows = self._items(conflict.items, "", Revision(0))
+            found = {i.key: i for i in rows if i.key in transaction.conditions}
+            return Error(CommitFailure(StoreFailure.CONFLICT, found))
+        if 400 <= result.ok.status < 500:
+            return Error(CommitFailure(StoreFailure.REFUSED))
         answer = self._decode("commit", result.ok, CommitAnswer)
         if answer is None:
             return Error(CommitFailure(StoreFailure.UNKNOWN))
-        if result.ok.status == 412:
-            found = {row.key: row.to_item() for row in answer.items}
-            return Error(CommitFailure(StoreFailure.CONFLICT, found))
         return Ok(Revision(answer.revision))
 
     async def grant_lease(self, ttl_seconds: float) -> Result[StoreLease, StoreFailure]:
@@ -235,6 +313,8 @@
             return Error(result.error)
         if result.ok.status == 404:
             return Error(StoreFailure.LEASE_ENDED)
+        if result.ok.status >= 300:
+            return Error(StoreFailure.REFUSED)
         return Ok(None)
 
     async def end_lease(self, lease: StoreLease) -> Result[None, StoreFailure]:
--- a/tests/test_foreign_store_documents.py
+++ b/tests/test_foreign_store_documents.py
@@ -8,12 +8,20 @@
 
 import msgspec
 import pytest
+from expression import Ok
+from prometheus_client import CollectorRegistry
 
+from ebonyhub.clock import SystemClock
+from ebonyhub.cluster.metadata_store import Transaction
+from ebonyhub.http_client import SmallResponse
+from ebonyhub.ids import Revision, StoreLease
+from ebonyhub.metrics import Metrics
 from ebonyhub.platform.config import (
     decode_configuration,
     decode_wave,
     decode_worker,
 )
+from ebonyhub.platform.store import PlatformStore
 from standins.job_platform import demo_configuration
 
 DEEP = b"[" * 100_000 + b"]" * 100_000
@@ -172,3 +180,92 @@
 def test_vm_named_twice_in_a_wave_counts_once():
     wave = decode_wave(encoded(WAVE, Machines=["a", "b", "a"]), "op/wave/3").ok
     assert wave.vms == ("a", "b")
+
+
+def store_with_answer(body, status=200):
+    metrics = Metrics(CollectorRegistry())
+    store = PlatformStore("127.0.0.1:1", SystemClock(), metrics)
+    store.session = RepeatedAnswer(body, status)
+    return store
+
+
+class RepeatedAnswer:
+    """Gives the same answer to each call, up to a limit on the calls of one test."""
+
+    def __init__(self, body, status):
+        self.answer = SmallResponse(status, (), body)
+        self.calls_left = 5000
+
+    async def call(self, *_):
+        self.calls_left -= 1
+        assert self.calls_left, "paging does not end"
+        return Ok(self.answer)
+
+
+SOUND_ROW = b'{"Key":"a/1","Value":"AQ==","Revision":3,"Created":3,"Lease":0}'
+# Rows of which neither key nor value can be used, and rows without a readable value.
+KEYLESS_ROWS = [
+    b'{"Value":"AQ==","Revision":3}', b"7", b'{"Key":7,"Revision":3}',
+    b'{"Key":"a/\xff","Value":"AQ==","Revision":3}', b'{"Key":"b/1","Revision":3}',
+]  # fmt: skip
+VALUELESS_ROWS = [
+    b'{"Key":"a/2","Value":"%","Revision":3}', b'{"Key":"a/2","Value":[],"Revision":3}',
+    b'{"Key":"a/2","Value":"AQ","Revision":3}',
+    b'{"Key":"a/2","Value":"AQ==","Lease":"x","Revision":3}',
+    b'{"Key":"a/2","Revision":-1}', b'{"Key":"a/2","Revision":%d}' % 2**64,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("operation", ["list", "watch"])
+@pytest.mark.parametrize("odd", [*KEYLESS_ROWS, *VALUELESS_ROWS])
+async def test_odd_item_does_not_hide_the_others(odd, operation):
+    """One value that is not base64 made all answers that contain it unusable."""
+    body = b'{"AtRevision":9,"%s":[%s,%s]}'
+    body %= (b"items" if operation == "list" else b"events", odd, SOUND_ROW)
+    store = store_with_answer(body)
+    result = await (
+        store.list("a/") if operation == "list" else store.watch("a/", Revision(1), 0.0)
+    )
+    found = {item.key: item.value for item in result.ok.items}
+    # An item whose value is lost is still there; leaving it out would mean deleted.
+    expected = {"a/2": b""} if odd in VALUELESS_ROWS else {}
+    assert found == {"a/1": b"\x01", **expected}
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        DEEP, b"[]", b'{"AtRevision":-1,"items":[]}', b'{"AtRevision":1,"items":7}',
+        b'{"AtRevision":%d,"items":[]}' % 2**64, b'{"AtRevision":1e400,"items":[]}',
+        b'{"AtRevision":9,"HasMore":true,"items":[%s]}' % SOUND_ROW,
+        b'{"AtRevision":9,"HasMore":true,"items":[]}',
+        b'{"AtRevision":9,"HasMore":true,"items":[7]}',
+        b'{"AtRevision":9,"items":[{"Key":"a/1","Revision":3,"X":%s}]}' % DEEP,
+    ],
+)  # fmt: skip
+async def test_unusable_listing_is_an_error(body):
+    """A page that repeats was requested without end; an empty one ended the list."""
+    assert (await store_with_answer(body).list("a/")).is_error()
+
+
+@pytest.mark.parametrize("status", [200, 400, 403, 500])
+async def test_commit_without_a_revision_has_not_succeeded(status):
+    """Any answer that is an object, also a refusal, was taken as success."""
+    result = await store_with_answer(b"{}", status).commit(Transaction({}))
+    assert result.is_error()
+
+
+@pytest.mark.parametrize("status", [400, 403])
+async def test_refused_renewal_is_an_error(status):
+    store = store_with_answer(b"{}", status)
+    assert (await store.renew_lease(StoreLease(7))).is_error()
+
+
+async def test_item_of_another_key_is_not_the_answer():
+    assert (await store_with_answer(SOUND_ROW).get("a/2")).is_error()
+
+
+@pytest.mark.parametrize("lease", [b"-1", b"0", b"%d" % 2**64, b"[]"])
+async def test_odd_lease_is_an_error(lease):
+    store = store_with_answer(b'{"Lease":%s}' % lease)
+    assert (await store.grant_lease(1.0)).is_error()
