--- a/tests/test_foreign_job_records.py
+++ b/tests/test_foreign_job_records.py
@@ -118,8 +118,9 @@
     [
         b"", b"\xc1", DEEP, b"\x97" + accepted()[1:] + DEEP, accepted(OTHER),
         accepted()[:-2], accepted(queue="q" * 5000), accepted(service=7),
-        accepted(accepted_ms=-1), accepted(max_attempts=2**62), accepted(accepted_ms=2**63),
-        accepted(spec=JobSpec("t", ())), accepted(spec=JobSpec("t", SPEC.steps, -1)),
+        accepted(accepted_ms=-1), accepted(max_attempts=2**62),
+        accepted(accepted_ms=2**63), accepted(spec=JobSpec("t", ())),
+        accepted(spec=JobSpec("t", SPEC.steps, -1)),
         accepted(spec=JobSpec("t", (StepSpec(1, Resources(1, 1), after=(0,)),))),
     ],
 )  # fmt: skip
