Deliver the items of a batch one by one if its handler raises

PrefixWatch set its revision before the handler ran, so the changes of a batch that raised were lost, and the exception ended the watch; six within 30 s ended the process. An item that raises is now left out with event E2504, and a full listing that is not applied is read again.

--- a/src/ebonyhub/cluster/watches.py
+++ b/src/ebonyhub/cluster/watches.py
@@ -2,11 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from ..clock import Clock
+from ..decoding import describe
 from ..events import Event, log_event
 from ..ids import INITIAL_REVISION, Revision
-from .metadata_store import Batch, MetadataStore, StoreFailure
+from ..rejections import InputSource, Rejections
+from .metadata_store import Batch, Item, MetadataStore, StoreFailure
 
 RETRY_DELAY_SECONDS = 0.2
 # Interval at which a watch that is not needed checks whether it is needed again.
@@ -21,6 +24,9 @@
     ``on_batch`` receives each batch and whether it is a full listing. ``pause_seconds``
     between calls limits the cost, since each completed call is billed. ``wait_seconds``
     limits how long a stalled connection can delay a change.
+
+    A handler may receive changes again. An item for which it raises is left out, and
+    the others of the batch are delivered one by one.
     """
 
     def __init__(
@@ -32,6 +38,7 @@
         wait_seconds: float,
         pause_seconds: float = 0.0,
         is_needed: Callable[[], bool] = lambda: True,
+        rejections: Rejections | None = None,
     ) -> None:
         self.store = store
         self.prefix = prefix
@@ -41,6 +48,7 @@
         self.pause_seconds = pause_seconds
         # Returns False while the owner receives the changes from another source.
         self.is_needed = is_needed
+        self.rejections = rejections or Rejections()
         self.revision = INITIAL_REVISION
         self.has_listed = False
         self.synced_at = float("-inf")
@@ -88,7 +96,52 @@
             self.store_reachable = True
             log_event(Event.STORE_RECOVERED, operation="watch", prefix=self.prefix)
         self.synced_at = sent_at
-        full, self.has_listed = not self.has_listed, True
+        full = not self.has_listed
+        if not self._deliver(result.ok, full):
+            return False
+        self.has_listed = True
         self.revision = Revision(max(self.revision, result.ok.revision))
-        self.on_batch(result.ok, full)
         return True
+
+    def _deliver(self, batch: Batch, full: bool) -> bool:
+        """Pass a batch to the handler; return False if it is not applied.
+
+        The revision must not advance past a batch that is not applied, as its changes
+        would be lost.
+        """
+        error = self._try_handler(batch, full)
+        if error is None:
+            return True
+        refused = [item for item in batch.items if not self._deliver_alone(item, batch)]
+        if full:
+            # Only a full listing tells the handler which keys are gone. Those of
+            # refused items are not: they get a value that cannot be read.
+            items = [
+                replace(item, value=b"") if item in refused else item
+                for item in batch.items
+            ]
+            error = self._try_handler(Batch(items, batch.revision), full)
+        elif refused:
+            error = None
+        if error is None:
+            return True
+        self._reject(self.prefix, int(batch.revision), error)
+        return not full
+
+    def _deliver_alone(self, item: Item, batch: Batch) -> bool:
+        error = self._try_handler(Batch([item], batch.revision), False)
+        if error is not None:
+            self._reject(item.key, item.value, error)
+        return error is None
+
+    def _try_handler(self, batch: Batch, full: bool) -> Exception | None:
+        try:
+            self.on_batch(batch, full)
+        except Exception as error:
+            return error
+        return None
+
+    def _reject(self, name: str, value: bytes | int | None, error: Exception) -> None:
+        self.rejections.add(
+            InputSource.BATCH, name, value, describe(error), Event.BATCH_HANDLER_FAILED
+        )
