Check messages of peers by their types, and records before they are stored

inf in a handshake raised OverflowError in the server's task and left the stream open. NaN in a forecast raised when a caller was refused. A forwarded submission was stored unread, and an odd reply raised in the caller's request. A message in the same segment as the handshake waited for the next one.

--- a/src/ebonyhub/cluster/peers.py
+++ b/src/ebonyhub/cluster/peers.py
@@ -13,14 +13,17 @@
 import asyncio
 from contextlib import suppress
 from enum import IntEnum
-from typing import Any, Protocol
+from typing import Annotated, Any, Protocol, get_args
 
 import msgpack
 import msgspec
 from expression import Error, Ok, Result
 
+from ..decoding import DECODE_ERRORS as INPUT_ERRORS
+from ..decoding import Count, Name, describe
 from ..events import Event, log_event
 from ..ids import EntryId
+from ..rejections import InputSource, Rejections
 
 PROTOCOL_VERSION = 2
 HANDSHAKE_LENGTH = 4
@@ -34,10 +37,7 @@
 # A stream whose peer does not read is closed once its send buffer exceeds this size.
 MAX_SEND_BUFFER_BYTES = 8 * 1024 * 1024
 # Exceptions raised while decoding or handling a message that violates the protocol.
-DECODE_ERRORS = (
-    msgpack.UnpackException, msgspec.MsgspecError, ValueError, TypeError, LookupError,
-    AttributeError,
-)  # fmt: skip
+DECODE_ERRORS = (msgpack.UnpackException, *INPUT_ERRORS)
 
 
 class MessageKind(IntEnum):
@@ -72,6 +72,26 @@
 StoredRecord = tuple[str, int, bytes]
 
 
+Key = Annotated[str, msgspec.Meta(max_length=1024)]
+JobStateNumber = Annotated[int, msgspec.Meta(ge=0, le=4)]
+Status = Annotated[int, msgspec.Meta(ge=0, le=255)]
+Cores = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
+
+# The elements of each message after its kind; further elements are ignored.
+MESSAGE_TYPES: dict[int, Any] = {
+    MessageKind.PING: tuple[()],
+    MessageKind.RECORDS: tuple[list[tuple[Key, Count, bytes]]],
+    MessageKind.CALL: tuple[Count, Name, Any],
+    MessageKind.REPLY: tuple[Count, Status, Any],
+    MessageKind.LEADER: tuple[Count, bytes],
+    MessageKind.STATES: tuple[
+        Count, list[tuple[Name, Name, bool, JobStateNumber]], bool
+    ],
+    MessageKind.FORECASTS: tuple[list[Any]],
+}
+HANDSHAKE_TYPE = tuple[Count, Name, Count, Cores]
+
+
 class PeerMessageHandler(Protocol):
     """Handles the messages that arrive on peer streams."""
 
@@ -104,10 +124,14 @@
     """One connection between two entries."""
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        rejections: Rejections,
     ) -> None:
         self.reader = reader
         self.writer = writer
+        self.rejections = rejections
         self.unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
         self.last_sequence = 0
         self.pending_replies: dict[int, asyncio.Future[tuple[int, Any]]] = {}
@@ -144,17 +168,18 @@
         pings = asyncio.create_task(self._send_pings())
         try:
             while True:
+                # Messages may have arrived together with the handshake.
+                for message in self.unpacker:
+                    self._handle(message, handler)
                 async with asyncio.timeout(READ_TIMEOUT_SECONDS):
                     data = await self.reader.read(65536)
                 if not data:
                     return
                 self.unpacker.feed(data)
-                for message in self.unpacker:
-                    if not isinstance(message, list):
-                        raise ValueError("peer message is not an array")
-                    self._handle(message, handler)
-        except (OSError, TimeoutError, *DECODE_ERRORS) as error:
+        except (OSError, TimeoutError) as error:
             log_event(Event.PEER_STREAM_FAILED, error=repr(error))
+        except Exception as error:
+            self.reject(error)
         finally:
             pings.cancel()
             self.close()
@@ -163,35 +188,54 @@
         while self.send([MessageKind.PING]):
             await asyncio.sleep(PING_INTERVAL_SECONDS)
 
-    def _handle(self, message: list[Any], handler: PeerMessageHandler) -> None:
-        kind = message[0]
+    def reject(self, error: Exception) -> None:
+        """Count and log input that this stream cannot use."""
+        peer = self.writer.get_extra_info("peername")
+        text = describe(error)
+        self.rejections.add(
+            InputSource.PEER, str(peer[0] if peer else ""), hash(text), text,
+            Event.PEER_STREAM_FAILED,
+        )  # fmt: skip
+
+    def _handle(self, message: Any, handler: PeerMessageHandler) -> None:
+        """Handle one message; raises one of DECODE_ERRORS if it is malformed."""
+        kind, *fields = msgspec.convert(message, list[Any])
+        # A kind of a later version is ignored.
+        fields_type = MESSAGE_TYPES.get(msgspec.convert(kind, Status))
+        if fields_type is None:
+            return
+        # Without ``builtin_types`` a text counts as bytes in base64.
+        values = msgspec.convert(
+            fields[: len(get_args(fields_type))], fields_type, builtin_types=(bytes,)
+        )
         if kind == MessageKind.RECORDS:
-            handler.on_peer_records([(row[0], row[1], row[2]) for row in message[1]])
+            handler.on_peer_records(values[0])
         elif kind == MessageKind.CALL:
-            task = asyncio.create_task(self._answer_call(handler, message))
+            task = asyncio.create_task(self._answer_call(handler, *values))
             self.call_tasks.add(task)
             task.add_done_callback(self.call_tasks.discard)
         elif kind == MessageKind.REPLY:
-            future = self.pending_replies.pop(message[1], None)
+            sequence, status, payload = values
+            future = self.pending_replies.pop(sequence, None)
             if future is not None and not future.done():
-                future.set_result((message[2], message[3]))
+                future.set_result((status, payload))
         elif kind == MessageKind.STATES:
-            handler.on_peer_states(message[1], message[2], message[3])
+            # The checked rows are passed on as the lists that arrived.
+            handler.on_peer_states(values[0], fields[1], values[2])
         elif kind == MessageKind.FORECASTS:
-            handler.on_peer_forecasts(message[1])
+            handler.on_peer_forecasts(values[0])
         elif kind == MessageKind.LEADER:
-            handler.on_peer_leader(message[1], message[2])
+            handler.on_peer_leader(*values)
 
     async def _answer_call(
-        self, handler: PeerMessageHandler, message: list[Any]
+        self, handler: PeerMessageHandler, sequence: int, method: str, argument: Any
     ) -> None:
         try:
-            _, sequence, method, argument = message
             status, payload = await handler.on_peer_call(method, argument)
             self.send([MessageKind.REPLY, sequence, status, payload])
-        except DECODE_ERRORS as error:
+        except Exception as error:
             # No reply is sent, so the call times out with an unknown outcome.
-            log_event(Event.PEER_STREAM_FAILED, error=repr(error))
+            self.reject(error)
 
     async def call(
         self, method: str, argument: Any
@@ -226,7 +270,12 @@
 
 
 async def connect(
-    address: str, port: int, entry: EntryId, started_ms: int, effective_cores: float
+    address: str,
+    port: int,
+    entry: EntryId,
+    started_ms: int,
+    effective_cores: float,
+    rejections: Rejections | None = None,
 ) -> Result[PeerStream, OSError]:
     """Open a stream to another entry and send the handshake."""
     try:
@@ -234,7 +283,7 @@
             reader, writer = await asyncio.open_connection(address, port)
     except OSError as error:
         return Error(error)
-    stream = PeerStream(reader, writer)
+    stream = PeerStream(reader, writer, rejections or Rejections())
     stream.send([PROTOCOL_VERSION, entry, started_ms, effective_cores])
     return Ok(stream)
 
@@ -242,7 +291,14 @@
 class PeerServer:
     """Accepts streams from other entries."""
 
-    def __init__(self, ip: str, port: int, handler: PeerMessageHandler) -> None:
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        handler: PeerMessageHandler,
+        rejections: Rejections | None = None,
+    ) -> None:
+        self.rejections = rejections or Rejections()
         self.ip = ip
         self.port = port
         self.handler = handler
@@ -259,20 +315,22 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        stream = PeerStream(reader, writer)
+        stream = PeerStream(reader, writer, self.rejections)
         try:
             async with asyncio.timeout(READ_TIMEOUT_SECONDS):
                 handshake = await self._read_handshake(stream)
-                stream.peer_started_ms = int(handshake[2])
-                stream.peer_effective_cores = float(handshake[3])
-        except (OSError, TimeoutError, *DECODE_ERRORS) as error:
+            version, _, started_ms, cores = handshake
+            if version != PROTOCOL_VERSION:
+                raise ValueError(f"protocol {version}")
+        except (OSError, TimeoutError) as error:
             log_event(Event.PEER_STREAM_FAILED, error=repr(error))
             stream.close()
             return
-        if handshake[0] != PROTOCOL_VERSION:
-            log_event(Event.PEER_STREAM_FAILED, error=f"protocol {handshake[0]}")
+        except DECODE_ERRORS as error:
+            stream.reject(error)
             stream.close()
             return
+        stream.peer_started_ms, stream.peer_effective_cores = started_ms, cores
         self.streams.add(stream)
         if self.leader is not None:
             stream.send([MessageKind.LEADER, *self.leader])
@@ -284,16 +342,17 @@
         finally:
             self.streams.discard(stream)
 
-    async def _read_handshake(self, stream: PeerStream) -> list[Any]:
+    async def _read_handshake(self, stream: PeerStream) -> tuple[int, str, int, float]:
         while True:
             data = await stream.reader.read(4096)
             if not data:
                 raise ConnectionResetError("closed before the handshake")
             stream.unpacker.feed(data)
             for message in stream.unpacker:
-                if not isinstance(message, list) or len(message) < HANDSHAKE_LENGTH:
-                    raise ValueError("first message is not a handshake")
-                return message
+                elements = msgspec.convert(message, list[Any])[:HANDSHAKE_LENGTH]
+                handshake: tuple[int, str, int, float]
+                handshake = msgspec.convert(elements, HANDSHAKE_TYPE)
+                return handshake
 
     def broadcast(self, message: list[Any]) -> None:
         """Send a message on every accepted stream, encoding it only once."""
--- a/src/ebonyhub/entry/job_service.py
+++ b/src/ebonyhub/entry/job_service.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import msgspec
-from expression import Result
+from expression import Error, Ok, Result
 
 from ..clock import Clock
 from ..cluster.metadata_store import (
@@ -24,11 +24,13 @@
 from ..cluster.mirror import JobMirror
 from ..cluster.peers import PeerFailure
 from ..configuration import Queue
+from ..decoding import DECODE_ERRORS, Name, try_convert, try_decode
 from ..errors import ErrorKind
 from ..events import Event, log_event
 from ..ids import JobId, QueueName, Revision
 from ..jobs.model import AcceptedJob, JobSpec
 from ..jobs.records import JobState, accepted_key, cancelled_key, progress_key
+from ..jobs.validation import accepted_problem, is_job_id
 from ..metrics import Metrics
 from ..scheduling.overload import ForecastCache, retry_after_seconds
 
@@ -36,6 +38,8 @@
 # unfinished jobs go to the store, or to a peer if store calls fail.
 MAX_STALENESS_SECONDS = 2.5
 
+_decode_accepted = msgspec.msgpack.Decoder(AcceptedJob).decode
+
 PeerCall = Callable[[str, Any], Awaitable[Result[tuple[int, Any], PeerFailure]]]
 
 
@@ -52,6 +56,8 @@
 ACCEPTED = JobAnswer(JobState.QUEUED)
 NOT_FOUND = JobAnswer(error=ErrorKind.UNKNOWN_JOB)
 NOT_STORED = JobAnswer(error=ErrorKind.STORE_UNAVAILABLE)
+# The records of the job cannot be used; another entry would read the same ones.
+UNREADABLE = JobAnswer(error=ErrorKind.STORE_UNAVAILABLE)
 OUTCOME_UNKNOWN = JobAnswer(error=ErrorKind.STORE_OUTCOME_UNKNOWN)
 
 
@@ -196,7 +202,12 @@
                 self.on_records([found.ok])
             elif key == accepted_key(job_id):
                 return NOT_FOUND
-        return JobAnswer(self.mirror.jobs[job_id].visible_state)
+        job = self.mirror.jobs.get(job_id)
+        if job is None or not job.is_accepted:
+            return UNREADABLE
+        if job.progress_unreadable and not job.state.is_final:
+            return UNREADABLE
+        return JobAnswer(job.visible_state)
 
     def waiting_count(self, queue: QueueName) -> int:
         """Return the number of accepted jobs in a queue with no task started yet."""
@@ -222,14 +233,20 @@
     # Calls forwarded by peers
 
     async def handle_peer_call(self, method: str, argument: Any) -> tuple[int, Any]:
-        """Carry out a call that a peer forwarded; it is never forwarded again."""
-        job_id = JobId(argument[0])
+        """Carry out a call that a peer forwarded; it is never forwarded again.
+
+        Raises ValueError if the call is malformed.
+        """
+        call = decode_peer_call(method, argument)
+        if call.is_error():
+            raise ValueError(call.error)
+        job_id, value = call.ok
         if self.store.failing and method != "read":
             return encode_peer_answer(NOT_STORED)
         if method == "submit":
             if self._is_accepted(job_id):
                 return encode_peer_answer(ACCEPTED)
-            return encode_peer_answer(await self.store_submission(job_id, argument[1]))
+            return encode_peer_answer(await self.store_submission(job_id, value))
         if method == "cancel":
             return encode_peer_answer(await self.store_cancellation(job_id))
         state = self.mirror.confirmed_state(job_id)
@@ -250,7 +267,31 @@
 
 
 def decode_peer_answer(status: int, payload: Any) -> JobAnswer:
-    """Decode a peer's reply; raises ValueError if the payload is unknown."""
-    if status == 1:
-        return JobAnswer(error=ErrorKind(payload))
-    return JobAnswer(JobState(payload))
+    """Decode a peer's reply; one that cannot be read leaves the outcome unknown."""
+    try:
+        if status == 1:
+            return JobAnswer(error=ErrorKind(payload))
+        return JobAnswer(JobState(payload))
+    except DECODE_ERRORS:
+        return OUTCOME_UNKNOWN
+
+
+def decode_peer_call(method: str, argument: Any) -> Result[tuple[JobId, bytes], str]:
+    """Return the job and the record, if any, of a call that a peer forwarded.
+
+    The record is checked, since the next leader reads it from the store.
+    """
+    arguments = argument
+    if method != "submit" and isinstance(argument, list):
+        arguments = [*argument, b""]
+    decoded = try_convert(arguments, tuple[Name, bytes])
+    if decoded.is_error():
+        return Error(decoded.error)
+    job_id, value = JobId(decoded.ok[0]), decoded.ok[1]
+    if method not in ("submit", "cancel", "read") or not is_job_id(job_id):
+        return Error(f"unknown call {method[:40]!r} or invalid job id")
+    if method != "submit":
+        return Ok((job_id, value))
+    record = try_decode(_decode_accepted, value)
+    problem = accepted_problem(record.ok, job_id) if record.is_ok() else record.error
+    return Ok((job_id, value)) if problem is None else Error(problem)
--- a/src/ebonyhub/scheduling/overload.py
+++ b/src/ebonyhub/scheduling/overload.py
@@ -13,11 +13,15 @@
 """
 
 from bisect import bisect_left
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 from math import ceil, inf
+from typing import Annotated, Any
+
+import msgspec
 
 from ..configuration import Queue
+from ..decoding import try_convert
 from ..ids import ServiceName
 from ..jobs.model import JobSpec
 
@@ -143,8 +147,20 @@
         return usefulness_overrun_seconds(queue, spec, forecast)
 
 
+# NaN and infinite values are refused: they cannot be rounded to a retry time.
+Amount = Annotated[float, msgspec.Meta(ge=-1e300, le=1e300)]
 # Service, cores, started, waiting, late and free CPU, as in ``Forecast``.
-ForecastRow = tuple[ServiceName, float, float, Sequence[float], float, int]
+ForecastRow = tuple[
+    Annotated[ServiceName, msgspec.Meta(max_length=256)],
+    Amount,
+    Amount,
+    Annotated[
+        tuple[Amount, ...],
+        msgspec.Meta(min_length=len(SIZE_CLASSES), max_length=len(SIZE_CLASSES)),
+    ],
+    Amount,
+    int,
+]
 
 
 def encode_forecasts(forecasts: dict[ServiceName, Forecast]) -> list[ForecastRow]:
@@ -159,14 +175,12 @@
     ]
 
 
-def decode_forecasts(rows: Iterable[ForecastRow]) -> dict[ServiceName, Forecast]:
-    """Return the forecasts of a message; raises TypeError or ValueError."""
-    forecasts: dict[ServiceName, Forecast] = {}
-    for service, cores, started, waiting, late, free_cpu in rows:
-        if len(waiting) != len(SIZE_CLASSES):
-            raise ValueError("forecast row has an unexpected number of size classes")
-        waiting_work = tuple(float(value) for value in waiting)
-        forecasts[ServiceName(service)] = Forecast(
-            float(cores), float(started), waiting_work, float(late), int(free_cpu)
-        )
-    return forecasts
+def decode_forecasts(rows: Any) -> dict[ServiceName, Forecast]:
+    """Return the forecasts of a message; raises ValueError."""
+    decoded = try_convert(rows, list[ForecastRow])
+    if decoded.is_error():
+        raise ValueError(decoded.error)
+    return {
+        service: Forecast(cores, started, waiting, late, free_cpu)
+        for service, cores, started, waiting, late, free_cpu in decoded.ok
+    }
