Replace a leader key that cannot be read, and leave out odd addresses of entries

An undecodable key under eb/n/ ended the cluster watch, and a port out of range the search for the leader, each time they were read, so that the process ended. A leader key that cannot be read is treated as that of an ended process and replaced at its revision. The handlers of operators' documents and peers' calls decode by types, too.

--- a/src/ebonyhub/cluster/leadership.py
+++ b/src/ebonyhub/cluster/leadership.py
@@ -6,11 +6,13 @@
 """
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 from expression import Error, Ok, Result
 
 from ..clock import Clock
+from ..decoding import Count, Name, try_decode
 from ..events import Event, log_event
 from ..ids import EntryId, LeaderToken, Revision, StoreLease
 from .metadata_store import (
@@ -35,10 +37,13 @@
 class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
     """Value stored under the leader key."""
 
-    entry: EntryId
-    address: str
+    entry: Annotated[EntryId, msgspec.Meta(max_length=256)]
+    address: Name
     # Start of the leader's process, in ms since the Unix epoch.
-    started_ms: int
+    started_ms: Count
+
+
+_decode_leader_record = msgspec.msgpack.Decoder(LeaderRecord).decode
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,11 +68,25 @@
         return not self.ended and now < self.valid_until
 
 
+# Stands for a leader key that cannot be read. No entry has this address, so the key is
+# replaced like that of a leader whose process has ended.
+UNREADABLE_LEADER = LeaderRecord(EntryId(""), "", 0)
+
+
+def decode_leader_record(value: bytes) -> Result[LeaderRecord, str]:
+    """Decode a value of the leader key; the error is a text for the log."""
+    return try_decode(_decode_leader_record, value)
+
+
 def decode_leader(item: Item | None) -> Leader | None:
-    """Decode the value of the leader key; None if the key is absent or deleted."""
+    """Decode the leader key; None if the key is absent or deleted.
+
+    A key that cannot be read still has a revision, which a successor must name.
+    """
     if item is None or item.value is None:
         return None
-    record = msgspec.msgpack.decode(item.value, type=LeaderRecord)
+    decoded = decode_leader_record(item.value)
+    record = decoded.ok if decoded.is_ok() else UNREADABLE_LEADER
     return Leader(record, item.revision)
 
 
--- a/src/ebonyhub/entry/leadership_manager.py
+++ b/src/ebonyhub/entry/leadership_manager.py
@@ -19,6 +19,7 @@
     LeaderRecord,
     Term,
     decode_leader,
+    decode_leader_record,
 )
 from ..cluster.metadata_store import (
     ABSENT,
@@ -38,10 +39,12 @@
     connect,
 )
 from ..cluster.watches import PrefixWatch
+from ..decoding import parse_address
 from ..events import Event, log_event
 from ..ids import EntryId, Revision
 from ..jobs.records import JOB_PREFIX, PROGRESS_PREFIX
 from ..node_settings import NodeSettings
+from ..rejections import InputSource
 from ..scheduling.controller import Controller
 
 CLUSTER_PREFIX = "eb/n/"
@@ -95,7 +98,9 @@
         started_ms = int(clock.wall() * 1000)
         self.record = LeaderRecord(settings.entry, address, started_ms)
         self.election = LeaderElection(store, clock, self.record)
-        self.peer_server = PeerServer(settings.ip, settings.peer_port, peer_handler)
+        self.peer_server = PeerServer(
+            settings.ip, settings.peer_port, peer_handler, mirror.rejections
+        )
         # Peer listener addresses of all entries, as registered in the store.
         self.entry_addresses: dict[EntryId, str] = {}
         self.leader: Leader | None = None
@@ -107,8 +112,9 @@
         self.takeover_task: asyncio.Task[None] | None = None
         self.stopping = False
         self.watch = PrefixWatch(
-            store, CLUSTER_PREFIX, clock, self.on_cluster_batch, WATCH_TIMEOUT_SECONDS
-        )
+            store, CLUSTER_PREFIX, clock, self.on_cluster_batch, WATCH_TIMEOUT_SECONDS,
+            rejections=mirror.rejections,
+        )  # fmt: skip
 
     def leader_name(self) -> str:
         """Return the leader's entry id for display, "nobody" if there is none."""
@@ -118,17 +124,45 @@
         """Apply changes of the leader key and of the entries' addresses."""
         items = {item.key: item for item in batch.items}
         if full or LEADER_KEY in items:
-            self.update_leader(items.get(LEADER_KEY))
+            self._apply_leader_key(items.get(LEADER_KEY))
         for key, item in items.items():
             if key.startswith(ENTRY_ADDRESS_PREFIX):
-                entry = EntryId(key.removeprefix(ENTRY_ADDRESS_PREFIX))
-                if item.value is None:
-                    self.entry_addresses.pop(entry, None)
-                else:
-                    self.entry_addresses[entry] = item.value.decode()
+                self._apply_entry_address(key, item)
+
+    def _apply_leader_key(self, item: Item | None) -> None:
+        self.update_leader(item)
+        if item is None or item.value is None:
+            return
+        decoded = decode_leader_record(item.value)
+        if decoded.is_error():
+            # Not passed on: peers close a stream on which it arrives.
+            self.peer_server.leader = None
+            self.mirror.rejections.add(
+                InputSource.LEADER, item.key, item.value, decoded.error
+            )
+
+    def _apply_entry_address(self, key: str, item: Item) -> None:
+        entry = EntryId(key.removeprefix(ENTRY_ADDRESS_PREFIX))
+        self.entry_addresses.pop(entry, None)
+        if item.value is None:
+            return
+        address = item.value.decode("ascii", errors="replace")
+        parsed = parse_address(address)
+        if parsed.is_error():
+            self.mirror.rejections.add(
+                InputSource.ENTRY_ADDRESS, key, item.value, parsed.error
+            )
+            return
+        self.entry_addresses[entry] = address
 
     def on_peer_leader(self, revision: int, value: bytes) -> None:
-        """Apply the leader key that a peer sent if it is newer than the one here."""
+        """Apply the leader key that a peer sent if it is newer than the one here.
+
+        Raises ValueError if it cannot be read.
+        """
+        decoded = decode_leader_record(value)
+        if decoded.is_error():
+            raise ValueError(decoded.error)
         if revision > self.newest_leader_revision:
             self.update_leader(Item(LEADER_KEY, value, Revision(revision)))
 
@@ -210,10 +244,14 @@
         await self._run_stream(opened.ok, FALLBACK_PEER_SECONDS)
 
     async def _connect(self, address: str) -> Result[PeerStream, OSError]:
-        host, _, port = address.rpartition(":")
+        parsed = parse_address(address)
+        if parsed.is_error():
+            # Nothing can listen on such an address.
+            return Error(ConnectionRefusedError(parsed.error))
+        host, port = parsed.ok
         return await connect(
-            host, int(port), self.settings.entry, self.record.started_ms,
-            self.settings.effective_cores,
+            host, port, self.settings.entry, self.record.started_ms,
+            self.settings.effective_cores, self.mirror.rejections,
         )  # fmt: skip
 
     async def _run_stream(self, stream: PeerStream, max_seconds: float | None) -> None:
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -14,6 +14,7 @@
 from ..cluster.peers import MessageKind, StoredRecord
 from ..cluster.watches import PrefixWatch
 from ..configuration import Configuration
+from ..decoding import Count, try_convert
 from ..events import Event, log_event
 from ..fleet.model import Wave
 from ..ids import JobId, Revision, WaveId
@@ -30,6 +31,7 @@
     decode_wave,
 )
 from ..platform.store import PlatformStore
+from ..rejections import InputSource, Rejections
 from ..scheduling.controller import Controller
 from ..scheduling.overload import ForecastCache, decode_forecasts, encode_forecasts
 from ..servers import HttpServer, build_server, run_server
@@ -72,7 +74,9 @@
         self.rng = random.Random(seed)
         self.metrics = Metrics(CollectorRegistry())
         self.store = PlatformStore(settings.store_address, self.clock, self.metrics)
-        self.mirror = JobMirror()
+        self.rejections = Rejections(self.metrics, self.clock)
+        self.store.rejections = self.rejections
+        self.mirror = JobMirror(self.rejections)
         self.forecast_cache = ForecastCache()
         self.configuration: Configuration | None = None
         self.waves: dict[WaveId, Wave] = {}
@@ -98,11 +102,12 @@
         self.status_server = self.build_status_server()
         self.operator_watch = PrefixWatch(
             self.store, OPERATOR_PREFIX, self.clock, self.on_operator_batch,
-            WATCH_TIMEOUT_SECONDS,
+            WATCH_TIMEOUT_SECONDS, rejections=self.rejections,
         )  # fmt: skip
         self.job_watch = PrefixWatch(
             self.store, JOB_PREFIX, self.clock, self.on_job_batch,
             JOB_WATCH_TIMEOUT_SECONDS, JOB_WATCH_PAUSE_SECONDS, self.needs_job_watch,
+            self.rejections,
         )  # fmt: skip
         # When this entry last received states from a leader, in monotonic seconds.
         self.states_received_at = self.clock.monotonic()
@@ -170,9 +175,11 @@
 
     def apply_wave(self, key: str, value: bytes) -> None:
         """Apply a maintenance wave; one that cannot be decoded is logged."""
-        decoded = decode_wave(value)
+        decoded = decode_wave(value, key)
         if decoded.is_error():
-            log_event(Event.DOCUMENT_REJECTED, name=key, error=decoded.error)
+            self.rejections.add(
+                InputSource.WAVE, key, value, decoded.error, Event.DOCUMENT_REJECTED
+            )
             return
         self.waves[decoded.ok.wave_id] = decoded.ok
         if self.leadership.controller is not None:
@@ -181,8 +188,13 @@
     def apply_configuration(self, value: bytes) -> None:
         """Apply a configuration unless it is not newer than the current one."""
         decoded = decode_configuration(value)
+        problems = [decoded.error] if decoded.is_error() else decoded.ok.rejected_rows
+        for problem in problems:
+            self.rejections.add(
+                InputSource.CONFIGURATION, CONFIG_KEY, hash((value, problem)), problem,
+                Event.DOCUMENT_REJECTED,
+            )  # fmt: skip
         if decoded.is_error():
-            log_event(Event.DOCUMENT_REJECTED, name=CONFIG_KEY, error=decoded.error)
             return
         newest = self.configuration
         if newest is not None and decoded.ok.version <= newest.version:
@@ -287,8 +299,9 @@
 
     def on_peer_forecasts(self, rows: list[Any]) -> None:
         """Apply the leader's backlog forecasts unless this entry leads."""
+        forecasts = decode_forecasts(rows)
         if self.leadership.term is None:
-            self.forecast_cache.update(decode_forecasts(rows), self.clock.monotonic())
+            self.forecast_cache.update(forecasts, self.clock.monotonic())
 
     def initial_states_message(self) -> list[Any] | None:
         """Return the full states message, or None if this entry does not lead."""
@@ -308,7 +321,10 @@
     async def on_peer_call(self, method: str, argument: Any) -> tuple[int, Any]:
         """Carry out a call that a peer forwarded."""
         if method == TAKE_OVER_METHOD:
-            return await self.leadership.take_over(Revision(argument))
+            revision = try_convert(argument, Count)
+            if revision.is_error():
+                raise ValueError(revision.error)
+            return await self.leadership.take_over(Revision(revision.ok))
         return await self.service.handle_peer_call(method, argument)
 
     def on_peer_leader(self, revision: int, value: bytes) -> None:
