Begin a wave anew, and late, if its stored progress cannot be read

A record under eb/w/ that could not be decoded, or a key that is no number, ended the task of the fleet and with it the term. The wave now waits until requests of earlier leaders cannot be carried out any more, so that it stays within its limit.

--- a/src/ebonyhub/fleet/changes.py
+++ b/src/ebonyhub/fleet/changes.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 
 from ..ids import PoolName, VmId, WaveId, WorkerId
 from .model import Vm, Wave
@@ -64,6 +65,8 @@
     # VMs for which this leader or an earlier one may have requested maintenance.
     ordered: set[VmId] = field(default_factory=set)
     completed: bool = False
+    # Monotonic seconds before which no maintenance of the wave is planned.
+    not_before: float = -inf
 
     def long_running_vms_are_due(self, now: float) -> bool:
         """Return whether maintenance of VMs with long-running tasks must start now."""
--- a/src/ebonyhub/fleet/controller.py
+++ b/src/ebonyhub/fleet/controller.py
@@ -7,12 +7,14 @@
 
 from ..clock import Clock
 from ..cluster.leadership import LEADER_KEY, Term
-from ..cluster.metadata_store import ABSENT, MetadataStore, Transaction, Write
+from ..cluster.metadata_store import ABSENT, Item, MetadataStore, Transaction, Write
 from ..configuration import Configuration
+from ..decoding import try_decode
 from ..events import Event, log_event
 from ..ids import PoolName, Revision, VmId, WaveId, WorkerId
 from ..platform.cloud import CloudClient, CloudFailure
-from ..platform.config import encode_wave_status
+from ..platform.config import encode_wave_status, wave_number
+from ..rejections import InputSource, Rejections
 from .changes import VmChange
 from .demand import Demand
 from .model import FleetLoad, Vm, Wave
@@ -25,6 +27,9 @@
 # Prefix of the keys that hold the progress of each wave.
 WAVE_PROGRESS_PREFIX = "eb/w/"
 
+# Time after which a request that got no answer is not carried out any more.
+LATE_REQUEST_SECONDS = 12.0
+
 _RETRYABLE = frozenset({CloudFailure.REFUSED, CloudFailure.UNKNOWN})
 
 LoadReader = Callable[[], FleetLoad]
@@ -41,6 +46,9 @@
     ordered: set[VmId]
 
 
+_decode_wave_progress = msgspec.msgpack.Decoder(WaveProgress).decode
+
+
 class FleetController:
     """Moves and maintenance of VMs during one term of leadership."""
 
@@ -55,6 +63,7 @@
         on_cordoned: Callable[[set[VmId]], None],
         on_vms_listed: Callable[[list[Vm]], None],
         has_silent_worker: Callable[[], bool],
+        rejections: Rejections | None = None,
     ) -> None:
         self.term = term
         self.store = store
@@ -67,6 +76,7 @@
         # Whether a worker with runs does not answer; the VM list is then read earlier,
         # since the state of its VM may show that the runs have ended.
         self.has_silent_worker = has_silent_worker
+        self.rejections = rejections or Rejections()
         self.planner = FleetPlanner()
         self.next_list_at = 0.0
         self.listed_at = 0.0
@@ -111,14 +121,35 @@
                 break
             await asyncio.sleep(PLAN_INTERVAL_SECONDS)
         for item in listed.ok.items:
-            self.revisions[item.key] = item.revision
-            wave = WaveId(int(item.key.removeprefix(WAVE_PROGRESS_PREFIX)))
-            state = self.planner.waves.get(wave)
-            if state is not None and item.value is not None:
-                record = msgspec.msgpack.decode(item.value, type=WaveProgress)
-                now = self.clock.monotonic()
-                self.planner.resume_wave(wave, record.begun, record.ordered, now)
-                self.stored_progress[wave] = record
+            self._resume_wave(item)
+
+    def _resume_wave(self, item: Item) -> None:
+        """Resume a wave from its stored progress.
+
+        If that cannot be read, the wave begins anew once requests of earlier leaders
+        cannot be carried out any more; the cloud repeats no maintenance of a wave.
+        """
+        self.revisions[item.key] = item.revision
+        wave = wave_number(item.key, WAVE_PROGRESS_PREFIX)
+        if wave is None:
+            self._reject(item, "the key names no wave")
+            return
+        state = self.planner.waves.get(wave)
+        if state is None or item.value is None:
+            return
+        now = self.clock.monotonic()
+        decoded = try_decode(_decode_wave_progress, item.value)
+        if decoded.is_error():
+            self._reject(item, decoded.error)
+            state.not_before = now + LATE_REQUEST_SECONDS
+            return
+        vms = set(state.wave.vms)
+        record = WaveProgress(decoded.ok.begun & vms, decoded.ok.ordered & vms)
+        self.planner.resume_wave(wave, set(record.begun), set(record.ordered), now)
+        self.stored_progress[wave] = record
+
+    def _reject(self, item: Item, error: str) -> None:
+        self.rejections.add(InputSource.WAVE, item.key, item.value, error)
 
     async def _plan_once(self) -> None:
         now = self.clock.monotonic()
@@ -209,6 +240,9 @@
         """Store the progress of the waves, and their status for operators."""
         for wave, state in self.planner.waves.items():
             record = WaveProgress(set(state.begun), set(state.ordered))
+            if self.clock.monotonic() < state.not_before:
+                # A successor has to wait, too, so the unreadable record stays.
+                continue
             if state.completed or self.stored_progress.get(wave) == record:
                 continue
             rows = [(f"{WAVE_PROGRESS_PREFIX}{wave}", msgspec.msgpack.encode(record))]
--- a/src/ebonyhub/fleet/waves.py
+++ b/src/ebonyhub/fleet/waves.py
@@ -70,7 +70,7 @@
     def plan(self, targets: dict[PoolName, PoolTarget], now: float) -> None:
         """Cordon the VMs whose maintenance may begin."""
         for state in self.waves.values():
-            if state.completed:
+            if state.completed or now < state.not_before:
                 continue
             remaining = [
                 self.state.vms[vm]
--- a/src/ebonyhub/platform/config.py
+++ b/src/ebonyhub/platform/config.py
@@ -30,7 +30,7 @@
 
 # The id goes into a header of each call to the worker.
 _WORKER_ID = re.compile(r"[!-.0-~]{1,128}")
-_WAVE_NUMBER = re.compile(r"[0-9]{1,16}")
+_WAVE_NUMBER = re.compile(r"0|[1-9][0-9]{0,15}")
 
 # Sums and differences of amounts must fit into the 64 bits of msgpack. JSON writers
 # may send whole numbers as 8000.0.
