--- a/src/ebonyhub/config_store.py
+++ b/src/ebonyhub/config_store.py
@@ -11,6 +11,7 @@
 from expression import Error, Ok, Result
 
 from .clock import Clock
+from .decoding import DECODE_ERRORS, describe
 from .documents import (
     CONFIG,
     Document,
@@ -94,8 +95,8 @@
         body: dict[str, Any] = msgspec.convert(document.body, dict[str, Any])
         declared = declared_from_builtins(body.get("resources", []))
         audit = msgspec.convert(body.get("audit", []), tuple[AuditRecord, ...])
-    except msgspec.ValidationError as error:
-        return Error(str(error))
+    except DECODE_ERRORS as error:
+        return Error(describe(error))
     return Ok(ConfigSnapshot(document.generation, declared, audit))
 
 
--- a/src/ebonyhub/documents.py
+++ b/src/ebonyhub/documents.py
@@ -7,6 +7,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from .decoding import DECODE_ERRORS, describe
 from .ids import ChangeId, EntryId, Generation
 
 # Limit of a decompressed document; protects against corrupt or malicious values.
@@ -43,8 +44,8 @@
         if decompressor.unconsumed_tail:
             return Error(f"body exceeds {MAX_BODY_BYTES} bytes")
         return Ok(msgspec.convert(msgpack.unpackb(packed), Document))
-    except (zlib.error, ValueError, msgspec.ValidationError) as error:
-        return Error(str(error))
+    except (zlib.error, msgpack.UnpackException, *DECODE_ERRORS) as error:
+        return Error(describe(error))
 
 
 class LatestDocument:
--- a/src/ebonyhub/store.py
+++ b/src/ebonyhub/store.py
@@ -20,6 +20,7 @@
 ABSENT = StoreVersion(0)
 # Limit of the store.
 MAX_VALUE_BYTES = 1_000_000
+MAX_VERSION_DIGITS = 18
 
 
 class StoreError(Enum):
@@ -125,7 +126,8 @@
             return Error(store_error_of_write(result.error))
         match result.ok.status:
             case 200:
-                return Ok(version_from_header(result.ok))
+                version = version_from_header(result.ok)
+                return Error(StoreError.UNKNOWN) if version is None else Ok(version)
             case 409 | 412:
                 return Error(StoreError.CONFLICT)
             case _:
@@ -153,7 +155,10 @@
             return Error(store_error_of_write(result.error))
         if result.ok.status != 200:
             return Error(StoreError.UNAVAILABLE)
-        return Ok(LeaseId(result.ok.body.decode()))
+        try:
+            return Ok(LeaseId(result.ok.body.decode("ascii")))
+        except UnicodeDecodeError:
+            return Error(StoreError.UNKNOWN)
 
     async def renew_lease(self, lease: LeaseId) -> Result[None, StoreError]:
         """Extend a lease; NOT_FOUND if it has expired."""
@@ -170,9 +175,12 @@
     return StoreError.UNKNOWN if error.any_bytes_written else StoreError.UNAVAILABLE
 
 
-def version_from_header(response: SmallResponse) -> StoreVersion:
-    """Return the X-Version header of a response, ABSENT without one."""
-    return StoreVersion(int(response.header(b"x-version") or b"0"))
+def version_from_header(response: SmallResponse) -> StoreVersion | None:
+    """Return the X-Version header, ABSENT without one, None if it is no number."""
+    text = response.header(b"x-version") or b"0"
+    if not text.isdigit() or len(text) > MAX_VERSION_DIGITS:
+        return None
+    return StoreVersion(int(text))
 
 
 def decode_versioned(response: SmallResponse) -> Result[VersionedValue, StoreError]:
@@ -181,4 +189,7 @@
         return Error(StoreError.NOT_FOUND)
     if response.status != 200:
         return Error(StoreError.UNAVAILABLE)
-    return Ok(VersionedValue(version_from_header(response), response.body))
+    version = version_from_header(response)
+    if version is None:
+        return Error(StoreError.UNAVAILABLE)
+    return Ok(VersionedValue(version, response.body))
--- a/src/ebonyhub/vm_list.py
+++ b/src/ebonyhub/vm_list.py
@@ -9,6 +9,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from .decoding import try_decode
 from .events import Event, log_event
 from .http_client import request_once
 from .ids import VmId
@@ -22,6 +23,9 @@
     LEAVING = "leaving"
 
 
+_decode_states = msgspec.json.Decoder(dict[str, VmState]).decode
+
+
 @dataclass(frozen=True)
 class VmList:
     """The list of VMs as read once."""
@@ -43,11 +47,10 @@
         return Error(result.error.kind.value)
     if result.ok.status != 200:
         return Error(f"status {result.ok.status}")
-    try:
-        states = msgspec.json.decode(result.ok.body, type=dict[str, VmState])
-    except msgspec.MsgspecError as error:
-        return Error(str(error))
-    return Ok(VmList({VmId(name): state for name, state in states.items()}))
+    decoded = try_decode(_decode_states, result.ok.body)
+    if decoded.is_error():
+        return Error(decoded.error)
+    return Ok(VmList({VmId(name): state for name, state in decoded.ok.items()}))
 
 
 class VmListReader:
