--- a/src/ebonyhub/platform/store.py
+++ b/src/ebonyhub/platform/store.py
@@ -38,6 +38,8 @@
 AnswerT = TypeVar("AnswerT")
 Key = Annotated[str, msgspec.Meta(max_length=1024)]
 PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
+# Ids of leases are not counted, so they may take all 63 bits.
+LeaseNumber = Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
 
 
 class ItemRow(msgspec.Struct, rename="pascal"):
@@ -47,7 +49,7 @@
     revision: Count
     # Encoded in base64 on the wire.
     value: bytes | None = None
-    lease: Count | None = None
+    lease: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)] | None = None
     deleted: bool = False
 
     def to_item(self) -> Item:
@@ -93,7 +95,7 @@
 class LeaseAnswer(msgspec.Struct):
     """Answer to the creation of a lease."""
 
-    lease: PositiveCount = msgspec.field(name="Lease")
+    lease: LeaseNumber = msgspec.field(name="Lease")
 
 
 _decode_item_row = msgspec.json.Decoder(ItemRow).decode
--- a/tests/test_foreign_peers_and_watches.py
+++ b/tests/test_foreign_peers_and_watches.py
@@ -21,7 +21,7 @@
     decode_leader,
 )
 from ebonyhub.cluster.mirror import JobMirror
-from ebonyhub.cluster.peers import PROTOCOL_VERSION, PeerServer, connect
+from ebonyhub.cluster.peers import PROTOCOL_VERSION, PeerServer, PeerStream, connect
 from ebonyhub.cluster.watches import PrefixWatch
 from ebonyhub.entry.job_service import (
     OUTCOME_UNKNOWN,
@@ -329,3 +329,18 @@
         decode_forecasts([row])
     with pytest.raises(ValueError):
         decode_forecasts(7)
+
+
+def build_stream():
+    """Return a stream without a connection, for tests of its messages."""
+    return PeerStream(None, Writer(), rejections())
+
+
+class Writer:
+    """Takes the place of a connection."""
+
+    def get_extra_info(self, name):
+        return None
+
+    def is_closing(self):
+        return True
