Log each rejected value once, also if several share a name

Rows of the store without a readable key have the prefix as their name, and took turns in the memory of the log. Adds tests of the operators' batch and of odd requests to take over.

--- a/src/ebonyhub/rejections.py
+++ b/src/ebonyhub/rejections.py
@@ -11,8 +11,8 @@
 from .events import Event, log_event
 from .metrics import Metrics
 
-# Names of which the last rejected value is remembered, so that it is not logged again.
-MAX_REMEMBERED_NAMES = 1024
+# Rejected values that are remembered, so that they are not logged again.
+MAX_REMEMBERED_VALUES = 1024
 # Limit on log lines in one period; another program may write a new odd value each
 # millisecond. Rejections beyond it are only counted.
 MAX_LINES_PER_PERIOD = 100
@@ -42,7 +42,8 @@
     ) -> None:
         self.metrics = metrics
         self.clock = clock or SystemClock()
-        self.remembered: OrderedDict[tuple[InputSource, str], int] = OrderedDict()
+        # Source, name and hash of each value.
+        self.remembered: OrderedDict[tuple[InputSource, str, int], None] = OrderedDict()
         self.period_ends_at = float("-inf")
         self.lines_left = 0
         self.unlogged = 0
@@ -58,12 +59,13 @@
         """Count a rejection; log it unless this value of ``name`` was logged before."""
         if self.metrics is not None:
             self.metrics.inputs_rejected.labels(source.value).inc()
-        key, fingerprint = (source, name[:MAX_NAME_LENGTH]), hash(value)
-        if self.remembered.get(key) == fingerprint:
-            return
-        self.remembered[key] = fingerprint
+        key = (source, name[:MAX_NAME_LENGTH], hash(value))
+        known = key in self.remembered
+        self.remembered[key] = None
         self.remembered.move_to_end(key)
-        if len(self.remembered) > MAX_REMEMBERED_NAMES:
+        if known:
+            return
+        if len(self.remembered) > MAX_REMEMBERED_VALUES:
             self.remembered.popitem(last=False)
         if not self._may_log():
             self.unlogged += 1
--- a/tests/test_foreign_records_in_a_term.py
+++ b/tests/test_foreign_records_in_a_term.py
@@ -16,9 +16,11 @@
 
 from ebonyhub.clock import SystemClock
 from ebonyhub.cluster.leadership import LEADER_KEY, Term
+from ebonyhub.cluster.metadata_store import Batch, Item
 from ebonyhub.cluster.mirror import JobMirror
 from ebonyhub.config_store import decode_config
 from ebonyhub.documents import decode_document
+from ebonyhub.entry.process import PlatformEntry
 from ebonyhub.fleet.controller import (
     LATE_REQUEST_SECONDS,
     WAVE_PROGRESS_PREFIX,
@@ -26,12 +28,22 @@
 )
 from ebonyhub.fleet.model import FleetLoad, Wave
 from ebonyhub.http_client import SmallResponse
-from ebonyhub.ids import LeaderToken, StoreLease, VmId, WaveId
+from ebonyhub.ids import (
+    DataCentre,
+    EntryId,
+    LeaderToken,
+    Revision,
+    StoreLease,
+    VmId,
+    WaveId,
+)
 from ebonyhub.metrics import Metrics
+from ebonyhub.node_settings import NodeSettings
 from ebonyhub.platform.cloud import CloudFailure
 from ebonyhub.rejections import Rejections
 from ebonyhub.scheduling.controller import Controller
 from ebonyhub.store import decode_versioned
+from standins.job_platform import demo_configuration
 from standins.memory_store import MemoryStore, StoreCore
 
 DEEP = b"[" * 100_000 + b"]" * 100_000
@@ -181,3 +193,40 @@
     response = SmallResponse(200, ((b"x-version", version),), b"value")
     decoded = decode_versioned(response)
     assert decoded.is_error() or (version == b"" and decoded.ok.version == 0)
+
+
+def build_entry():
+    """Return an entry process that does not run."""
+    settings = NodeSettings(
+        EntryId("e"), "127.0.0.1", DataCentre("a"), "127.0.0.1:1", "127.0.0.1:2",
+        (7060, 7075), "127.0.0.1:3", "", "", 120.0, 1.0, 1000.0,
+    )  # fmt: skip
+    return PlatformEntry(settings, 1)
+
+
+async def test_odd_documents_of_operators_leave_the_others_in_force():
+    entry = build_entry()
+    sound = json.dumps(demo_configuration()).encode()
+    wave = b'{"Wave":3,"Machines":["m"],"DurationS":5,"Maximum":1}'
+    values = {
+        "op/config": sound, "op/wave/2": DEEP, "op/wave/3": wave, "op/wave/4": wave,
+        "op/wave/x": wave, "op/\u00e9": b"\xff",
+    }  # fmt: skip
+    items = [Item(key, value, Revision(5)) for key, value in values.items()]
+    entry.on_operator_batch(Batch(items, Revision(5)), True)
+    for odd in (DEEP, b"{}", sound.replace(b'"Version": 1', b'"Version": 1e400')):
+        item = Item("op/config", odd, Revision(6))
+        entry.on_operator_batch(Batch([item], Revision(6)), False)
+    assert entry.configuration.version == 1
+    assert list(entry.waves) == [3]
+    for _ in range(3):
+        entry.on_operator_batch(Batch(items, Revision(5)), True)
+    counter = entry.metrics.inputs_rejected
+    assert counter.labels("configuration")._value.get() == 3
+    assert counter.labels("wave")._value.get() == 12
+
+
+@pytest.mark.parametrize("argument", [None, -1, 2**70, 1.5, "x", [], {}])
+async def test_odd_request_to_take_over_is_refused(argument):
+    with pytest.raises(ValueError):
+        await build_entry().on_peer_call("take_over", argument)
--- a/tests/test_foreign_store_documents.py
+++ b/tests/test_foreign_store_documents.py
@@ -269,3 +269,16 @@
 async def test_odd_lease_is_an_error(lease):
     store = store_with_answer(b'{"Lease":%s}' % lease)
     assert (await store.grant_lease(1.0)).is_error()
+
+
+async def test_each_odd_row_of_a_listing_is_logged_once(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        "ebonyhub.rejections.log_event", lambda event, **fields: lines.append(fields)
+    )
+    body = b'{"AtRevision":9,"items":[7,8,%s]}' % SOUND_ROW
+    store = store_with_answer(body)
+    for _ in range(5):
+        assert (await store.list("a/")).is_ok()
+    assert len(lines) == 2
+    assert store.metrics.inputs_rejected.labels("store")._value.get() == 10
