HTTP client: bounded responses, and no exception for an odd address or answer

An address with a port out of range, without a port or with a digit that is not ASCII raised OverflowError or ValueError in HttpSession or on the first call; for a worker's entry this ended the leader's term. Ids of other programs could add lines to a request. A header, status line or body without an end filled the memory, a body that came byte by byte extended its time limit for ever, and an answer with Upgrade raised in a callback of the event loop.

--- a/src/ebonyhub/http_client.py
+++ b/src/ebonyhub/http_client.py
@@ -23,6 +23,9 @@
 HIGH_WATER_BYTES = 256 * 1024
 LOW_WATER_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 64 * 1024
+# Limit of a response that is read into memory. Lists and watch answers of the platform
+# take up to about 1.5 MB; the platform ends processes that use more than 300 MB.
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 
 NO_BODY_STATUSES = frozenset({204, 304})
 
@@ -96,6 +99,10 @@
         self._header_bytes = 0
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
+        # Bytes of the present exchange, and how many its reader takes; None if it
+        # streams the body.
+        self._received_bytes = 0
+        self._byte_limit: int | None = None
         self._reading_paused = False
         self._reader_wakeup = asyncio.Event()
         self._writable = asyncio.Event()
@@ -137,6 +144,9 @@
             return
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # Not a subclass of HttpParserError; no request asks for an upgrade.
+            self.fail(ErrorKind.BACKEND_MALFORMED)
         except httptools.HttpParserError:
             after_response = self.response_complete
             self.fail(
@@ -144,6 +154,11 @@
                 if after_response
                 else ErrorKind.BACKEND_MALFORMED
             )
+        self._received_bytes += len(data)
+        # The parser keeps an incomplete header of any length, without a callback.
+        limit = MAX_HEADER_BYTES if self.response_head is None else self._byte_limit
+        if limit is not None and self._received_bytes > limit:
+            self.fail(ErrorKind.BACKEND_MALFORMED)
         if self.error is not None:
             self.close()
 
@@ -174,6 +189,9 @@
         if length is None and not chunked and not has_no_body:
             self.fail(ErrorKind.BACKEND_UNFRAMED)
             return
+        if length and self._byte_limit is not None and length > self._byte_limit:
+            self.fail(ErrorKind.BACKEND_MALFORMED)
+            return
         self.response_head = ResponseHead(status, tuple(self._headers), length)
         if not self._expects_body:
             # The parser would wait for the body that a response to HEAD only declares.
@@ -226,6 +244,8 @@
         self._expects_body = expects_body
         self._chunks.clear()
         self._buffered_bytes = 0
+        self._received_bytes = 0
+        self._byte_limit = None
         self._reader_wakeup.clear()
 
     def send_buffered(
@@ -272,7 +292,11 @@
     async def read_response(
         self, on_progress: Callable[[], None]
     ) -> Result["SmallResponse", ExchangeError]:
-        """Read a complete response; ``on_progress`` is called as parts arrive."""
+        """Read a complete response of up to MAX_RESPONSE_BYTES.
+
+        ``on_progress`` is called as parts arrive.
+        """
+        self._byte_limit = MAX_RESPONSE_BYTES
         while not self.response_complete and self.error is None:
             self._reader_wakeup.clear()
             await self._reader_wakeup.wait()
@@ -374,6 +398,10 @@
         # TimeoutError is an OSError.
         detail = error.strerror or "timed out"
         return Error(ExchangeError(ErrorKind.CONNECT_FAILED, False, detail))
+    except (OverflowError, ValueError) as error:
+        # A port out of range, or a host name that cannot be encoded.
+        detail = repr(error)[:200]
+        return Error(ExchangeError(ErrorKind.CONNECT_FAILED, False, detail))
     return Ok(protocol)
 
 
--- a/src/ebonyhub/http_session.py
+++ b/src/ebonyhub/http_session.py
@@ -1,6 +1,7 @@
 """HTTP client for one address, with reused connections and buffered bodies."""
 
 import asyncio
+import re
 
 from expression import Error, Result
 
@@ -22,24 +23,47 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 # Time limit for each further part of a response that has begun.
 STALL_TIMEOUT_SECONDS = 0.7
+# Limit of the extensions, so that a response that arrives byte by byte comes to an end.
+# The largest responses take 10 s on the slowest links.
+MAX_EXTENSION_SECONDS = 20.0
+
+# IP addresses and host names; others would be resolved in unexpected ways, or could
+# write header lines of their own.
+_ADDRESS = re.compile(r"([A-Za-z0-9._\-\[\]:]{1,255}):([0-9]{1,5})", re.ASCII)
+_FORBIDDEN_IN_TARGET = re.compile(rb"[\x00-\x20\x7f]")
+_FORBIDDEN_IN_HEADER = re.compile(rb"[\x00\r\n]")
+
+
+def split_address(address: str) -> tuple[str, int] | None:
+    """Return host and port of an address, None if it cannot be one."""
+    match = _ADDRESS.fullmatch(address)
+    if match is None or not 1 <= int(match.group(2)) <= 65535:
+        return None
+    return match.group(1), int(match.group(2))
 
 
 class HttpSession:
-    """Makes requests to one address; concurrent ones use separate connections."""
+    """Makes requests to one address; concurrent ones use separate connections.
+
+    Addresses come from other programs. Calls to one that cannot exist fail as calls to
+    one that does not answer.
+    """
 
     def __init__(self, address: str, clock: Clock, max_connections: int) -> None:
-        host, _, port = address.rpartition(":")
+        parts = split_address(address)
         self.address = address
+        self.address_is_valid = parts is not None
+        host, port = parts or ("", 0)
         self.pool = ConnectionPool(
             host,
-            int(port),
+            port,
             max_connections,
             MAX_IDLE_SECONDS,
             CONNECT_TIMEOUT_SECONDS,
             clock,
         )
         self.connection_slots = asyncio.Semaphore(max_connections)
-        self.host_header = (b"Host", address.encode())
+        self.host_header = (b"Host", address.encode("ascii", "replace"))
 
     async def call(
         self,
@@ -54,6 +78,9 @@
         The response must begin within ``timeout_seconds``. A large response may take
         longer on a slow link, as long as its parts keep arriving.
         """
+        problem = self._request_problem(target, headers)
+        if problem:
+            return Error(ExchangeError(ErrorKind.CONNECT_FAILED, False, problem))
         all_headers = [self.host_header, *headers]
         if body is not None:
             all_headers.append((b"Content-Type", b"application/json"))
@@ -80,6 +107,19 @@
         finally:
             self.connection_slots.release()
 
+    def _request_problem(self, target: bytes, headers: tuple[Header, ...]) -> str:
+        """Return why a request cannot be sent, or an empty string.
+
+        Targets and headers contain ids that other programs chose.
+        """
+        if not self.address_is_valid:
+            return "invalid address"
+        if _FORBIDDEN_IN_TARGET.search(target):
+            return "invalid character in the target"
+        if any(_FORBIDDEN_IN_HEADER.search(value) for _, value in headers):
+            return "invalid character in a header"
+        return ""
+
     async def _open_connection(
         self, deadline: float
     ) -> Result[HttpConnection, ExchangeError]:
@@ -108,8 +148,9 @@
         def extend_deadline() -> None:
             nonlocal timer
             timer.cancel()
-            extended_deadline = max(deadline, loop.time() + STALL_TIMEOUT_SECONDS)
-            timer = loop.call_at(extended_deadline, connection.fail, timeout_kind)
+            extended = max(deadline, loop.time() + STALL_TIMEOUT_SECONDS)
+            latest = min(extended, deadline + MAX_EXTENSION_SECONDS)
+            timer = loop.call_at(latest, connection.fail, timeout_kind)
 
         try:
             return await send_and_receive(connection, head, body, extend_deadline)
