Worker reports: decoded whole, with bounds, or counted as lost

A negative step, or a start time over 64 bits, passed the decoder. The first raised IndexError in the link's task, which ended without a word: the worker was not polled any more. The second went into the records of runs, which then could not be encoded. Numbers of ends that fall or are far too high would be acknowledged beyond ends that were never recorded. Deep nesting raised RecursionError in polls and orders.

A report with a row whose run or outcome cannot be read is not used at all, as runs that are not listed count as ended. A row that only has an odd checkpoint, percent or usage is used; one of these cost the whole report before.

--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -209,6 +209,12 @@
         "platform answer could not be decoded; it counts as lost",
         "Compare its fields with docs/platform.md.",
     )
+    INPUT_PARTLY_REJECTED = EventSpec(
+        2510,
+        _W,
+        "a part of a platform answer could not be read and is not used",
+        "Compare its fields with docs/platform.md.",
+    )
     JOB_RECORDS_REMOVED = EventSpec(
         2501, _I, "records of finished jobs removed", "None."
     )
--- a/src/ebonyhub/metrics.py
+++ b/src/ebonyhub/metrics.py
@@ -82,6 +82,11 @@
             "Jobs failed since a task of theirs crashes its workers, by queue.",
             "queue",
         )
+        self.inputs_rejected = self._counter(
+            "ebonyhub_inputs_rejected_total",
+            "Inputs from outside that could not be used, by source.",
+            "source",
+        )
         self.commit_seconds = self._histogram(
             "ebonyhub_commit_seconds", "Time of a commit of progress records."
         )
--- /dev/null
+++ b/src/ebonyhub/platform/worker_reports.py
@@ -0,0 +1,173 @@
+"""Decoding of workers' reports, the answers to the platform's /hold call."""
+
+import itertools
+import re
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from expression import Error, Ok, Result
+
+from ..decoding import DECODE_ERRORS, MAX_INTEGER, Count, describe, try_convert
+from ..ids import JobId, TaskId
+from ..scheduling.model import EndedTask, RunningTask, RunOutcome, WorkerReport
+
+T = TypeVar("T")
+
+# Checkpoints are stored in the job's progress record, which must fit into 1 MB. Workers
+# use 16 characters.
+MAX_CHECKPOINT_LENGTH = 4096
+# The platform's workers list at most 500 ends at a time.
+MAX_ROWS = 10_000
+# More ends than one life of a worker has. A wrong number, once acknowledged, would hide
+# all lower ones.
+MAX_SEQUENCE = 10**9
+
+Sequence = Annotated[int, msgspec.Meta(ge=1, le=MAX_SEQUENCE)]
+RunNumber = Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
+TaskName = Annotated[str, msgspec.Meta(max_length=128)]
+Checkpoint = Annotated[str, msgspec.Meta(max_length=MAX_CHECKPOINT_LENGTH)]
+Percent = Annotated[float, msgspec.Meta(ge=0, le=100)]
+Usage = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Rows = Annotated[list[T], msgspec.Meta(max_length=MAX_ROWS)]
+
+
+class RunningRow(msgspec.Struct, array_like=True):
+    """A running task in the worker's report; positional on the wire."""
+
+    task: TaskName
+    number: RunNumber
+    checkpoint: Checkpoint
+    percent: Percent
+    usage: Usage = 0
+
+
+class EndedRow(msgspec.Struct, array_like=True):
+    """An ended task in the worker's report; positional on the wire."""
+
+    sequence: Sequence
+    task: TaskName
+    number: RunNumber
+    kind: RunOutcome
+    checkpoint: Checkpoint
+
+
+class PollAnswer(msgspec.Struct):
+    """Body of the answer to ``/hold``; ``born_ms`` is the worker's start time."""
+
+    clock_ms: Count = msgspec.field(name="ClockMs")
+    born_ms: Count = msgspec.field(name="born", default=0)
+    running: Rows[RunningRow] = msgspec.field(name="Running", default_factory=list)
+    ended: Rows[EndedRow] = msgspec.field(name="Finished", default_factory=list)
+
+
+class LenientPollAnswer(msgspec.Struct):
+    """A poll answer of which only the clock and the identity of runs are required.
+
+    Decoded if ``PollAnswer`` does not fit, which is slower.
+    """
+
+    clock_ms: Count = msgspec.field(name="ClockMs")
+    born_ms: Count = msgspec.field(name="born", default=0)
+    running: Rows[list[Any]] = msgspec.field(name="Running", default_factory=list)
+    ended: Rows[list[Any]] = msgspec.field(name="Finished", default_factory=list)
+
+    def repair(self) -> PollAnswer:
+        """Return the answer with defaults for fields that may be missing.
+
+        A checkpoint counts as none, percent and usage as 0. Raises one of DECODE_ERRORS
+        if a row does not say which run it is about, or how the run ended.
+        """
+        running = [
+            RunningRow(
+                *msgspec.convert(row[:2], tuple[TaskName, RunNumber]),
+                _field(row, 2, Checkpoint, ""),
+                _field(row, 3, Percent, 0.0),
+                _field(row, 4, Usage, 0.0),
+            )
+            for row in self.running
+        ]
+        ended = [
+            EndedRow(
+                *msgspec.convert(
+                    row[:4], tuple[Sequence, TaskName, RunNumber, RunOutcome]
+                ),
+                _field(row, 4, Checkpoint, ""),
+            )
+            for row in self.ended
+        ]
+        return PollAnswer(self.clock_ms, self.born_ms, running, ended)
+
+
+_decode_poll_answer = msgspec.json.Decoder(PollAnswer).decode
+_decode_lenient_answer = msgspec.json.Decoder(LenientPollAnswer).decode
+
+# ASCII digits in the form that ``task_name`` writes; ``int`` also takes "-1", "1_0" and
+# digits of other scripts. Job ids have 16 hexadecimal digits.
+_TASK_NAME = re.compile(
+    r"([0-9A-Za-z_-]{1,64})\.(0|[1-9][0-9]{0,8})\.(0|[1-9][0-9]{0,8})"
+    r"\.(0|[1-9][0-9]{0,8})"
+)
+
+
+def _field(row: list[Any], index: int, kind: Any, default: T) -> T:
+    """Return a field of a row, or ``default`` if it is missing or not of its type."""
+    if index >= len(row):
+        return default
+    value: Result[T, str] = try_convert(row[index], kind)
+    return value.default_value(default)
+
+
+def task_name(task: TaskId) -> str:
+    """Return the name of a task on the wire: job, occurrence, step and position."""
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.position}"
+
+
+def parse_task_name(name: str) -> TaskId:
+    """Parse the name of a task on the wire; raises ValueError if it is malformed."""
+    match = _TASK_NAME.fullmatch(name)
+    if match is None:
+        raise ValueError(f"not the name of a task: {name[:80]!r}")
+    job, occurrence, step, position = match.groups()
+    return TaskId(JobId(job), int(occurrence), int(step), int(position))
+
+
+def decode_report(body: bytes) -> Result[WorkerReport, str]:
+    """Decode a worker's report; the error is a text for the log.
+
+    A report is used whole or not at all. A run that it does not list is taken for
+    ended, and its task may start a second time, so a row that cannot be read may not be
+    left out; and an end that cannot be read must not be acknowledged with the later
+    ones. A worker whose reports stay unreadable is treated like a silent one: its lease
+    runs out.
+    """
+    try:
+        try:
+            answer = _decode_poll_answer(body)
+        except msgspec.ValidationError:
+            answer = _decode_lenient_answer(body).repair()
+        return Ok(_build_report(answer))
+    except DECODE_ERRORS as error:
+        return Error(describe(error))
+
+
+def _build_report(answer: PollAnswer) -> WorkerReport:
+    """Convert an answer; raises ValueError if its rows cannot be true."""
+    running = tuple(
+        RunningTask(
+            parse_task_name(row.task), row.number, row.checkpoint, row.percent,
+            row.usage,
+        )
+        for row in answer.running
+    )  # fmt: skip
+    ended = tuple(
+        EndedTask(
+            row.sequence, parse_task_name(row.task), row.number, row.kind,
+            row.checkpoint,
+        )
+        for row in answer.ended
+    )  # fmt: skip
+    # Ends are acknowledged up to a number, so one that follows a higher number would be
+    # acknowledged without having been recorded.
+    if any(a.sequence >= b.sequence for a, b in itertools.pairwise(ended)):
+        raise ValueError("the numbers of ended runs do not rise")
+    return WorkerReport(answer.clock_ms, answer.born_ms, running, ended)
--- a/src/ebonyhub/platform/workers.py
+++ b/src/ebonyhub/platform/workers.py
@@ -6,18 +6,17 @@
 from expression import Error, Ok, Result
 
 from ..clock import Clock
-from ..events import Event, log_event
+from ..decoding import Name, try_decode
+from ..events import Event
 from ..http_client import ExchangeError, SmallResponse
 from ..http_session import HttpSession
-from ..ids import JobId, LeaderToken, TaskId, WorkerId
-from ..scheduling.model import (
-    EndedTask,
-    OrderFailure,
-    RunningTask,
-    RunOutcome,
-    StartOrder,
-    WorkerReport,
-)
+from ..ids import LeaderToken, TaskId, WorkerId
+from ..metrics import Metrics
+from ..rejections import RejectedInputs
+from ..scheduling.model import OrderFailure, StartOrder, WorkerReport
+from .worker_reports import decode_report, parse_task_name, task_name
+
+__all__ = ["WorkerClient", "parse_task_name", "task_name"]
 
 # Workers answer in about 1 ms. The next report shows whether an order without an answer
 # was carried out, so waiting longer gains nothing.
@@ -35,64 +34,30 @@
 }
 
 
-class RunningRow(msgspec.Struct, array_like=True):
-    """A running task in the worker's report; positional on the wire."""
-
-    task: str
-    number: int
-    checkpoint: str
-    percent: float
-    usage: float = 0
-
-
-class EndedRow(msgspec.Struct, array_like=True):
-    """An ended task in the worker's report; positional on the wire."""
-
-    sequence: int
-    task: str
-    number: int
-    kind: RunOutcome
-    checkpoint: str
-
-
-class PollAnswer(msgspec.Struct):
-    """Body of the answer to ``/hold``; ``born_ms`` is the worker's start time."""
-
-    clock_ms: int = msgspec.field(name="ClockMs")
-    born_ms: int = msgspec.field(name="born", default=0)
-    running: list[RunningRow] = msgspec.field(name="Running", default_factory=list)
-    ended: list[EndedRow] = msgspec.field(name="Finished", default_factory=list)
-
-
 class RefusalAnswer(msgspec.Struct):
     """Body of a 409 answer to an order."""
 
-    reason: str = msgspec.field(name="Reason", default="")
+    reason: Name = msgspec.field(name="Reason", default="")
 
 
-_decode_poll_answer = msgspec.json.Decoder(PollAnswer).decode
 _decode_refusal = msgspec.json.Decoder(RefusalAnswer).decode
 
 
-def task_name(task: TaskId) -> str:
-    """Return the name of a task on the wire: job, occurrence, step and position."""
-    return f"{task.job}.{task.occurrence}.{task.step}.{task.position}"
-
-
-def parse_task_name(name: str) -> TaskId:
-    """Parse the name of a task on the wire; raises ValueError if it is malformed."""
-    job, occurrence, step, index = name.split(".")
-    return TaskId(JobId(job), int(occurrence), int(step), int(index))
-
-
 class WorkerClient:
     """Sends orders to one worker; any other worker at the address answers 421."""
 
-    def __init__(self, worker: WorkerId, address: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        worker: WorkerId,
+        address: str,
+        clock: Clock,
+        metrics: Metrics | None = None,
+    ) -> None:
         self.session = HttpSession(address, clock, CONNECTION_LIMIT)
         # Polls use a single connection, which closes when the worker process ends.
         self.poll_session = HttpSession(address, clock, 1)
-        self.headers = ((b"X-Expected-Instance", worker.encode()),)
+        self.headers = ((b"X-Expected-Instance", worker.encode("utf-8", "replace")),)
+        self.rejected_answers = RejectedInputs("worker", clock, metrics)
 
     async def _send_order(
         self,
@@ -167,7 +132,7 @@
         wait_ms = int(wait_seconds * 1000)
         if wait_ms:
             body["WaitMs"] = wait_ms
-        return _decode_report_answer(
+        return self._decode_report_answer(
             await self._send_order(b"/hold", body, wait_seconds, self.poll_session)
         )
 
@@ -178,7 +143,22 @@
         body: dict[str, Any] = {"FencingToken": token, "AckCursor": 0}
         if lease_until_ms is not None:
             body["DeadlineMs"] = lease_until_ms
-        return _decode_report_answer(await self._send_order(b"/hold", body))
+        return self._decode_report_answer(await self._send_order(b"/hold", body))
+
+    def _decode_report_answer(
+        self, result: Result[SmallResponse, ExchangeError]
+    ) -> Result[WorkerReport, OrderFailure]:
+        """Decode a report; an answer that cannot be decoded counts as lost."""
+        failure = _order_failure(result)
+        if failure is not None:
+            return Error(failure)
+        report = decode_report(result.ok.body)
+        if report.is_ok():
+            return Ok(report.ok)
+        self.rejected_answers.reject(
+            Event.PLATFORM_ANSWER_UNREADABLE, "hold", report.error
+        )
+        return Error(OrderFailure.UNKNOWN)
 
     def close(self) -> None:
         """Close all connections to the worker."""
@@ -207,43 +187,7 @@
 
 
 def _conflict_failure(body: bytes) -> OrderFailure:
-    try:
-        reason = _decode_refusal(body).reason
-    except msgspec.MsgspecError:
-        # The order was refused, but the reason cannot be decoded.
-        return OrderFailure.REFUSED
+    refusal = try_decode(_decode_refusal, body)
+    # If the reason cannot be decoded, the order was refused nevertheless.
+    reason = refusal.ok.reason if refusal.is_ok() else ""
     return _FAILURE_BY_REASON.get(reason, OrderFailure.REFUSED)
-
-
-def _decode_report_answer(
-    result: Result[SmallResponse, ExchangeError],
-) -> Result[WorkerReport, OrderFailure]:
-    """Decode a report; an answer that cannot be decoded counts as lost."""
-    failure = _order_failure(result)
-    if failure is not None:
-        return Error(failure)
-    try:
-        return Ok(decode_report(result.ok.body))
-    except (msgspec.MsgspecError, ValueError) as error:
-        log_event(Event.PLATFORM_ANSWER_UNREADABLE, call="hold", error=repr(error))
-        return Error(OrderFailure.UNKNOWN)
-
-
-def decode_report(body: bytes) -> WorkerReport:
-    """Decode a worker's report; raises msgspec.MsgspecError or ValueError."""
-    answer = _decode_poll_answer(body)
-    running = tuple(
-        RunningTask(
-            parse_task_name(row.task), row.number, row.checkpoint, row.percent,
-            row.usage,
-        )
-        for row in answer.running
-    )  # fmt: skip
-    ended = tuple(
-        EndedTask(
-            row.sequence, parse_task_name(row.task), row.number, row.kind,
-            row.checkpoint,
-        )
-        for row in answer.ended
-    )  # fmt: skip
-    return WorkerReport(answer.clock_ms, answer.born_ms, running, ended)
