VM list and advisor: bounded, and no VM counts as gone by an unreadable row

A row that could not be read was left out of the list, so that its VM counted as gone; runs of a worker that was unresponsive at that time were given up and started again. Such a VM is now listed in the state UNKNOWN, from which nothing follows (losses.py). The same holds for two rows that contradict each other. A page token that repeats kept the listing going for ever; a token could change the request; a row nested too deeply raised RecursionError and ended the term. One odd row of the advisor cost the whole advice.

The limits of sizes come with those of submissions in jobs/model.py.

--- a/src/ebonyhub/fleet/model.py
+++ b/src/ebonyhub/fleet/model.py
@@ -16,6 +16,8 @@
     # The cloud calls maintenance upkeep.
     MAINTENANCE = "upkeep"
     DOWN = "down"
+    # The cloud lists the VM, but its row cannot be read. Nothing follows from it.
+    UNKNOWN = "unknown"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ebonyhub/jobs/model.py
+++ b/src/ebonyhub/jobs/model.py
@@ -121,24 +121,61 @@
 # submission cannot exhaust the memory of the leader.
 MAX_TASKS = 20_000
 MAX_OCCURRENCES = 1_000_000
+# Upper limits of a task's CPU, memory and accelerators, of its time estimate (a year in
+# ms) and of a point in time in ms. Sums of them stay far below the 64 bits that records
+# can hold.
+MAX_SIZE = 10**9
+MAX_ESTIMATE_MS = 366 * 24 * 3600 * 1000
+MAX_TIME_MS = 2**53
+# Upper limit of the text in characters; the platform's callers send up to 4,000 bytes.
+MAX_TEXT_LENGTH = 4000
+# Upper limit of labels and names in a step.
+MAX_NAME_LENGTH = 1000
 
 
 def spec_problem(spec: JobSpec) -> str | None:
     """Return why the specification is invalid, None if it is valid."""
+    if len(spec.text) > MAX_TEXT_LENGTH:
+        return f"the specification has more than {MAX_TEXT_LENGTH} characters"
+    times = (spec.interval_ms, abs(spec.first_run_ms))
     if not 0 <= spec.repeat_count <= MAX_OCCURRENCES or spec.interval_ms < 0:
         return "the schedule is out of range"
+    if max(*times, spec.due_ms(spec.repeat_count)) > MAX_TIME_MS:
+        return "the schedule is out of range"
     if sum(step.count for step in spec.steps) > MAX_TASKS:
         return f"a job has at most {MAX_TASKS} tasks"
     for number, step in enumerate(spec.steps):
-        demand = step.demand
-        sizes = (demand.cpu, demand.memory, demand.accelerators, step.estimate_ms)
-        if step.count < 1 or min(sizes) < 0 or step.max_per_worker < 0:
+        if not _sizes_are_valid(step):
             return f"step {number} has a count or size out of range"
         if any(not 0 <= earlier < number for earlier in step.after):
             return f"step {number} does not come after earlier steps only"
     return None
 
 
+def _sizes_are_valid(step: StepSpec) -> bool:
+    demand = step.demand
+    sizes = (demand.cpu, demand.memory, demand.accelerators, step.max_per_worker,
+             step.max_unavailable, step.target_ms)  # fmt: skip
+    return (
+        step.count >= 1
+        and min(sizes) >= 0
+        and max(sizes) <= MAX_SIZE
+        and 0 <= step.estimate_ms <= MAX_ESTIMATE_MS
+    )
+
+
+def due_tasks(spec: JobSpec, wall_ms: int) -> int:
+    """Return how many tasks of a schedule are due at a time in ms since 1970."""
+    tasks = sum(step.count for step in spec.steps)
+    if not spec.repeat_count:
+        return tasks
+    elapsed = wall_ms - spec.first_run_ms
+    if elapsed < 0:
+        return 0
+    due = elapsed // spec.interval_ms + 1 if spec.interval_ms else spec.repeat_count
+    return tasks * min(due, spec.repeat_count)
+
+
 class AcceptedJob(msgspec.Struct, frozen=True, array_like=True):
     """Stored record of an accepted job; it is never modified."""
 
--- a/src/ebonyhub/platform/cloud.py
+++ b/src/ebonyhub/platform/cloud.py
@@ -1,26 +1,34 @@
 """HTTP clients of the cloud API, which owns the VMs, and of the placement advisor."""
 
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 from enum import Enum
-from typing import Any
+from typing import Annotated, Any
+from urllib.parse import quote
 
 import msgspec
 from expression import Error, Ok, Result
 
 from ..clock import Clock
-from ..events import Event, log_event
-from ..fleet.model import Vm, VmState
+from ..decoding import Name, try_convert, try_decode
+from ..events import Event
+from ..fleet.model import Vm
 from ..http_client import SmallResponse
 from ..http_session import HttpSession
-from ..ids import EntryId, JobId, LeaderToken, PoolName, RackId, VmId, WaveId, WorkerId
-from ..jobs.model import Resources
+from ..ids import EntryId, JobId, LeaderToken, PoolName, VmId, WaveId, WorkerId
 from ..metrics import Metrics
+from ..rejections import RejectedInputs
+from .vm_listing import VmListing
 
 # Allows for a cloud API that answers 50 times slower than usual.
 CALL_TIMEOUT_SECONDS = 1.5
 CONNECTION_LIMIT = 4
 # Added to the answer time that the advisor's policy promises.
 ADVICE_TIMEOUT_MARGIN_SECONDS = 1.0
+# The cloud's list has a few hundred VMs, on a few pages.
+MAX_LIST_PAGES = 1000
+# A call names at most 100 workers.
+MAX_ADVICE_ROWS = 10_000
+MAX_TICKET_LENGTH = 4096
 
 
 class CloudFailure(Enum):
@@ -45,47 +53,29 @@
 }
 
 
-class CapacityRow(msgspec.Struct):
-    """Capacity of a VM; ``cpu`` in thousandths of a core, ``memory`` in MB."""
-
-    cpu: int = msgspec.field(name="Cpu", default=0)
-    memory: int = msgspec.field(name="MemMb", default=0)
-    gpu: int = msgspec.field(name="Gpu", default=0)
-
-
-class MachineRow(msgspec.Struct):
-    """A VM in the listing; ``worker`` is the id of its current worker process."""
-
-    machine: str = msgspec.field(name="Machine")
-    pool: str = msgspec.field(name="Pool")
-    state: VmState = msgspec.field(name="State")
-    zone: str | None = msgspec.field(name="Zone", default=None)
-    labels: list[str] | None = msgspec.field(name="Labels", default=None)
-    capacity: CapacityRow | None = msgspec.field(name="Capacity", default=None)
-    worker: str | None = msgspec.field(name="Id", default=None)
-
-
-class MachinePage(msgspec.Struct):
-    """One page of the VM listing; rows are decoded one by one."""
+class ConflictAnswer(msgspec.Struct):
+    """Body of a 409 answer to a change of a VM."""
 
-    machines: list[msgspec.Raw] = msgspec.field(name="Machines")
-    next_token: str | int | None = msgspec.field(name="NextPageToken", default=None)
+    reason: Name = msgspec.field(name="Reason", default="")
 
 
-class ConflictAnswer(msgspec.Struct):
-    """Body of a 409 answer to a change of a VM."""
+class TicketRow(msgspec.Struct, array_like=True):
+    """A worker that may run the step, and its ticket."""
 
-    reason: str = msgspec.field(name="Reason", default="")
+    worker: Name
+    ticket: Annotated[str, msgspec.Meta(max_length=MAX_TICKET_LENGTH)]
 
 
 class Advice(msgspec.Struct):
-    """Pairs of a worker that may run the step and the ticket to present to it."""
+    """Rows of a worker that may run the step and the ticket to present to it."""
 
-    good: list[tuple[str, str]] = msgspec.field(name="Good", default_factory=list)
+    good: Annotated[list[Any], msgspec.Meta(max_length=MAX_ADVICE_ROWS)] = (
+        msgspec.field(name="Good", default_factory=list)
+    )
 
 
-_decode_page = msgspec.json.Decoder(MachinePage).decode
-_decode_machine = msgspec.json.Decoder(MachineRow).decode
+_decode_conflict = msgspec.json.Decoder(ConflictAnswer).decode
+_decode_advice = msgspec.json.Decoder(Advice).decode
 
 
 class CloudClient:
@@ -97,30 +87,47 @@
         self.session = HttpSession(address, clock, CONNECTION_LIMIT)
         self.entry = entry
         self.metrics = metrics
+        self.last_vms: dict[VmId, Vm] = {}
+        self.rejected_answers = RejectedInputs("cloud", clock, metrics)
 
     async def list_vms(self) -> Result[list[Vm], CloudFailure]:
-        """Read all pages of the VM listing; malformed rows are left out."""
-        vms: list[Vm] = []
+        """Read all pages of the VM listing.
+
+        A listing without an end is refused, since a VM that it does not name counts as
+        gone.
+        """
+        listing = VmListing()
+        tokens: set[str] = set()
         target = "/machines"
-        while True:
+        while len(tokens) < MAX_LIST_PAGES:
             result = await self.session.call(
                 b"GET", target.encode(), None, CALL_TIMEOUT_SECONDS
             )
-            if result.is_error() or result.ok.status != 200:
-                self._count("list", result)
-                return Error(CloudFailure.REFUSED)
             self._count("list", result)
-            try:
-                page = _decode_page(result.ok.body)
-            except msgspec.MsgspecError as error:
-                log_event(
-                    Event.PLATFORM_ANSWER_UNREADABLE, call="list", error=repr(error)
-                )
+            if result.is_error() or result.ok.status != 200:
                 return Error(CloudFailure.REFUSED)
-            vms += [vm for row in page.machines if (vm := _decode_vm(row)) is not None]
-            if page.next_token is None:
-                return Ok(vms)
-            target = f"/machines?PageToken={page.next_token}"
+            added = listing.add_page(result.ok.body)
+            if added.is_error():
+                return self._reject_listing(added.error)
+            if added.ok is None:
+                return Ok(self._finish_listing(listing))
+            if added.ok in tokens:
+                return self._reject_listing("a page token repeats")
+            tokens.add(added.ok)
+            target = f"/machines?PageToken={quote(added.ok, safe='')}"
+        return self._reject_listing(f"more than {MAX_LIST_PAGES} pages")
+
+    def _reject_listing(self, problem: str) -> Result[list[Vm], CloudFailure]:
+        self.rejected_answers.reject(Event.PLATFORM_ANSWER_UNREADABLE, "list", problem)
+        return Error(CloudFailure.REFUSED)
+
+    def _finish_listing(self, listing: VmListing) -> list[Vm]:
+        if listing.problem:
+            self.rejected_answers.reject(
+                Event.INPUT_PARTLY_REJECTED, "machine", listing.problem
+            )
+        self.last_vms = listing.finish(self.last_vms)
+        return list(self.last_vms.values())
 
     async def move_vm(
         self, vm: VmId, pool: PoolName, token: LeaderToken
@@ -166,41 +173,19 @@
 
 
 def _conflict_failure(body: bytes) -> CloudFailure:
-    try:
-        reason = msgspec.json.decode(body, type=ConflictAnswer).reason
-    except msgspec.MsgspecError:
-        # The change was refused, but the reason cannot be decoded.
-        return CloudFailure.BUSY
+    conflict = try_decode(_decode_conflict, body)
+    # If the reason cannot be decoded, the change was refused nevertheless.
+    reason = conflict.ok.reason if conflict.is_ok() else ""
     return _FAILURE_BY_REASON.get(reason, CloudFailure.BUSY)
 
 
-def _decode_vm(raw: msgspec.Raw) -> Vm | None:
-    """Decode a VM; None if it is malformed or in an unknown state."""
-    try:
-        row = _decode_machine(raw)
-    except msgspec.MsgspecError as error:
-        log_event(Event.PLATFORM_ANSWER_UNREADABLE, call="machine", error=repr(error))
-        return None
-    labels = row.labels or []
-    capacity = row.capacity or CapacityRow()
-    return Vm(
-        vm_id=VmId(row.machine),
-        pool=PoolName(row.pool),
-        state=row.state,
-        zone=row.zone or "",
-        # Labels are the kind of the VM and its rack, in this order.
-        rack=RackId(labels[1] if len(labels) > 1 else ""),
-        capacity=Resources(capacity.cpu, capacity.memory, capacity.gpu),
-        worker=WorkerId(row.worker or ""),
-    )
-
-
 class AdvisorClient:
     """Asks the placement advisor which workers may run a step."""
 
     def __init__(self, address: str, clock: Clock, metrics: Metrics) -> None:
         self.session = HttpSession(address, clock, CONNECTION_LIMIT)
         self.metrics = metrics
+        self.rejected_answers = RejectedInputs("advisor", clock, metrics)
 
     async def advise(
         self,
@@ -225,11 +210,28 @@
         self.metrics.cloud_calls.labels("advise", label).inc()
         if result.is_error() or result.ok.status != 200:
             return Error(CloudFailure.REFUSED)
-        try:
-            rows = msgspec.json.decode(result.ok.body, type=Advice).good
-        except msgspec.MsgspecError as error:
-            log_event(
-                Event.PLATFORM_ANSWER_UNREADABLE, call="advise", error=repr(error)
+        advice = try_decode(_decode_advice, result.ok.body)
+        if advice.is_error():
+            self.rejected_answers.reject(
+                Event.PLATFORM_ANSWER_UNREADABLE, "advise", advice.error
             )
             return Error(CloudFailure.REFUSED)
-        return Ok({WorkerId(worker): ticket for worker, ticket in rows})
+        return Ok(self._read_tickets(advice.ok.good, set(workers)))
+
+    def _read_tickets(
+        self, rows: list[Any], asked: Set[WorkerId]
+    ) -> dict[WorkerId, str]:
+        """Return the tickets of the workers that were asked about.
+
+        A row that cannot be read names no worker, which then gets no task of the step.
+        """
+        tickets: dict[WorkerId, str] = {}
+        for raw in rows:
+            row = try_convert(raw, TicketRow)
+            if row.is_error():
+                self.rejected_answers.reject(
+                    Event.INPUT_PARTLY_REJECTED, "advise", row.error
+                )
+            elif row.ok.worker in asked:
+                tickets[WorkerId(row.ok.worker)] = row.ok.ticket
+        return tickets
--- a/src/ebonyhub/scheduling/losses.py
+++ b/src/ebonyhub/scheduling/losses.py
@@ -40,6 +40,8 @@
     """Return why the worker cannot exist by its listed VM, None if it can."""
     if vm is None:
         return LossCause.VM_GONE
+    if vm.state is VmState.UNKNOWN:
+        return None
     if vm.state is VmState.UP and vm.worker == worker.worker_id:
         return None
     if vm.state is VmState.UP and vm.pool != PoolName(worker.entry.service):
