Scheduler: a worker's list may name a step that the job does not have

The well-formed name of a task of such a step raised IndexError in the task of the worker's link, which ended, so that the worker was not polled any more. The new test failed on the code before for the step.

--- a/src/ebonyhub/scheduling/lifecycle.py
+++ b/src/ebonyhub/scheduling/lifecycle.py
@@ -16,9 +16,12 @@
 
 
 def step_progress_of(job: Job, task: TaskId) -> StepProgress | None:
-    """Return the progress of the task's step, None once its occurrence is complete."""
+    """Return the progress of the task's step, None once its occurrence is complete.
+
+    Workers may list tasks that the job does not have; these have no progress either.
+    """
     steps = job.progress.occurrences.get(task.occurrence)
-    return steps[task.step] if steps else None
+    return steps[task.step] if steps and task.step < len(steps) else None
 
 
 def start_due_occurrences(job: Job, wall_ms: int) -> bool:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -105,6 +105,18 @@
     assert len(driver.orders(StartRun)) == 2
 
 
+@pytest.mark.parametrize("change", [{"step": 1}, {"occurrence": 7}, {"position": 9}])
+def test_task_that_a_job_does_not_have_is_stopped(change):
+    """It raised IndexError in the worker's link, which then polled no more."""
+    driver = Driver(("w1",))
+    driver.submit(LONG_RUNNING_SPEC)
+    task = driver.start_all()[0].task._replace(**change)
+    driver.report("w1", running=[RunningTask(task, 1, "", 0.0, 0.0)])
+    assert [order.task for order in driver.orders(StopRun)] == [task]
+    driver.report("w1", ended=[EndedTask(1, task, 1, RunOutcome.DONE, "")])
+    assert driver.worker("w1").acknowledged_sequence == 1
+
+
 def test_end_is_acknowledged_once_its_record_is_stored():
     driver = Driver(("w1",))
     job = driver.submit(JobSpec("t", (StepSpec(1, Resources(1000, 1), 300),)))
