--- a/src/ebonyhub/entry/job_api.py
+++ b/src/ebonyhub/entry/job_api.py
@@ -3,12 +3,16 @@
 from collections.abc import Callable
 
 from blacksheep import Application, Content, Request, Response, Router
+from expression import Error, Ok, Result
 
 from ..clock import Clock
 from ..configuration import Configuration, Queue
+from ..decoding import describe
 from ..errors import ERROR_RESPONSES, ErrorKind, Refusal
 from ..events import Event, log_event
+from ..exchange import request_body_chunks
 from ..ids import JobId
+from ..jobs.model import MAX_TASKS, JobSpec, due_tasks
 from ..jobs.records import JobState
 from ..metrics import Metrics
 from ..platform.submissions import decode_submission, encode_state, encode_waiting_count
@@ -16,6 +20,14 @@
 
 JOB_ID_LENGTH = 16
 _HEX = frozenset("0123456789abcdefABCDEF")
+# A job's record must fit into a value of the store, which has at most 1 MB.
+MAX_BODY_BYTES = 1024 * 1024
+# Tasks of a schedule that may be due within a minute of its submission. The leader
+# tracks all of them at once, and stores them in one record.
+MAX_DUE_TASKS = MAX_TASKS
+DUE_WINDOW_MS = 60_000
+# Texts of a request that go into the log and the answer.
+MAX_DETAIL_LENGTH = 200
 
 
 class JobApi(Application):
@@ -48,7 +60,7 @@
                 response.headers.add(b"Connection", b"close")
             return response
         except Exception as error:
-            log_event(Event.REQUEST_FAILED, error=repr(error))
+            log_event(Event.REQUEST_FAILED, error=describe(error))
             return self._refuse(ErrorKind.INTERNAL, "", request)
         finally:
             self.in_flight -= 1
@@ -83,12 +95,9 @@
                 answer = await self.service.cancel(job_id)
                 self._log("cancel", queue, job_id, answer)
             case "POST":
-                body = await request.read()
-                decoded = decode_submission(body or b"")
+                decoded = await self._read_submission(request)
                 if decoded.is_error():
-                    return self._refuse(
-                        ErrorKind.INVALID_REQUEST, decoded.error, request
-                    )
+                    return self._reject_input(decoded.error, request)
                 answer = await self.service.submit(queue, job_id, decoded.ok)
                 self._log("submit", queue, job_id, answer)
             case _:
@@ -97,6 +106,31 @@
             return self._refuse(answer.error, job_id, request, answer.retry_after)
         return _json(200, encode_state(answer.state or JobState.QUEUED))
 
+    async def _read_submission(self, request: Request) -> Result[JobSpec, Refusal]:
+        """Read and decode a body; reads no more of it than the limit."""
+        body = bytearray()
+        async for chunk in request_body_chunks(request):
+            body += chunk
+            if len(body) > MAX_BODY_BYTES:
+                detail = f"the body has more than {MAX_BODY_BYTES} bytes"
+                return Error(Refusal(ErrorKind.BODY_TOO_LARGE, detail))
+        decoded = decode_submission(bytes(body))
+        if decoded.is_error():
+            return Error(Refusal(ErrorKind.INVALID_REQUEST, decoded.error))
+        latest_ms = int(self.clock.wall() * 1000) + DUE_WINDOW_MS
+        if due_tasks(decoded.ok, latest_ms) > MAX_DUE_TASKS:
+            detail = f"more than {MAX_DUE_TASKS} tasks are due at once"
+            return Error(Refusal(ErrorKind.INVALID_REQUEST, detail))
+        return Ok(decoded.ok)
+
+    def _reject_input(self, refusal: Refusal, request: Request) -> Response:
+        self.metrics.inputs_rejected.labels("caller").inc()
+        response = self._refuse(refusal.kind, refusal.detail, request)
+        if refusal.kind is ErrorKind.BODY_TOO_LARGE:
+            # The rest of the body is not read.
+            response.headers.add(b"Connection", b"close")
+        return response
+
     def _log(self, call: str, queue: Queue, job_id: JobId, answer: JobAnswer) -> None:
         configuration = self.configuration()
         log_event(
@@ -112,6 +146,7 @@
         request: Request,
         retry_after: int | None = None,
     ) -> Response:
+        detail = detail[:MAX_DETAIL_LENGTH]
         answer = ERROR_RESPONSES[kind]
         if retry_after is None:
             retry_after = answer.retry_after_seconds
