--- a/src/ebonyhub/entry/status_api.py
+++ b/src/ebonyhub/entry/status_api.py
@@ -9,11 +9,16 @@
 from prometheus_client import generate_latest
 
 from ..cluster.mirror import JobMirror
+from ..decoding import describe
+from ..events import Event, log_event
 from ..ids import JobId
 from ..metrics import Metrics
 from ..scheduling.controller import Controller
 from ..scheduling.explain import explain_job
 
+# Characters of a request's path that an answer repeats.
+MAX_ECHO_LENGTH = 200
+
 
 @dataclass(frozen=True, slots=True)
 class StatusSources:
@@ -33,6 +38,14 @@
         self.sources = sources
 
     async def handle(self, request: Request) -> Response:
+        """Answer one request; an unexpected exception becomes an error response."""
+        try:
+            return self._answer(request)
+        except Exception as error:
+            log_event(Event.REQUEST_FAILED, error=describe(error))
+            return _json(500, {"error": "internal", "reasons": []})
+
+    def _answer(self, request: Request) -> Response:
         """Route a request by its path; unknown paths get a 404 answer."""
         path = request.url.path.decode("ascii", "replace").rstrip("/")
         if path == "/metrics":
@@ -44,7 +57,7 @@
             return self._describe(JobId(path.removeprefix("/v1/jobs/")))
         if path in ("/v1/machines", "/v1/waves"):
             return self._fleet(path.removeprefix("/v1/"))
-        return _json(404, {"error": "not_found", "reasons": [path]})
+        return _json(404, {"error": "not_found", "reasons": [path[:MAX_ECHO_LENGTH]]})
 
     def _jobs(self) -> list[dict[str, Any]]:
         return [
@@ -60,7 +73,8 @@
     def _describe(self, job_id: JobId) -> Response:
         job = self.sources.mirror.jobs.get(job_id)
         if job is None or not job.is_accepted:
-            return _json(404, {"error": "not_found", "reasons": [f"no job {job_id}"]})
+            reason = f"no job {job_id[:MAX_ECHO_LENGTH]}"
+            return _json(404, {"error": "not_found", "reasons": [reason]})
         data: dict[str, Any] = {
             "job": job_id,
             "queue": job.queue,
