--- a/src/ebonyhub/settings.py
+++ b/src/ebonyhub/settings.py
@@ -12,6 +12,7 @@
 import yaml
 from expression import Error, Ok, Result
 
+from .decoding import DECODE_ERRORS, describe
 from .ids import DataCentre, EntryId
 
 T = TypeVar("T")
@@ -133,7 +134,7 @@
         steps.append(unknown.group(1))
     line, value = find_in_yaml(text, data, steps)
     key = ".".join(str(step) for step in steps) or "(top level)"
-    return f"{file}:{line}: {key}: {expected}; got {value!r}"
+    return f"{file}:{line}: {key}: {expected}; got {repr(value)[:200]}"
 
 
 def find_in_yaml(text: str, data: Any, steps: list[Any]) -> tuple[int, Any]:
@@ -142,7 +143,7 @@
     line = node.start_mark.line + 1 if node else 1
     for step in steps:
         if isinstance(node, yaml.MappingNode):
-            pairs = {key.value: (key, value) for key, value in node.value}
+            pairs = {str(key.value): (key, value) for key, value in node.value}
             if step not in pairs:
                 break
             key_node, node = pairs[step]
@@ -163,10 +164,16 @@
         mark = error.problem_mark
         line = mark.line + 1 if mark else 1
         return Error(f"{file}:{line}: not valid YAML: {error.problem}")
+    except (yaml.YAMLError, *DECODE_ERRORS) as error:
+        # Control characters, nesting that is too deep, or invalid dates and numbers.
+        problem = " ".join(str(error).split())[:200]
+        return Error(f"{file}:1: not valid YAML: {problem}")
     try:
         return Ok(msgspec.convert(data, kind))
     except msgspec.ValidationError as error:
         return Error(describe_error(file, text, data, error))
+    except DECODE_ERRORS as error:
+        return Error(f"{file}:1: cannot be decoded: {describe(error)}")
 
 
 def load_settings(path: Path) -> Result[EntrySettings, str]:
@@ -175,4 +182,6 @@
         text = path.read_text()
     except OSError as error:
         return Error(f"{path}: cannot be read: {error.strerror}")
+    except UnicodeDecodeError as error:
+        return Error(f"{path}: not UTF-8 text: {error.reason}")
     return parse_strict(str(path), text, EntrySettings)
