--- a/tests/test_foreign_answers.py
+++ b/tests/test_foreign_answers.py
@@ -268,6 +268,12 @@
 # The placement advisor
 
 
+def advisor_client(body):
+    client = AdvisorClient("127.0.0.1:1", SystemClock(), new_metrics())
+    client.session = PresetSession(body)
+    return client
+
+
 @pytest.mark.parametrize(
     ("good", "expected"),
     [
@@ -282,8 +288,7 @@
     ],
 )
 async def test_rows_of_the_advisor(good, expected):
-    advisor = AdvisorClient("127.0.0.1:1", SystemClock(), new_metrics())
-    advisor.session = PresetSession(json.dumps({"Good": good}).encode())
+    advisor = advisor_client(json.dumps({"Good": good}).encode())
     workers = [WorkerId("w"), WorkerId("v")]
     result = await advisor.advise(JobId("j"), 0, 0, workers, 0.1)
     assert (result.ok if result.is_ok() else None) == expected
