--- a/src/ebonyhub/platform/worker_reports.py
+++ b/src/ebonyhub/platform/worker_reports.py
@@ -2,6 +2,7 @@
 
 import itertools
 import re
+from functools import lru_cache
 from typing import Annotated, Any, TypeVar
 
 import msgspec
@@ -122,6 +123,8 @@
     return f"{task.job}.{task.occurrence}.{task.step}.{task.position}"
 
 
+# Each report names the tasks that still run, so most names were parsed a second before.
+@lru_cache(maxsize=8192)
 def parse_task_name(name: str) -> TaskId:
     """Parse the name of a task on the wire; raises ValueError if it is malformed."""
     match = _TASK_NAME.fullmatch(name)
