--- a/src/ebonyhub/caller_api.py
+++ b/src/ebonyhub/caller_api.py
@@ -2,6 +2,7 @@
 
 from blacksheep import Application, Request, Response, Router
 
+from .decoding import describe
 from .errors import ErrorKind, Refusal
 from .events import Event, log_event
 from .relay import Relay
@@ -22,5 +23,5 @@
         try:
             return await self.relay.handle(request)
         except Exception as error:
-            log_event(Event.REQUEST_FAILED, error=repr(error))
+            log_event(Event.REQUEST_FAILED, error=describe(error))
             return self.relay.refuse(Refusal(ErrorKind.INTERNAL))
--- a/src/ebonyhub/exchange.py
+++ b/src/ebonyhub/exchange.py
@@ -24,6 +24,8 @@
 # can be retried or reported with an error status. Larger ones are streamed.
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
 
+MAX_DEADLINE_DIGITS = 15
+
 # Hop-by-hop headers, and headers that are set anew on the forwarded message.
 NOT_FORWARDED_HEADERS = frozenset(
     {
@@ -143,10 +145,12 @@
     priority = Priority.INTERACTIVE
     for name, value in headers:
         if name == b"x-request-deadline-ms":
-            if not value.isdigit() or int(value) == 0:
+            if not value.isdigit() or not value.strip(b"0"):
                 detail = "X-Request-Deadline-Ms must be a positive integer"
                 return Error(Refusal(ErrorKind.INVALID_REQUEST, detail))
-            timeout_seconds = min(timeout_seconds, int(value) / 1000)
+            # Longer numbers exceed every default, and those of 310 digits every float.
+            if len(value) <= MAX_DEADLINE_DIGITS:
+                timeout_seconds = min(timeout_seconds, int(value) / 1000)
         elif name == b"x-priority":
             try:
                 priority = Priority(value.decode("ascii", "replace"))
--- a/tests/test_foreign_calls.py
+++ b/tests/test_foreign_calls.py
@@ -20,13 +20,14 @@
 from ebonyhub.entry.job_api import MAX_BODY_BYTES, JobApi
 from ebonyhub.entry.job_service import ACCEPTED
 from ebonyhub.entry.status_api import StatusApi, StatusSources
+from ebonyhub.exchange import parse_control_headers
 from ebonyhub.jobs.model import due_tasks, spec_problem
 from ebonyhub.metrics import Metrics
 from ebonyhub.platform.config import decode_configuration
 from ebonyhub.platform.settings import load_node_settings
 from ebonyhub.platform.submissions import decode_submission
 from ebonyhub.servers import build_server, run_server
-from ebonyhub.settings import EntrySettings, Listener, parse_strict
+from ebonyhub.settings import EntrySettings, LimitSettings, Listener, parse_strict
 from standins.job_platform import demo_configuration, node_settings_text
 from standins.network import claim_network
 
@@ -229,6 +230,18 @@
     assert (await call(job_api(), "GET", PATH, headers=headers))[0] == 200
 
 
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [(b"inf", None), (b"-1", None), (b"abc", None), (b"0", None), (b"000", None),
+     (b"\xb2", None), (b"", None), (b"250", 0.25), (b"9" * 400, 30.0),
+     (b"9" * 5000, 30.0)],
+)  # fmt: skip
+def test_deadlines_of_relayed_requests(value, seconds):
+    """A number of 400 digits was answered with 500."""
+    parsed = parse_control_headers([(b"x-request-deadline-ms", value)], LimitSettings())
+    assert (parsed.ok[0] if parsed.is_ok() else None) == seconds
+
+
 @pytest.mark.parametrize(
     ("path", "status"),
     [
