--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -247,6 +247,12 @@
         "Find what wrote the record. The job starts nothing until a readable record "
         "replaces it; cancel it by removing its records.",
     )
+    INPUT_PARTLY_REJECTED = EventSpec(
+        2510,
+        _W,
+        "a part of a platform answer could not be read and is not used",
+        "Compare its fields with docs/platform.md.",
+    )
     JOB_RECORDS_REMOVED = EventSpec(
         2501, _I, "records of finished jobs removed", "None."
     )
--- a/src/ebonyhub/rejections.py
+++ b/src/ebonyhub/rejections.py
@@ -18,6 +18,9 @@
 MAX_LINES_PER_PERIOD = 100
 PERIOD_SECONDS = 10.0
 MAX_NAME_LENGTH = 200
+# Answers have no name: one event a second for each source.
+LOG_INTERVAL_SECONDS = 1.0
+MAX_DETAIL_LENGTH = 200
 
 
 class InputSource(Enum):
@@ -83,3 +86,29 @@
             self.lines_left = MAX_LINES_PER_PERIOD
         self.lines_left -= 1
         return self.lines_left >= 0
+
+
+class RejectedAnswers:
+    """Counts the rejected answers of one source and logs one at a time."""
+
+    def __init__(self, source: str, clock: Clock, metrics: Metrics | None) -> None:
+        self.source = source
+        self.clock = clock
+        self.metrics = metrics
+        self.next_log_at = float("-inf")
+        self.unlogged = 0
+
+    def reject(self, event: Event, call: str, error: str) -> None:
+        """Count a rejection, and log it unless another one was logged just before."""
+        if self.metrics is not None:
+            self.metrics.inputs_rejected.labels(self.source).inc()
+        now = self.clock.monotonic()
+        if now < self.next_log_at:
+            self.unlogged += 1
+            return
+        self.next_log_at = now + LOG_INTERVAL_SECONDS
+        log_event(
+            event, source=self.source, call=call, error=error[:MAX_DETAIL_LENGTH],
+            unlogged=self.unlogged,
+        )  # fmt: skip
+        self.unlogged = 0
