Do not load a submission that was read before its job's records were removed

A submission record that another entry had read before, or that a listing of the leader's own watch returned late, made the job known again without its progress, and all its tasks started anew.

The leader's mirror is complete up to the revision of its listing and watch, so an unknown job with an older submission has been removed. A watch that delivers the items of a batch one by one no longer claims to be complete up to the revision of the batch.

--- a/src/ebonyhub/cluster/mirror.py
+++ b/src/ebonyhub/cluster/mirror.py
@@ -101,6 +101,9 @@
         self.revision = INITIAL_REVISION
         self.waiting_counts: dict[QueueName, int] = {}
         self.retains_records = False
+        # All submissions up to this revision have been applied; only on the leader,
+        # and only once it has listed the records.
+        self.complete_until = INITIAL_REVISION
         # Jobs whose visible state changed since the last take_changes() call.
         self.changed_jobs: dict[JobId, None] = {}
         # Finished jobs that a follower will drop, with the time each was seen to end.
@@ -116,6 +119,7 @@
     def retain_records(self, enabled: bool) -> None:
         """Start or stop keeping complete records; stopping drops those held."""
         self.retains_records = enabled
+        self.complete_until = INITIAL_REVISION
         self.finished_jobs.clear()
         if enabled:
             return
@@ -172,6 +176,10 @@
             known.record is not None or (known.is_accepted and not self.retains_records)
         ):
             return None
+        if INITIAL_REVISION < item.revision <= self.complete_until:
+            # Read before the job's records were removed. Loaded without its progress,
+            # the job would run again.
+            return None
         accepted = _decode_accepted(item.value)
         problem = accepted_problem(accepted, job_id)
         if problem is not None:
@@ -337,6 +345,16 @@
                 self.remove_if_final(job_id)
         changed = [job for item in items if (job := self.apply(item)) is not None]
         self.revision = max(self.revision, revision)
+        if self.retains_records:
+            self.complete_until = max(self.complete_until, revision)
+        return changed
+
+    def apply_changes(self, items: Iterable[Item], revision: Revision) -> list[JobId]:
+        """Apply all changes up to a revision; return the ids of the changed jobs."""
+        changed = [job for item in items if (job := self.apply(item)) is not None]
+        self.revision = max(self.revision, revision)
+        if self.complete_until > INITIAL_REVISION:
+            self.complete_until = max(self.complete_until, revision)
         return changed
 
     def remove_if_final(self, job_id: JobId) -> None:
--- a/src/ebonyhub/cluster/watches.py
+++ b/src/ebonyhub/cluster/watches.py
@@ -112,7 +112,7 @@
         error = self._try_handler(batch, full)
         if error is None:
             return True
-        refused = [item for item in batch.items if not self._deliver_alone(item, batch)]
+        refused = [item for item in batch.items if not self._deliver_alone(item)]
         if full:
             # Only a full listing tells the handler which keys are gone. Those of
             # refused items are not: they get a value that cannot be read.
@@ -128,8 +128,9 @@
         self._reject(self.prefix, int(batch.revision), error)
         return not full
 
-    def _deliver_alone(self, item: Item, batch: Batch) -> bool:
-        error = self._try_handler(Batch([item], batch.revision), False)
+    def _deliver_alone(self, item: Item) -> bool:
+        # One item alone is complete up to no revision.
+        error = self._try_handler(Batch([item], INITIAL_REVISION), False)
         if error is not None:
             self._reject(item.key, item.value, error)
         return error is None
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -217,8 +217,7 @@
         if full:
             changed = self.mirror.apply_listing(list(batch.items), batch.revision)
         else:
-            changed = [job for item in batch.items if (job := self.mirror.apply(item))]
-            self.mirror.revision = Revision(max(self.mirror.revision, batch.revision))
+            changed = self.mirror.apply_changes(batch.items, batch.revision)
         self.service.synced_at = self.clock.monotonic()
         self.notify_controller(changed)
         if self.leadership.controller is not None:
