Judge the age of a worker's entry by the store's revisions, also at the start of a term

An answer that names revision R was asked for when the store was at R at most, so an entry with a higher revision was written later; an entry now counts from that time.

--- a/src/ebonyhub/cluster/watches.py
+++ b/src/ebonyhub/cluster/watches.py
@@ -10,6 +10,7 @@
 from ..ids import INITIAL_REVISION, Revision
 from ..rejections import InputSource, Rejections
 from .metadata_store import Batch, Item, MetadataStore, StoreFailure
+from .revision_clock import RevisionClock
 
 RETRY_DELAY_SECONDS = 0.2
 # Interval at which a watch that is not needed checks whether it is needed again.
@@ -39,6 +40,7 @@
         pause_seconds: float = 0.0,
         is_needed: Callable[[], bool] = lambda: True,
         rejections: Rejections | None = None,
+        revision_clock: RevisionClock | None = None,
     ) -> None:
         self.store = store
         self.prefix = prefix
@@ -49,6 +51,7 @@
         # Returns False while the owner receives the changes from another source.
         self.is_needed = is_needed
         self.rejections = rejections or Rejections()
+        self.revision_clock = revision_clock or RevisionClock(clock)
         self.revision = INITIAL_REVISION
         self.has_listed = False
         self.synced_at = float("-inf")
@@ -85,6 +88,7 @@
                 )
                 self.has_listed = False
                 return True
+            self.revision_clock.record_failure()
             if self.store_reachable:
                 self.store_reachable = False
                 log_event(
@@ -96,6 +100,7 @@
             self.store_reachable = True
             log_event(Event.STORE_RECOVERED, operation="watch", prefix=self.prefix)
         self.synced_at = sent_at
+        self.revision_clock.record(result.ok.revision, sent_at)
         full = not self.has_listed
         if not self._deliver(result.ok, full):
             return False
--- a/src/ebonyhub/entry/leadership_manager.py
+++ b/src/ebonyhub/entry/leadership_manager.py
@@ -38,6 +38,7 @@
     PeerStream,
     connect,
 )
+from ..cluster.revision_clock import RevisionClock
 from ..cluster.watches import PrefixWatch
 from ..decoding import parse_address
 from ..events import Event, log_event
@@ -115,9 +116,10 @@
         self.term_task: asyncio.Task[None] | None = None
         self.backoff = TermBackoff(clock, rng)
         self.stopping = False
+        self.revision_clock = RevisionClock(clock)
         self.watch = PrefixWatch(
             store, CLUSTER_PREFIX, clock, self.on_cluster_batch, WATCH_TIMEOUT_SECONDS,
-            rejections=mirror.rejections,
+            rejections=mirror.rejections, revision_clock=self.revision_clock,
         )  # fmt: skip
 
     def leader_name(self) -> str:
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -103,6 +103,7 @@
         self.operator_watch = PrefixWatch(
             self.store, OPERATOR_PREFIX, self.clock, self.on_operator_batch,
             WATCH_TIMEOUT_SECONDS, rejections=self.rejections,
+            revision_clock=self.leadership.revision_clock,
         )  # fmt: skip
         self.job_watch = PrefixWatch(
             self.store, JOB_PREFIX, self.clock, self.on_job_batch,
@@ -141,7 +142,7 @@
         controller = Controller(
             term, self.store, self.mirror, advisor, self.clock, self.rng, self.metrics,
             cloud, settings.status_retention_seconds, settings.capacity_valid_seconds,
-            self.on_progress_stored,
+            self.on_progress_stored, self.leadership.revision_clock,
         )  # fmt: skip
         self.mirror.take_changes()
         self.leadership.peer_server.broadcast(
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -12,6 +12,7 @@
 from ..cluster.leadership import Term
 from ..cluster.metadata_store import Item, MetadataStore, StoreFailure
 from ..cluster.mirror import JobMirror
+from ..cluster.revision_clock import RevisionClock
 from ..configuration import AdvisorPolicy, Configuration
 from ..events import Event, log_event
 from ..fleet.controller import FleetController
@@ -71,8 +72,10 @@
         retention_seconds: float,
         capacity_valid_seconds: float,
         on_stored: Callable[[], None],
+        revision_clock: RevisionClock | None = None,
     ) -> None:
         self.term = term
+        self.revision_clock = revision_clock or RevisionClock(clock)
         self.store = store
         self.mirror = mirror
         self.advisor = advisor
@@ -283,7 +286,11 @@
         entry = decoded.ok
         known = self.scheduler.workers.get(worker_id)
         address_changed = known is not None and known.entry.address != entry.address
-        self.scheduler.handle_worker_entry(entry, self.clock.monotonic())
+        self.scheduler.handle_worker_entry(
+            entry,
+            self.clock.monotonic(),
+            self.revision_clock.written_after(item.revision),
+        )
         if self.fleet is not None and known is None and entry.vm:
             self.fleet.handle_worker_registered(
                 entry.vm, PoolName(entry.service), worker_id
@@ -320,10 +327,12 @@
     async def _watch_workers(self) -> None:
         """Apply changes of the workers' entries in the store."""
         while True:
+            sent_at = self.clock.monotonic()
             result = await self.store.watch(
                 WORKER_PREFIX, self.workers_revision, WATCH_WAIT_SECONDS
             )
             if result.is_ok():
+                self.revision_clock.record(result.ok.revision, sent_at)
                 for item in result.ok.items:
                     self._apply_worker(item)
                 self.workers_revision = Revision(
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -104,7 +104,7 @@
     isolated_runs: dict[tuple[TaskId, int], Run] = field(default_factory=dict)
     used: Resources = field(default_factory=Resources)
     discovered_at: float = 0.0
-    # When the worker's entry was last read; each heartbeat writes it.
+    # Time after which the worker's entry was written; each heartbeat writes it.
     entry_seen_at: float = float("-inf")
     # When a poll first failed since the last report; None if none has.
     silent_since: float | None = None
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -19,8 +19,13 @@
 class WorkerMonitor(CrashAttribution):
     """Expires lost workers, and evicts long-running tasks from workers that leave."""
 
-    def handle_worker_entry(self, entry: WorkerEntry, now: float) -> None:
-        """Apply a worker's entry from the store, new or changed."""
+    def handle_worker_entry(
+        self, entry: WorkerEntry, now: float, written_after: float | None = None
+    ) -> None:
+        """Apply a worker's entry from the store, new or changed.
+
+        ``written_after`` is a time after which the entry was written; now if not given.
+        """
         worker = self.workers.get(entry.worker)
         if worker is None:
             worker = Worker(entry, born_ms=entry.born_ms, discovered_at=now)
@@ -44,7 +49,7 @@
                 memory=entry.capacity.memory, used_cpu=worker.used.cpu,
             )  # fmt: skip
             self.services_to_plan.add(entry.service)
-        worker.entry_seen_at = now
+        worker.entry_seen_at = now if written_after is None else written_after
         worker.update_entry(entry)
         worker.deregistered = False
         worker.cordoned = entry.vm in self.cordoned_vms
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -108,6 +108,7 @@
         }
         # The workers' entries in the store, when heartbeats write them.
         self.entries: dict[WorkerId, WorkerEntry] = {}
+        self.entries_written_at: dict[WorkerId, float] = {}
         self.next_heartbeat_at: dict[WorkerId, float] = {}
         self.scheduler: Scheduler | None = None
         self.valid_until = 0.0
@@ -146,7 +147,8 @@
         for worker in self.workers.values():
             if worker.registered:
                 entry = self.entries.get(worker.worker, worker.entry)
-                scheduler.handle_worker_entry(entry, self.now)
+                written_at = self.entries_written_at.get(worker.worker, self.now)
+                scheduler.handle_worker_entry(entry, self.now, written_at)
         self.scheduler = scheduler
         self.next_poll_at = dict.fromkeys(self.workers, self.now)
         self.revisions = {job: revision for job, (revision, _) in self.records.items()}
@@ -256,6 +258,7 @@
         if not self.store_up:
             return
         self.entries[name] = worker.entry
+        self.entries_written_at[name] = self.now
         scheduler.handle_worker_entry(worker.entry, self.now)
 
     def _poll(self, scheduler: Scheduler, name: WorkerId) -> None:
