TermCluster: keep the hooks that the run log has set on a worker

RunHistory replaced on_start, so RunLog did not know the run when it ended, and its StopIteration ended the task of the worker's clock.

--- a/standins/term_cluster.py
+++ b/standins/term_cluster.py
@@ -75,8 +75,13 @@
 
     def attach(self, worker: FakeWorker) -> None:
         """Record what a worker runs from now on."""
-        worker.on_start = self._record_start
-        on_end = worker.on_end
+        on_start, on_end = worker.on_start, worker.on_end
+
+        def record_start(fake: FakeWorker, task: TaskId, number: int) -> None:
+            on_start(fake, task, number)
+            self._record_start(fake, task, number)
+
+        worker.on_start = record_start
 
         def record_end(
             fake: FakeWorker, task: TaskId, number: int, outcome: RunOutcome
