Settings: empty fields count as absent, as before

The typed decoding refused an empty list or false for the cloud and an empty table of limits, which the decoding before it had taken for absent.

--- a/src/ebonyhub/platform/settings.py
+++ b/src/ebonyhub/platform/settings.py
@@ -3,7 +3,7 @@
 import os
 from math import inf
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any
 
 import msgspec
 import yaml
@@ -51,7 +51,7 @@
 class CloudRow(msgspec.Struct):
     """The cloud API; its address may be absent."""
 
-    address: Address | Literal[""] | None = msgspec.field(name="Address", default=None)
+    address: Address | None = msgspec.field(name="Address", default=None)
 
 
 class BoundsRow(msgspec.Struct):
@@ -78,12 +78,10 @@
     listen: ListenRow = msgspec.field(name="Listen")
     internal_ports: tuple[Port, Port] = msgspec.field(name="InternalPortRange")
     limits: LimitsRow = msgspec.field(name="Limits")
-    bounds: BoundsRow = msgspec.field(name="Bounds")
     store: StoreRow = msgspec.field(name="platform")
+    bounds: BoundsRow = msgspec.field(name="Bounds", default_factory=BoundsRow)
     cloud: CloudRow | None = msgspec.field(name="Cloud", default=None)
-    advisor: Address | Literal[""] | None = msgspec.field(
-        name="PlacementAdvisor", default=None
-    )
+    advisor: Address | None = msgspec.field(name="PlacementAdvisor", default=None)
     heartbeat_ms: Positive | None = msgspec.field(name="HeartbeatMs", default=None)
 
 
@@ -111,7 +109,7 @@
 def decode_node_settings(data: Any) -> Result[NodeSettings, str]:
     """Convert the parsed file; the error names the field that is missing or wrong."""
     try:
-        file = msgspec.convert(data, SettingsFile, strict=False)
+        file = msgspec.convert(_without_empty(data), SettingsFile, strict=False)
     except DECODE_ERRORS as error:
         return Error(f"missing or wrong field: {one_line(error)}")
     addresses = [file.listen.front, file.listen.ready, file.store.address]
@@ -122,6 +120,17 @@
     return Ok(_build_settings(file))
 
 
+def _without_empty(data: Any) -> Any:
+    """Return the fields that have a value; the platform may leave others empty."""
+    if not isinstance(data, dict):
+        return data
+    return {
+        key: _without_empty(value)
+        for key, value in data.items()
+        if value not in (None, "", [], {}) and value is not False
+    }
+
+
 def _build_settings(file: SettingsFile) -> NodeSettings:
     return NodeSettings(
         entry=EntryId(file.entry),
