Soak: three causes of failures in its own accounting

A probe of a configuration whose successor was written during the call counted as a return to an older one. A caller that the busy machine held up for longer than the notice period missed the answers that close its connection, and its next request met the end of the process; such a request is not counted, all others still are.

The timeline tells when the soak itself was held up.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,12 +15,15 @@
 from .workload import DrawnJob, JobKind, draw_job, draw_lasting_job
 
 # Range of the seconds between two submissions, for this number of workers.
-JOB_INTERVAL_SECONDS = (0.05, 0.3)
+JOB_INTERVAL_SECONDS = (0.1, 0.4)
 REFERENCE_WORKERS = 4
 RETRY_DELAY_SECONDS = 0.2
 # Seconds between two calls on a persistent connection; there is one of each to every
 # entry.
 CALL_INTERVALS_SECONDS = (0.03, 0.15, 0.9)
+# Seconds by which a caller may miss its interval. One that was held up for longer, on a
+# busy machine, missed the answers that close its connection.
+MAX_CALL_DELAY_SECONDS = 1.0
 # Seconds between two reads of the state of a random job.
 STATE_READ_INTERVAL_SECONDS = 0.05
 ANSWER_TIMEOUT_SECONDS = 8.0
@@ -153,7 +156,9 @@
         to ready entries only, as behind the platform's balancer.
         """
         head = RequestHead(b"GET", PREFIX.encode(), [(b"Host", HOST)])
+        clock = asyncio.get_running_loop().time
         while True:
+            heard_at = clock()
             if not await self.cluster.is_ready(entry):
                 await asyncio.sleep(RETRY_DELAY_SECONDS)
                 continue
@@ -165,6 +170,7 @@
             process = self.cluster.processes[entry]
             while True:
                 result = None
+                delay = clock() - heard_at - interval_seconds
                 try:
                     async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                         result = await send_and_receive(opened.ok, head, b"")
@@ -172,12 +178,13 @@
                     break
                 if result.is_error():
                     await asyncio.sleep(EXIT_TIMEOUT_SECONDS)
-                    if process.poll() == 0:
+                    if process.poll() == 0 and delay <= MAX_CALL_DELAY_SECONDS:
                         self.problems.append(
                             f"{entry} left a request without an answer as it stopped"
                         )
                     break
                 self.answered_calls += 1
+                heard_at = clock()
                 if result.ok.header(b"connection") == b"close":
                     break
                 await asyncio.sleep(interval_seconds)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -116,6 +116,9 @@
                 status = await get_status(self.cluster, name, versioned_prefix(version))
                 if self.cluster.processes[name] is not process:
                     continue
+                if newest_version() != version:
+                    # A version written during the call does not have the queue either.
+                    continue
                 if status == 200:
                     applied_version[process.pid] = version
                 elif status == 404 and applied_version.get(process.pid) == version:
--- a/soak/run.py
+++ b/soak/run.py
@@ -107,6 +107,7 @@
                 monitor.probe_configuration(lambda: injector.configuration_version)
             ),
             asyncio.create_task(callers.read_states()),
+            asyncio.create_task(injector.timeline.follow_stalls()),
             *(
                 asyncio.create_task(callers.use_persistent_connection(name, interval))
                 for name in self.cluster.names
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -13,6 +13,9 @@
 CPU_RANGE = (500, 1500)
 MAX_STEPS = 4
 MAX_TASKS_PER_STEP = 4
+# Long-running jobs that arrive during the load are smaller, so that those that are not
+# cancelled leave most of the capacity to the others.
+MAX_ADDED_LONG_RUNNING_TASKS = 2
 # Run time of the tasks of timed and flaky jobs in the stand-in.
 SHORT_TASK_MS = 200
 # Time until the first occurrence of a timed job, between its occurrences, and how many.
@@ -82,7 +85,7 @@
 
 def draw_lasting_job(rng: random.Random) -> DrawnJob:
     """Return a long-running job that is submitted until accepted and never ends."""
-    body = _draw_body(rng, JobKind.LONG_RUNNING)
+    body = _long_running_body(rng, MAX_TASKS_PER_STEP)
     job = f"{rng.getrandbits(64):016x}"
     return DrawnJob(job, JobKind.LONG_RUNNING, body, None, False)
 
@@ -102,12 +105,7 @@
                 "IntervalMs": rng.randint(*INTERVAL_MS),
             }
         case JobKind.LONG_RUNNING:
-            step = {
-                "Count": rng.randint(1, MAX_TASKS_PER_STEP), "Cpu": 1000, "MemMb": 100,
-                "EstimatedMs": 500, "LongRunning": True, "AntiAffinity": 2,
-                "MayMiss": 1,
-            }  # fmt: skip
-            return {"Spec": LONG_RUNNING_TEXT, "Steps": [step]}
+            return _long_running_body(rng, MAX_ADDED_LONG_RUNNING_TASKS)
         case JobKind.FAILING:
             return {"Spec": FAILING_TEXT, "Steps": _draw_steps(rng, 2, SHORT_TASK_MS)}
         case JobKind.FLAKY:
@@ -115,6 +113,14 @@
             return {"Spec": FLAKY_TEXT, "Steps": steps}
 
 
+def _long_running_body(rng: random.Random, max_tasks: int) -> dict[str, Any]:
+    step = {
+        "Count": rng.randint(1, max_tasks), "Cpu": 1000, "MemMb": 100,
+        "EstimatedMs": 500, "LongRunning": True, "AntiAffinity": 2, "MayMiss": 1,
+    }  # fmt: skip
+    return {"Spec": LONG_RUNNING_TEXT, "Steps": [step]}
+
+
 def _draw_steps(
     rng: random.Random, count: int, run_time_ms: int
 ) -> list[dict[str, Any]]:
