Soak: callers keep using their connections

The callers did not end an exchange before the next one, so each second call failed in the client without anything sent, and they opened a new connection. Calls that were not sent no longer count; all that were do. A violation tells what it saw.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,7 +20,7 @@
 RETRY_DELAY_SECONDS = 0.2
 # Seconds between two calls on a persistent connection; there is one of each to every
 # entry.
-CALL_INTERVALS_SECONDS = (0.03, 0.15, 0.9)
+CALL_INTERVALS_SECONDS = (0.1, 0.3, 0.9)
 # Seconds by which a caller may miss its interval. One that was held up for longer, on a
 # busy machine, missed the answers that close its connection.
 MAX_CALL_DELAY_SECONDS = 1.0
@@ -170,22 +170,30 @@
             process = self.cluster.processes[entry]
             while True:
                 result = None
-                delay = clock() - heard_at - interval_seconds
+                sent_at = clock()
+                delay = sent_at - heard_at - interval_seconds
                 try:
                     async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                         result = await send_and_receive(opened.ok, head, b"")
                 except TimeoutError:
                     break
                 if result.is_error():
+                    waited = clock() - sent_at
                     await asyncio.sleep(EXIT_TIMEOUT_SECONDS)
-                    if process.poll() == 0 and delay <= MAX_CALL_DELAY_SECONDS:
+                    if (
+                        result.error.any_bytes_written
+                        and process.poll() == 0
+                        and delay <= MAX_CALL_DELAY_SECONDS
+                    ):
                         self.problems.append(
-                            f"{entry} left a request without an answer as it stopped"
+                            f"LOST: {entry} left a request without an answer as it "
+                            f"stopped: {result.error} after {waited:.3f} s, interval "
+                            f"{interval_seconds} s, sent {delay:.3f} s late"
                         )
                     break
                 self.answered_calls += 1
                 heard_at = clock()
-                if result.ok.header(b"connection") == b"close":
+                if not opened.ok.end_exchange(heard_at):
                     break
                 await asyncio.sleep(interval_seconds)
             opened.ok.close()
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -4,7 +4,9 @@
 acknowledged ends that no record holds, were not noticed by earlier versions.
 """
 
+import asyncio
 import random
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -20,12 +22,15 @@
     progress_key,
 )
 from ebonyhub.scheduling.model import RunOutcome
+from soak.callers import Callers
 from soak.finished_jobs import RECENT_JOBS, store_finished_jobs
 from soak.stored_progress import StoredProgressCheck
 from soak.workload import JobKind, draw_job
 from standins.fake_worker import FakeWorker
+from standins.job_cluster import CALLER_PORT
 from standins.job_platform import FAILING_TEXT, FLAKY_TEXT, run_outcome
 from standins.memory_store import StoreCore
+from standins.network import claim_network
 from standins.oracle import GuaranteeViolation, Oracle
 
 JOB = JobId("00000000000000aa")
@@ -204,3 +209,38 @@
     assert run_outcome(FLAKY_TEXT, 1) is RunOutcome.FAILED
     assert run_outcome(FLAKY_TEXT, 2) is RunOutcome.DONE
     assert run_outcome("300", 1) is RunOutcome.DONE
+
+
+async def test_caller_keeps_using_its_connection_until_the_entry_closes_it(oracle):
+    """Earlier callers opened a connection for each call, so none was ever cut off."""
+    network = claim_network()
+    calls_by_connection = []
+
+    async def answer(reader, writer):
+        calls_by_connection.append(0)
+        while await reader.readuntil(b"\r\n\r\n"):
+            calls_by_connection[-1] += 1
+            closing = calls_by_connection[-1] == 3
+            head = b"Connection: close\r\n" if closing else b""
+            writer.write(b"HTTP/1.1 200 OK\r\n" + head + b"Content-Length: 0\r\n\r\n")
+            if closing:
+                break
+        writer.close()
+
+    async def is_ready(entry):
+        return True
+
+    address = network.address(1, 1)
+    server = await asyncio.start_server(answer, address, CALLER_PORT)
+    cluster = SimpleNamespace(
+        ip=lambda entry: address, is_ready=is_ready, processes={"entry-1": None}
+    )
+    callers = Callers(cluster, oracle, random.Random(1))
+    calling = asyncio.create_task(callers.use_persistent_connection("entry-1", 0.01))
+    while callers.answered_calls < 6:
+        await asyncio.sleep(0.01)
+    calling.cancel()
+    server.close()
+    network.close()
+    assert calls_by_connection[:2] == [3, 3]
+    assert callers.problems == []
