--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,7 +15,7 @@
 from .workload import DrawnJob, JobKind, draw_job, draw_lasting_job
 
 # Range of the seconds between two submissions, for this number of workers.
-JOB_INTERVAL_SECONDS = (0.1, 0.4)
+JOB_INTERVAL_SECONDS = (0.05, 0.3)
 REFERENCE_WORKERS = 4
 RETRY_DELAY_SECONDS = 0.2
 # Seconds between two calls on a persistent connection; there is one of each to every
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -117,7 +117,7 @@
                 if self.cluster.processes[name] is not process:
                     continue
                 if newest_version() != version:
-                    # A version written during the call does not have the queue either.
+                    # The next version has no route of this one.
                     continue
                 if status == 200:
                     applied_version[process.pid] = version
