--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,7 +20,7 @@
 RETRY_DELAY_SECONDS = 0.2
 # Seconds between two calls on a persistent connection; there is one of each to every
 # entry.
-CALL_INTERVALS_SECONDS = (0.03, 0.15, 0.9)
+CALL_INTERVALS_SECONDS = (0.1, 0.3, 0.9)
 # Seconds between two reads of the state of a random job.
 STATE_READ_INTERVAL_SECONDS = 0.05
 ANSWER_TIMEOUT_SECONDS = 8.0
@@ -153,7 +153,9 @@
         to ready entries only, as behind the platform's balancer.
         """
         head = RequestHead(b"GET", PREFIX.encode(), [(b"Host", HOST)])
+        clock = asyncio.get_running_loop().time
         while True:
+            heard_at = clock()
             if not await self.cluster.is_ready(entry):
                 await asyncio.sleep(RETRY_DELAY_SECONDS)
                 continue
@@ -165,20 +167,26 @@
             process = self.cluster.processes[entry]
             while True:
                 result = None
+                sent_at = clock()
+                delay = sent_at - heard_at - interval_seconds
                 try:
                     async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                         result = await send_and_receive(opened.ok, head, b"")
                 except TimeoutError:
                     break
                 if result.is_error():
+                    waited = clock() - sent_at
                     await asyncio.sleep(EXIT_TIMEOUT_SECONDS)
-                    if process.poll() == 0:
+                    if result.error.any_bytes_written and process.poll() == 0:
                         self.problems.append(
-                            f"{entry} left a request without an answer as it stopped"
+                            f"LOST: {entry} left a request without an answer as it "
+                            f"stopped: {result.error} after {waited:.3f} s, interval "
+                            f"{interval_seconds} s, sent {delay:.3f} s late"
                         )
                     break
                 self.answered_calls += 1
-                if result.ok.header(b"connection") == b"close":
+                heard_at = clock()
+                if not opened.ok.end_exchange(heard_at):
                     break
                 await asyncio.sleep(interval_seconds)
             opened.ok.close()
