Worker reports: the ends beside an unreadable row are used

A report with a row that cannot be read was not used at all. Ends listed beside the row were then never recorded, and once the worker's lease had run out, tasks that were done would start again. Such a report is now marked as incomplete: its ends count up to the first that cannot be read; for everything else the poll counts as failed, so that nothing follows from runs that are not listed, and the worker's lease still runs out if its reports stay unreadable.

Touches scheduling/reports.py and scheduling/worker_link.py.

--- a/src/ebonyhub/platform/worker_reports.py
+++ b/src/ebonyhub/platform/worker_reports.py
@@ -62,41 +62,12 @@
 
 
 class LenientPollAnswer(msgspec.Struct):
-    """A poll answer of which only the clock and the identity of runs are required.
-
-    Decoded if ``PollAnswer`` does not fit, which is slower.
-    """
+    """A poll answer whose rows are converted one by one; slower than ``PollAnswer``."""
 
     clock_ms: Count = msgspec.field(name="ClockMs")
     born_ms: Count = msgspec.field(name="born", default=0)
-    running: Rows[list[Any]] = msgspec.field(name="Running", default_factory=list)
-    ended: Rows[list[Any]] = msgspec.field(name="Finished", default_factory=list)
-
-    def repair(self) -> PollAnswer:
-        """Return the answer with defaults for fields that may be missing.
-
-        A checkpoint counts as none, percent and usage as 0. Raises one of DECODE_ERRORS
-        if a row does not say which run it is about, or how the run ended.
-        """
-        running = [
-            RunningRow(
-                *msgspec.convert(row[:2], tuple[TaskName, RunNumber]),
-                _field(row, 2, Checkpoint, ""),
-                _field(row, 3, Percent, 0.0),
-                _field(row, 4, Usage, 0.0),
-            )
-            for row in self.running
-        ]
-        ended = [
-            EndedRow(
-                *msgspec.convert(
-                    row[:4], tuple[Sequence, TaskName, RunNumber, RunOutcome]
-                ),
-                _field(row, 4, Checkpoint, ""),
-            )
-            for row in self.ended
-        ]
-        return PollAnswer(self.clock_ms, self.born_ms, running, ended)
+    running: Rows[Any] = msgspec.field(name="Running", default_factory=list)
+    ended: Rows[Any] = msgspec.field(name="Finished", default_factory=list)
 
 
 _decode_poll_answer = msgspec.json.Decoder(PollAnswer).decode
@@ -110,7 +81,7 @@
 )
 
 
-def _field(row: list[Any], index: int, kind: Any, default: T) -> T:
+def _field(row: Any, index: int, kind: Any, default: T) -> T:
     """Return a field of a row, or ``default`` if it is missing or not of its type."""
     if index >= len(row):
         return default
@@ -137,18 +108,17 @@
 def decode_report(body: bytes) -> Result[WorkerReport, str]:
     """Decode a worker's report; the error is a text for the log.
 
-    A report is used whole or not at all. A run that it does not list is taken for
-    ended, and its task may start a second time, so a row that cannot be read may not be
-    left out; and an end that cannot be read must not be acknowledged with the later
-    ones. A worker whose reports stay unreadable is treated like a silent one: its lease
-    runs out.
+    A run that a report does not list is taken for ended, and its task may start a
+    second time. A report with a row that cannot be read is therefore not ``complete``.
+    Its ends are used up to the first that cannot be read, which must not be
+    acknowledged: without them, tasks that are done would start again once the worker's
+    lease has run out.
     """
     try:
         try:
-            answer = _decode_poll_answer(body)
-        except msgspec.ValidationError:
-            answer = _decode_lenient_answer(body).repair()
-        return Ok(_build_report(answer))
+            return Ok(_build_report(_decode_poll_answer(body)))
+        except (msgspec.ValidationError, ValueError):
+            return Ok(_salvage_report(_decode_lenient_answer(body)))
     except DECODE_ERRORS as error:
         return Error(describe(error))
 
@@ -174,3 +144,48 @@
     if any(a.sequence >= b.sequence for a, b in itertools.pairwise(ended)):
         raise ValueError("the numbers of ended runs do not rise")
     return WorkerReport(answer.clock_ms, answer.born_ms, running, ended)
+
+
+def _salvage_report(answer: LenientPollAnswer) -> WorkerReport:
+    """Convert an answer row by row.
+
+    A row has to say which run it is about, and how the run ended. Apart from this, a
+    checkpoint that cannot be read counts as none, and percent and usage as 0.
+    """
+    running: list[RunningTask] = []
+    ended: list[EndedTask] = []
+    complete = True
+    for row in answer.running:
+        try:
+            running.append(_salvage_running(row))
+        except DECODE_ERRORS:
+            complete = False
+    for row in answer.ended:
+        try:
+            end = _salvage_end(row)
+        except DECODE_ERRORS:
+            complete = False
+            break
+        if ended and end.sequence <= ended[-1].sequence:
+            complete = False
+            break
+        ended.append(end)
+    return WorkerReport(
+        answer.clock_ms, answer.born_ms, tuple(running), tuple(ended), complete
+    )
+
+
+def _salvage_running(row: Any) -> RunningTask:
+    task, number = msgspec.convert(row[:2], tuple[TaskName, RunNumber])
+    return RunningTask(
+        parse_task_name(task), number, _field(row, 2, Checkpoint, ""),
+        _field(row, 3, Percent, 0.0), _field(row, 4, Usage, 0.0),
+    )  # fmt: skip
+
+
+def _salvage_end(row: Any) -> EndedTask:
+    sequence, task, number, kind = msgspec.convert(
+        row[:4], tuple[Sequence, TaskName, RunNumber, RunOutcome]
+    )
+    checkpoint = _field(row, 4, Checkpoint, "")
+    return EndedTask(sequence, parse_task_name(task), number, kind, checkpoint)
--- a/src/ebonyhub/platform/workers.py
+++ b/src/ebonyhub/platform/workers.py
@@ -154,6 +154,10 @@
             return Error(failure)
         report = decode_report(result.ok.body)
         if report.is_ok():
+            if not report.ok.complete:
+                self.rejected_answers.reject(
+                    Event.INPUT_PARTLY_REJECTED, "hold", "a row cannot be read"
+                )
             return Ok(report.ok)
         self.rejected_answers.reject(
             Event.PLATFORM_ANSWER_UNREADABLE, "hold", report.error
--- a/src/ebonyhub/scheduling/model.py
+++ b/src/ebonyhub/scheduling/model.py
@@ -76,6 +76,9 @@
     born_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    # False if a row could not be read. Runs that are not listed may then exist, and
+    # ``ended`` stops before the first end that could not be read.
+    complete: bool = True
 
 
 class OrderFailure(Enum):
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -50,6 +50,11 @@
             self._handle_restart(worker, report, now)
         if report.born_ms:
             worker.born_ms = report.born_ms
+        if not report.complete:
+            # Only its ends are certain. For everything else, the worker did not answer.
+            self._handle_ends(worker, report.ended, now, wall_ms)
+            self.acknowledge_stored_ends(worker)
+            return
         if worker.last_response_at is None or worker.poll_failed:
             self.services_to_plan.add(worker.entry.service)
         worker.last_response_at = now
--- a/src/ebonyhub/scheduling/worker_link.py
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -92,22 +92,25 @@
         result = await self.client.poll(
             self.token, self.worker.acknowledged_sequence, lease_end_ms, wait_seconds
         )
-        if result.is_ok():
+        if result.is_ok() and result.ok.complete:
             if not self.reachable:
                 self.reachable = True
                 log_event(Event.WORKER_REACHABLE, worker=self.worker.worker_id)
             self.on_report(self.worker, result.ok, sent_at)
             await self._wait_for_store()
             return
-        self._count_failure("hold", result.error)
+        if result.is_ok():
+            self.on_report(self.worker, result.ok, sent_at)
+        failure = OrderFailure.UNKNOWN if result.is_ok() else result.error
+        self._count_failure("hold", failure)
         if self.worker.silent_since is None:
             self.worker.silent_since = self.clock.monotonic()
-        if self.reachable and result.error is not OrderFailure.FENCED:
+        if self.reachable and failure is not OrderFailure.FENCED:
             self.reachable = False
             log_event(
                 Event.WORKER_UNREACHABLE,
                 worker=self.worker.worker_id,
-                reason=result.error.value,
+                reason=failure.value,
             )
         await asyncio.sleep(RETRY_DELAY_SECONDS * self.rng.uniform(0.8, 1.2))
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -118,6 +118,24 @@
     assert driver.worker("w1").acknowledged_sequence == 1
 
 
+def test_incomplete_report_is_evidence_of_its_ends_only():
+    """A run that it does not list may exist, and must not be started again."""
+    driver = Driver(("w1",))
+    job = driver.submit(JobSpec("t", (StepSpec(2, Resources(1000, 1), 300),)))
+    first, second = driver.start_all()
+    driver.wait(1.0)
+    answered_at = driver.worker("w1").last_response_at
+    end = EndedTask(1, first.task, first.number, RunOutcome.DONE, "")
+    report = WorkerReport(99, 1, (), (end,), complete=False)
+    driver.scheduler.handle_report(
+        driver.worker("w1"), report, driver.now, driver.now, 11_000
+    )
+    assert job.progress.occurrences[0][0].done == {first.task.position}
+    assert second.key in driver.worker("w1").runs
+    assert driver.worker("w1").last_response_at == answered_at
+    assert driver.worker("w1").clock_ms != 99
+
+
 def test_end_is_acknowledged_once_its_record_is_stored():
     driver = Driver(("w1",))
     job = driver.submit(JobSpec("t", (StepSpec(1, Resources(1000, 1), 300),)))
