A fault in one worker's entry, or in the fleet's plan, does not end the term

Second line of defence behind the decoders: an exception while an entry of a worker is applied concerns this entry; one in the plan of moves and waves leaves the jobs running. Rejected entries are counted and logged once for each value. A revision that a peer sent can no longer hide later leaders or submissions for good: a full listing of the leader key and the records loaded for a term replace it.

--- a/src/ebonyhub/cluster/watches.py
+++ b/src/ebonyhub/cluster/watches.py
@@ -72,6 +72,13 @@
         if revision >= self.revision:
             self.revision, self.has_listed = revision, True
 
+    def restart_from(self, revision: Revision) -> None:
+        """Continue from a revision up to which the owner has listed all items.
+
+        Unlike ``advance_to``, this may go back from a revision that a peer sent.
+        """
+        self.revision, self.has_listed = revision, True
+
     async def poll_once(self) -> bool:
         """Make one list or watch call; return False to retry after a delay."""
         sent_at = self.clock.monotonic()
--- a/src/ebonyhub/entry/leadership_manager.py
+++ b/src/ebonyhub/entry/leadership_manager.py
@@ -130,7 +130,13 @@
         """Apply changes of the leader key and of the entries' addresses."""
         items = {item.key: item for item in batch.items}
         if full or LEADER_KEY in items:
-            self._apply_leader_key(items.get(LEADER_KEY))
+            leader_item = items.get(LEADER_KEY)
+            if full and self.term is None:
+                # A revision that a peer sent may be higher than that of any leader.
+                self.newest_leader_revision = (
+                    leader_item.revision if leader_item else ABSENT
+                )
+            self._apply_leader_key(leader_item)
         for key, item in items.items():
             if key.startswith(ENTRY_ADDRESS_PREFIX):
                 self._apply_entry_address(key, item)
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -144,6 +144,7 @@
             cloud, settings.status_retention_seconds, settings.capacity_valid_seconds,
             self.on_progress_stored, self.leadership.revision_clock,
         )  # fmt: skip
+        self.job_watch.restart_from(self.mirror.complete_until)
         self.mirror.take_changes()
         self.leadership.peer_server.broadcast(
             self.states_message(self.mirror.unfinished_states(), True)
--- a/src/ebonyhub/fleet/controller.py
+++ b/src/ebonyhub/fleet/controller.py
@@ -107,7 +107,13 @@
         try:
             await self._load_wave_progress()
             while True:
-                await self._plan_once()
+                try:
+                    await self._plan_once()
+                except Exception as error:
+                    # Without moves and waves, jobs still run.
+                    log_event(
+                        Event.BACKGROUND_TASK_FAILED, task="fleet", error=repr(error)
+                    )
                 await asyncio.sleep(PLAN_INTERVAL_SECONDS)
         finally:
             for task in self.request_tasks:
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ..clock import Clock
 from ..cluster.leadership import Term
@@ -14,6 +14,7 @@
 from ..cluster.mirror import JobMirror
 from ..cluster.revision_clock import RevisionClock
 from ..configuration import AdvisorPolicy, Configuration
+from ..decoding import describe
 from ..events import Event, log_event
 from ..fleet.controller import FleetController
 from ..fleet.model import Wave
@@ -23,6 +24,7 @@
 from ..platform.cloud import AdvisorClient, CloudClient
 from ..platform.config import WORKER_PREFIX, decode_worker
 from ..platform.workers import WorkerClient
+from ..rejections import InputSource
 from .committer import Committer
 from .losses import LossCause
 from .model import OrderFailure, WorkerReport
@@ -103,6 +105,7 @@
                     vms, clock.monotonic(), self._wall_ms()
                 ),
                 lambda: bool(self.scheduler.unresponsive_workers(clock.monotonic())),
+                mirror.rejections,
             )
             if cloud is not None
             else None
@@ -271,8 +274,18 @@
         for worker_id in list(self.scheduler.workers):
             if worker_id not in listed:
                 self.scheduler.handle_worker_entry_removed(worker_id)
+        self._apply_workers(items)
+
+    def _apply_workers(self, items: Iterable[Item]) -> None:
+        """Apply entries of workers; one that fails does not end the term."""
         for item in items:
-            self._apply_worker(item)
+            try:
+                self._apply_worker(item)
+            except Exception as error:
+                self.mirror.rejections.add(
+                    InputSource.WORKER, item.key, item.value, describe(error),
+                    Event.BATCH_HANDLER_FAILED,
+                )  # fmt: skip
 
     def _apply_worker(self, item: Item) -> None:
         worker_id = WorkerId(item.key[len(WORKER_PREFIX) :])
@@ -281,7 +294,10 @@
             return
         decoded = decode_worker(item.key, item.value)
         if decoded.is_error():
-            log_event(Event.WORKER_ENTRY_UNREADABLE, key=item.key, error=decoded.error)
+            self.mirror.rejections.add(
+                InputSource.WORKER, item.key, item.value, decoded.error,
+                Event.WORKER_ENTRY_UNREADABLE,
+            )  # fmt: skip
             return
         entry = decoded.ok
         known = self.scheduler.workers.get(worker_id)
@@ -306,7 +322,9 @@
             old.cancel()
         link = WorkerLink(
             worker,
-            WorkerClient(worker.worker_id, worker.entry.address, self.clock),
+            WorkerClient(
+                worker.worker_id, worker.entry.address, self.clock, self.metrics
+            ),
             self.term.token,
             self.clock,
             self.rng,
@@ -333,8 +351,7 @@
             )
             if result.is_ok():
                 self.revision_clock.record(result.ok.revision, sent_at)
-                for item in result.ok.items:
-                    self._apply_worker(item)
+                self._apply_workers(result.ok.items)
                 self.workers_revision = Revision(
                     max(self.workers_revision, result.ok.revision)
                 )
--- a/tests/test_term_churn.py
+++ b/tests/test_term_churn.py
@@ -11,7 +11,7 @@
 from ebonyhub.cluster.leadership import LEADER_KEY
 from ebonyhub.jobs.records import JobState
 from ebonyhub.platform.config import WORKER_PREFIX
-from ebonyhub.scheduling import controller as controller_module
+from ebonyhub.scheduling.controller import Controller
 from standins.term_cluster import TermCluster
 
 COMPLETION_LIMIT_SECONDS = 60.0
@@ -21,15 +21,22 @@
 
 @pytest.fixture
 def poisoned_entry(monkeypatch):
-    """Let one store entry raise an error that no boundary foresees."""
-    decode = controller_module.decode_worker
+    """Let one store entry end each term by an error that no boundary foresees."""
+    replace_workers = Controller._replace_workers
+    log_wait_causes = Controller._log_wait_causes
 
-    def decode_or_fail(key, value):
-        if key == POISONED_KEY:
+    def replace_workers_or_fail(controller, items):
+        replace_workers(controller, items)
+        if any(item.key == POISONED_KEY for item in items):
             raise RuntimeError("unforeseen")
-        return decode(key, value)
 
-    monkeypatch.setattr(controller_module, "decode_worker", decode_or_fail)
+    def log_wait_causes_or_fail(controller, now):
+        if POISONED_KEY in controller.store.core.items:
+            raise RuntimeError("unforeseen")
+        log_wait_causes(controller, now)
+
+    monkeypatch.setattr(Controller, "_replace_workers", replace_workers_or_fail)
+    monkeypatch.setattr(Controller, "_log_wait_causes", log_wait_causes_or_fail)
 
 
 async def complete(cluster, entry, jobs):
