A worker has ended only if its successor has answered, and a late completion counts

- An entry of another writer that names a worker's VM counted as the next process on it.
A new leader, which has not polled anyone yet, then took sound workers for lost and started their runs elsewhere.
The end of a VM's change is taken from the first answer of the new worker, too, not from its entry.
- The end as done of a run that was taken for lost was dropped and acknowledged.
It is recorded now; a later run of the task is stopped, or not ordered.

--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -307,10 +307,6 @@
             self.clock.monotonic(),
             self.revision_clock.written_after(item.revision),
         )
-        if self.fleet is not None and known is None and entry.vm:
-            self.fleet.handle_worker_registered(
-                entry.vm, PoolName(entry.service), worker_id
-            )
         if not self.scheduler.records_loaded:
             return
         if address_changed or worker_id not in self.links:
@@ -516,7 +512,12 @@
         if self.scheduler.workers.get(worker.worker_id) is not worker:
             return
         now, wall_ms = self.clock.monotonic(), self._wall_ms()
+        is_first = worker.last_response_at is None
         self.scheduler.handle_report(worker, report, sent_at, now, wall_ms)
+        if is_first and self.fleet is not None and worker.entry.vm:
+            self.fleet.handle_worker_registered(
+                worker.entry.vm, PoolName(worker.entry.service), worker.worker_id
+            )
         self.wake.set()
 
     def _count_lost_worker(self, cause: LossCause, runs: int) -> None:
--- a/src/ebonyhub/scheduling/intake.py
+++ b/src/ebonyhub/scheduling/intake.py
@@ -93,9 +93,11 @@
         return worker
 
     def _successor_service(self, vm: VmId, born_ms: int) -> ServiceName | None:
-        """Return the service of a later worker on the VM, None if there is none."""
+        """Return the service of a later worker on the VM, None if none has answered."""
         for worker in self.workers.values():
-            if vm and worker.entry.vm == vm and worker.born_ms > born_ms:
+            same_vm = vm and worker.entry.vm == vm
+            answered = worker.last_response_at is not None
+            if same_vm and answered and worker.born_ms > born_ms:
                 return worker.entry.service
         return None
 
--- a/src/ebonyhub/scheduling/lifecycle.py
+++ b/src/ebonyhub/scheduling/lifecycle.py
@@ -110,6 +110,23 @@
     return record is not None and record.number == number
 
 
+def current_run(job: Job, task: TaskId) -> RunRecord | None:
+    """Return the run that the record has for the task, None if there is none."""
+    step_progress = step_progress_of(job, task)
+    return step_progress.runs.get(task.position) if step_progress else None
+
+
+def is_completable(job: Job, task: TaskId, number: int) -> bool:
+    """Return whether a recorded run of this number may complete the task."""
+    step_progress = step_progress_of(job, task)
+    return (
+        step_progress is not None
+        and not step_of(job, task).long_running
+        and task.position not in step_progress.done
+        and 0 < number <= step_progress.last_run_numbers.get(task.position, 0)
+    )
+
+
 def clear_run(job: Job, task: TaskId, checkpoint: str = "") -> None:
     """Remove the task's run from the record, so that the task may start again."""
     step_progress = step_progress_of(job, task)
--- a/src/ebonyhub/scheduling/order_results.py
+++ b/src/ebonyhub/scheduling/order_results.py
@@ -1,6 +1,7 @@
 """Orders starts whose records are stored, and applies the results of orders."""
 
 from ..events import Event, log_event
+from . import lifecycle
 from .model import OrderFailure
 from .orders import FetchReport, StartRun, StopRun
 from .runs import Run, RunPhase
@@ -25,7 +26,8 @@
             worker = self.workers.get(run.worker)
             if job is None or worker is None or run.key not in worker.runs:
                 continue
-            if run.stop_reason is not None:
+            is_current = lifecycle.is_current(job, run.task, run.number)
+            if run.stop_reason is not None or not is_current:
                 self.release_run(run, worker)
                 continue
             if job.stored_version < run.job_version:
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -55,6 +55,8 @@
             self._handle_ends(worker, report.ended, now, wall_ms)
             self.acknowledge_stored_ends(worker)
             return
+        if worker.last_response_at is None:
+            self.mark_predecessors(worker)
         if worker.last_response_at is None or worker.poll_failed:
             self.services_to_plan.add(worker.entry.service)
         worker.last_response_at = now
@@ -130,7 +132,11 @@
             run=end.number, worker=worker.worker_id, how=end.outcome.value,
             after=round(now - run.planned_at, 3) if run else None,
         )  # fmt: skip
-        if job.is_final or not lifecycle.is_current(job, end.task, end.number):
+        if job.is_final:
+            return
+        if not lifecycle.is_current(job, end.task, end.number):
+            if end.outcome is RunOutcome.DONE:
+                self._handle_late_completion(job, end, now, wall_ms)
             return
         step = lifecycle.step_of(job, end.task)
         self._update_health(worker, end, run, step, now)
@@ -149,6 +155,27 @@
         if job.is_final:
             self.close_job(job, now, StopReason.JOB_ENDED)
 
+    def _handle_late_completion(
+        self, job: Job, end: EndedTask, now: float, wall_ms: int
+    ) -> None:
+        """Record the completion of a run that was taken for lost.
+
+        Its task must not start again, so a later run of it is stopped.
+        """
+        if not lifecycle.is_completable(job, end.task, end.number):
+            return
+        later_run = lifecycle.current_run(job, end.task)
+        lifecycle.record_done(job, end.task, wall_ms)
+        self.mark_dirty(job)
+        if job.is_final:
+            self.close_job(job, now, StopReason.JOB_ENDED)
+        worker = self.workers.get(later_run.worker) if later_run else None
+        if later_run is None or worker is None:
+            return
+        run = worker.runs.get((end.task, later_run.number))
+        if run is not None:
+            self.stop_run(run, StopReason.TASK_DONE, now)
+
     def _max_attempts(self, job: Job) -> int:
         queue = self.queues.get(job.queue)
         return queue.max_attempts if queue else job.accepted.max_attempts
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -40,6 +40,8 @@
     WORKER_LEAVES = "worker_leaves"
     NO_PROGRESS = "no_progress"
     JOB_ENDED = "job_ended"
+    # An earlier run of the task, which was taken for lost, is done.
+    TASK_DONE = "task_done"
 
 
 @dataclass(eq=False, slots=True)
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -30,7 +30,6 @@
         if worker is None:
             worker = Worker(entry, born_ms=entry.born_ms, discovered_at=now)
             self.workers[entry.worker] = worker
-            self._mark_predecessors(entry)
             log_event(
                 Event.WORKER_DISCOVERED, worker=entry.worker, service=entry.service,
                 address=entry.address, rack=entry.rack, draining=entry.draining,
@@ -54,12 +53,16 @@
         worker.deregistered = False
         worker.cordoned = entry.vm in self.cordoned_vms
 
-    def _mark_predecessors(self, entry: WorkerEntry) -> None:
-        """Note on earlier workers of the VM that their process has ended."""
+    def mark_predecessors(self, successor: Worker) -> None:
+        """Note on earlier workers of the VM that their process has ended.
+
+        ``successor`` must have answered: other programs, too, write entries that name
+        a worker's VM.
+        """
+        vm = successor.entry.vm
         for worker in self.workers.values():
-            same_vm = entry.vm and worker.entry.vm == entry.vm
-            if same_vm and worker.born_ms < entry.born_ms:
-                worker.successor_service = entry.service
+            if vm and worker.entry.vm == vm and worker.born_ms < successor.born_ms:
+                worker.successor_service = successor.entry.service
 
     def handle_worker_entry_removed(self, worker_id: WorkerId) -> None:
         """Mark a worker whose entry has disappeared from the store.
@@ -133,9 +136,13 @@
     def _loss_by_silence(
         self, worker: Worker, unresponsive: bool, now: float
     ) -> LossCause | None:
-        """Return why a silent worker cannot run anything any more, None if it may."""
+        """Return why a silent worker cannot run anything any more, None if it may.
+
+        A worker that this leader has not polled yet is not silent.
+        """
         successor = worker.successor_service
-        if successor is not None and (unresponsive or worker.poll_failed):
+        is_silent = worker.poll_failed or self._is_overdue(worker, now)
+        if successor is not None and is_silent:
             moved = successor != worker.entry.service
             return LossCause.VM_MOVED if moved else LossCause.WORKER_REPLACED
         if unresponsive and worker.lease_has_ended(now, self.inherited_leases_until):
--- /dev/null
+++ b/tests/test_lost_worker_evidence.py
@@ -0,0 +1,160 @@
+"""What proves that a worker has ended, and ends of runs that were taken for lost.
+
+Guards against entries of other writers that name a worker's VM: a new leader, which has
+not heard of any worker yet, discarded the runs of sound workers and started them again.
+Also guards against a task that starts again although a run of it that was taken for
+lost reports that it is done.
+"""
+
+from dataclasses import replace
+
+import pytest
+
+from ebonyhub.ids import ServiceName, WorkerId
+from ebonyhub.jobs.model import JobSpec, Resources, StepSpec
+from ebonyhub.jobs.records import JobState
+from ebonyhub.scheduling.model import EndedTask, RunningTask, RunOutcome
+from ebonyhub.scheduling.orders import StartRun, StopRun
+from ebonyhub.scheduling.state import RESPONSE_MAX_AGE_SECONDS
+from standins.emulator import SERVICE
+from tests.test_scheduler import JOB, Driver, entry
+
+SPEC = JobSpec("t", (StepSpec(1, Resources(1000, 1), 300),))
+
+
+def entry_on_vm_of(name, writer, service="watchdog", born=2):
+    other = replace(entry(writer, born=born), vm=entry(name).vm)
+    return replace(other, service=ServiceName(service))
+
+
+def adopt_runs(job, names):
+    """Return the driver of a new leader that has not polled any worker yet."""
+    successor = Driver(())
+    successor.scheduler.inherited_leases_until = successor.now + 12.0
+    for name in names:
+        successor.scheduler.handle_worker_entry(entry(name), successor.now)
+    successor.scheduler.load_job(
+        job.accepted, job.progress, False, successor.now, 11_000
+    )
+    return successor
+
+
+@pytest.mark.parametrize("service", ["watchdog", SERVICE])
+def test_entry_of_another_writer_on_its_vm_does_not_end_a_worker(service):
+    driver = Driver(("w1",))
+    job = driver.submit(SPEC)
+    (run,) = driver.start_all()
+    leader = adopt_runs(job, ("w1",))
+    leader.scheduler.handle_worker_entry(entry_on_vm_of("w1", "x", service), leader.now)
+    leader.tick()
+    leader.worker("w1").silent_since = leader.now
+    leader.tick()
+    assert (run.task, run.number) in leader.worker("w1").runs
+
+
+def test_later_worker_of_the_vm_that_answers_ends_an_earlier_one():
+    driver = Driver(("w1",))
+    job = driver.submit(SPEC)
+    (run,) = driver.start_all()
+    leader = adopt_runs(job, ("w1",))
+    leader.worker("w1").silent_since = leader.now
+    leader.scheduler.handle_worker_entry(
+        entry_on_vm_of("w1", "w2", SERVICE), leader.now
+    )
+    leader.tick()
+    assert run.key in leader.worker("w1").runs
+    leader.report("w2", born=2)
+    leader.tick()
+    assert not leader.worker("w1").runs
+
+
+def test_new_leader_does_not_take_a_worker_for_silent_before_polling_it():
+    driver = Driver(("w1",))
+    job = driver.submit(SPEC)
+    (run,) = driver.start_all()
+    leader = adopt_runs(job, ("w1",))
+    leader.scheduler.handle_worker_entry(
+        entry_on_vm_of("w1", "w2", SERVICE), leader.now
+    )
+    leader.report("w2", born=2)
+    leader.tick()
+    assert run.key in leader.worker("w1").runs
+    leader.wait(RESPONSE_MAX_AGE_SECONDS + 0.1)
+    leader.tick()
+    assert not leader.worker("w1").runs
+
+
+def lose_worker_of(driver, run):
+    """Let the run's worker be taken for lost; the task becomes ready again."""
+    scheduler = driver.scheduler
+    worker = scheduler.workers[run.worker]
+    for lost in list(worker.runs.values()):
+        scheduler.discard_run(lost, worker)
+
+
+def done(run, sequence=1):
+    return EndedTask(sequence, run.task, run.number, RunOutcome.DONE, "")
+
+
+@pytest.mark.parametrize("later_run", ["none", "planned", "ordered", "confirmed"])
+def test_task_whose_lost_run_is_done_does_not_start_again(later_run):
+    driver = Driver(("w1", "w2"))
+    job = driver.submit(SPEC)
+    (run,) = driver.start_all()
+    lose_worker_of(driver, run)
+    if later_run == "planned":
+        driver.scheduler.plan(driver.now)
+    elif later_run == "ordered":
+        driver.scheduler.plan(driver.now)
+        driver.scheduler.mark_stored(job, job.version)
+        driver.scheduler.release_starts(driver.now)
+        driver.orders(StartRun)
+    elif later_run == "confirmed":
+        (second,) = driver.start_all()
+    driver.report(run.worker, ended=[done(run)])
+    assert job.progress.state is JobState.COMPLETED
+    assert driver.worker(run.worker).acknowledged_sequence == 0
+    driver.scheduler.mark_stored(job, job.version)
+    driver.scheduler.plan(driver.now)
+    driver.scheduler.release_starts(driver.now)
+    stops = [order for order in driver.scheduler.outbox if isinstance(order, StopRun)]
+    starts = [o for o in driver.scheduler.outbox if isinstance(o, StartRun)]
+    assert starts == []
+    if later_run in ("ordered", "confirmed"):
+        assert [(stop.task, stop.number) for stop in stops] == [(run.task, 2)]
+    if later_run == "confirmed":
+        assert second.number == 2
+
+
+def test_later_run_in_a_job_that_goes_on_is_stopped():
+    driver = Driver(("w1", "w2"))
+    steps = (SPEC.steps[0], replace_after(SPEC.steps[0]))
+    job = driver.submit(JobSpec("t", steps))
+    (run,) = driver.start_all()
+    lose_worker_of(driver, run)
+    driver.scheduler.plan(driver.now)
+    driver.report(run.worker, ended=[done(run)])
+    assert job.progress.occurrences[0][0].done == {0}
+    driver.scheduler.mark_stored(job, job.version)
+    driver.scheduler.release_starts(driver.now)
+    assert [o for o in driver.orders(StartRun) if o.run.task.step == 0] == []
+    assert [run.task.step for run in driver.start_all()] == [1]
+
+
+def replace_after(step):
+    return StepSpec(step.count, step.demand, step.estimate_ms, after=(0,))
+
+
+@pytest.mark.parametrize("number", [2, 99])
+def test_end_of_a_run_that_no_record_has_changes_nothing(number):
+    driver = Driver(("w1",))
+    job = driver.submit(SPEC)
+    (run,) = driver.start_all()
+    driver.report(
+        "w1",
+        running=[RunningTask(run.task, run.number, "", 5.0, 0.0)],
+        ended=[EndedTask(1, run.task, number, RunOutcome.DONE, "")],
+    )
+    assert driver.scheduler.jobs[JOB] is job
+    assert job.progress.state is JobState.RUNNING
+    assert WorkerId("w1") in driver.scheduler.workers
