Resume a wave that becomes known after its stored progress was read

A new leader reads the progress of all waves once. Maintenance that was requested under the earlier leader no longer counted for the limit of the wave. The progress is kept now and applied when the wave becomes known. The new test failed before.

--- a/src/ebonyhub/fleet/controller.py
+++ b/src/ebonyhub/fleet/controller.py
@@ -82,6 +82,9 @@
         self.listed_at = 0.0
         self.revisions: dict[str, Revision] = {}
         self.stored_progress: dict[WaveId, WaveProgress] = {}
+        # Progress that an earlier leader stored. A wave may become known only after it
+        # was read; begun anew, it would request its maintenance a second time.
+        self.inherited_progress: dict[WaveId, Item] = {}
         self.request_tasks: set[asyncio.Task[None]] = set()
 
     def configure(self, configuration: Configuration) -> None:
@@ -93,7 +96,11 @@
 
     def add_wave(self, wave: Wave) -> None:
         """Add an operator's wave to the planner."""
-        self.planner.add_wave(wave, self.clock.monotonic())
+        if not self.planner.add_wave(wave, self.clock.monotonic()):
+            return
+        item = self.inherited_progress.get(wave.wave_id)
+        if item is not None:
+            self._resume_wave(item)
 
     def handle_worker_registered(
         self, vm: VmId, pool: PoolName, worker: WorkerId
@@ -140,6 +147,7 @@
         if wave is None:
             self._reject(item, "the key names no wave")
             return
+        self.inherited_progress[wave] = item
         state = self.planner.waves.get(wave)
         if state is None or item.value is None:
             return
--- a/tests/test_foreign_records_in_a_term.py
+++ b/tests/test_foreign_records_in_a_term.py
@@ -161,6 +161,19 @@
     assert counter._value.get() == 6
 
 
+async def test_wave_that_becomes_known_late_resumes_its_stored_progress():
+    """Begun anew, it would be stored without what the earlier leader has requested."""
+    core = StoreCore(SystemClock().monotonic)
+    key = f"{WAVE_PROGRESS_PREFIX}3"
+    core.put(key, msgpack.packb([["a"], ["a", "b"]]))
+    fleet, _ = build_fleet(core)
+    await fleet._load_wave_progress()
+    fleet.add_wave(Wave(WaveId(3), (VmId("a"), VmId("b"), VmId("c")), 60.0, 1))
+    await fleet._store_wave_progress()
+    assert fleet.planner.waves[3].begun == {"a"}
+    assert msgpack.unpackb(core.items[key].value) == [["a"], ["a", "b"]]
+
+
 @pytest.mark.parametrize(
     "packed",
     [
