Split the links to the workers from the controller

No change of behaviour but for the order in which a term closes: orders are cancelled before the links are waited for. Tests of terms, records and job paths pass (49).

--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -6,25 +6,21 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from ..clock import Clock
 from ..cluster.leadership import Term
-from ..cluster.metadata_store import Item, MetadataStore, StoreFailure
+from ..cluster.metadata_store import Item, MetadataStore
 from ..cluster.mirror import JobMirror
 from ..cluster.revision_clock import RevisionClock
 from ..configuration import AdvisorPolicy, Configuration
-from ..decoding import describe
 from ..events import Event, log_event
 from ..fleet.controller import FleetController
 from ..fleet.model import Wave
-from ..ids import JobId, PoolName, QueueName, Revision, ServiceName, WorkerId
+from ..ids import JobId, PoolName, QueueName, ServiceName
 from ..jobs.model import AcceptedJob
 from ..metrics import Metrics
 from ..platform.cloud import AdvisorClient, CloudClient
-from ..platform.config import WORKER_PREFIX, decode_worker
-from ..platform.workers import WorkerClient
-from ..rejections import InputSource
 from .committer import Committer
 from .losses import LossCause
 from .model import OrderFailure, WorkerReport
@@ -35,17 +31,13 @@
 from .scheduler import Scheduler
 from .state import Advice, StepKey
 from .waiting import NOT_WAITING, WaitCause
-from .worker_link import WORKER_LEASE_SECONDS, WorkerLink
+from .worker_directory import LEASE_EXTENSION_SECONDS, WorkerDirectory
+from .worker_link import WORKER_LEASE_SECONDS
 
 # Seconds between calls of the scheduler's time-dependent checks.
 TICK_INTERVAL_SECONDS = 0.1
 # Seconds between two checks of what ready tasks wait for.
 WAIT_CHECK_INTERVAL_SECONDS = 0.2
-# Seconds for which a leader that cannot renew its own lease still renews those of its
-# workers, so that an outage of the store does not end the running tasks.
-LEASE_EXTENSION_SECONDS = 5.0
-# Seconds that one watch call on the workers' entries waits for a change.
-WATCH_WAIT_SECONDS = 0.8
 RETRY_DELAY_SECONDS = 0.2
 # The platform's limits on the advisor: pending calls, and workers named in one call.
 MAX_ADVISOR_CALLS = 32
@@ -77,7 +69,6 @@
         revision_clock: RevisionClock | None = None,
     ) -> None:
         self.term = term
-        self.revision_clock = revision_clock or RevisionClock(clock)
         self.store = store
         self.mirror = mirror
         self.advisor = advisor
@@ -110,10 +101,13 @@
             if cloud is not None
             else None
         )
-        self.links: dict[WorkerId, WorkerLink] = {}
-        self.link_tasks: dict[WorkerId, asyncio.Task[None]] = {}
-        self.order_tasks: set[asyncio.Task[None]] = set()
         self.wake = asyncio.Event()
+        self.workers = WorkerDirectory(
+            term, store, self.scheduler, clock, rng, metrics, mirror.rejections,
+            revision_clock or RevisionClock(clock), self._on_report, self._on_fenced,
+            self.wake.set,
+        )  # fmt: skip
+        self.order_tasks: set[asyncio.Task[None]] = set()
         self.next_tick = 0.0
         self.next_wait_check = 0.0
         # What the ready tasks of each service waited for when last logged.
@@ -215,9 +209,9 @@
     async def run(self) -> None:
         """Schedule until the term ends; nothing of the term goes on afterwards."""
         try:
-            await self._load_workers()
+            await self.workers.load()
             self._load_jobs()
-            parts = [self.committer.run, self._watch_workers, self.retention.run]
+            parts = [self.committer.run, self.workers.watch, self.retention.run]
             if self.fleet is not None:
                 parts.append(self.fleet.run)
             async with asyncio.TaskGroup() as group:
@@ -241,121 +235,20 @@
             Event.CONTROLLER_STARTED, token=self.term.token,
             workers=len(self.scheduler.workers), jobs=len(self.scheduler.active),
         )  # fmt: skip
-        for worker in self.scheduler.workers.values():
-            if not worker.deregistered:
-                self._open_link(worker)
+        self.workers.open_links()
 
     async def _close(self) -> None:
         """Cancel the links and orders, and wait until they have ended."""
+        orders = list(self.order_tasks)
         log_event(
-            Event.CONTROLLER_CLOSED, token=self.term.token, links=len(self.links),
-            orders=len(self.order_tasks), jobs=len(self.scheduler.jobs),
+            Event.CONTROLLER_CLOSED, token=self.term.token, orders=len(orders),
+            links=len(self.workers.links), jobs=len(self.scheduler.jobs),
         )  # fmt: skip
         self.term.ended = True
-        tasks = [*self.link_tasks.values(), *self.order_tasks]
-        self.link_tasks.clear()
-        self.links.clear()
-        for task in tasks:
+        for task in orders:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-    async def _load_workers(self) -> None:
-        while not self.term.ended:
-            listed = await self.store.list(WORKER_PREFIX)
-            if listed.is_ok():
-                self._replace_workers(list(listed.ok.items))
-                self.workers_revision = listed.ok.revision
-                return
-            await asyncio.sleep(RETRY_DELAY_SECONDS)
-
-    def _replace_workers(self, items: list[Item]) -> None:
-        """Apply a full listing of the workers' entries."""
-        listed = {WorkerId(item.key[len(WORKER_PREFIX) :]) for item in items}
-        for worker_id in list(self.scheduler.workers):
-            if worker_id not in listed:
-                self.scheduler.handle_worker_entry_removed(worker_id)
-        self._apply_workers(items)
-
-    def _apply_workers(self, items: Iterable[Item]) -> None:
-        """Apply entries of workers; one that fails does not end the term."""
-        for item in items:
-            try:
-                self._apply_worker(item)
-            except Exception as error:
-                self.mirror.rejections.add(
-                    InputSource.WORKER, item.key, item.value, describe(error),
-                    Event.BATCH_HANDLER_FAILED,
-                )  # fmt: skip
-
-    def _apply_worker(self, item: Item) -> None:
-        worker_id = WorkerId(item.key[len(WORKER_PREFIX) :])
-        if item.value is None:
-            self.scheduler.handle_worker_entry_removed(worker_id)
-            return
-        decoded = decode_worker(item.key, item.value)
-        if decoded.is_error():
-            self.mirror.rejections.add(
-                InputSource.WORKER, item.key, item.value, decoded.error,
-                Event.WORKER_ENTRY_UNREADABLE,
-            )  # fmt: skip
-            return
-        entry = decoded.ok
-        known = self.scheduler.workers.get(worker_id)
-        address_changed = known is not None and known.entry.address != entry.address
-        self.scheduler.handle_worker_entry(
-            entry,
-            self.clock.monotonic(),
-            self.revision_clock.written_after(item.revision),
-        )
-        if not self.scheduler.records_loaded:
-            return
-        if address_changed or worker_id not in self.links:
-            self._open_link(self.scheduler.workers[worker_id])
-
-    def _open_link(self, worker: Worker) -> None:
-        old = self.link_tasks.pop(worker.worker_id, None)
-        if old is not None:
-            old.cancel()
-        link = WorkerLink(
-            worker,
-            WorkerClient(
-                worker.worker_id, worker.entry.address, self.clock, self.metrics
-            ),
-            self.term.token,
-            self.clock,
-            self.rng,
-            self.metrics,
-            self._on_report,
-            self._on_fenced,
-        )
-        link.may_renew_lease = self._may_renew_leases
-        self.links[worker.worker_id] = link
-        self.link_tasks[worker.worker_id] = asyncio.create_task(link.run())
-
-    def _may_renew_leases(self) -> bool:
-        return (
-            not self.term.ended
-            and self.clock.monotonic() < self.term.valid_until + LEASE_EXTENSION_SECONDS
-        )
-
-    async def _watch_workers(self) -> None:
-        """Apply changes of the workers' entries in the store."""
-        while True:
-            sent_at = self.clock.monotonic()
-            result = await self.store.watch(
-                WORKER_PREFIX, self.workers_revision, WATCH_WAIT_SECONDS
-            )
-            if result.is_ok():
-                self.revision_clock.record(result.ok.revision, sent_at)
-                self._apply_workers(result.ok.items)
-                self.workers_revision = Revision(
-                    max(self.workers_revision, result.ok.revision)
-                )
-                self.wake.set()
-                continue
-            if result.error is StoreFailure.COMPACTED:
-                await self._load_workers()
-            await asyncio.sleep(RETRY_DELAY_SECONDS)
+        await self.workers.close()
+        await asyncio.gather(*orders, return_exceptions=True)
 
     async def _drive_scheduler(self) -> None:
         """Plan tasks and send orders until the term ends."""
@@ -366,7 +259,7 @@
                 self.scheduler.tick(now, self._wall_ms())
                 self.scheduler.pool_cores = self._pool_cores()
                 self._log_wait_causes(now)
-                self._close_removed_links()
+                self.workers.close_removed_links()
             if self.term.is_valid(now) and self.committer.healthy:
                 self.scheduler.plan_changed(now)
                 self._request_advice()
@@ -400,11 +293,6 @@
                 on_way=vms_on_way.get(service, 0),
             )  # fmt: skip
 
-    def _close_removed_links(self) -> None:
-        for worker_id in [w for w in self.links if w not in self.scheduler.workers]:
-            self.link_tasks.pop(worker_id).cancel()
-            del self.links[worker_id]
-
     # Orders
 
     def _dispatch_orders(self) -> None:
@@ -428,24 +316,24 @@
             case StartRun():
                 await self._start(order)
             case StopRun():
-                link = self.links.get(order.worker)
+                link = self.workers.links.get(order.worker)
                 if link is not None:
                     failure = await link.stop(order)
                     now = self.clock.monotonic()
                     self.scheduler.handle_stop_result(order, failure, now)
             case ThrottleRun():
-                link = self.links.get(order.worker)
+                link = self.workers.links.get(order.worker)
                 if link is not None:
                     await link.throttle(order)
             case FetchReport():
-                link = self.links.get(order.worker)
+                link = self.workers.links.get(order.worker)
                 if link is not None:
                     await link.fetch_report()
 
     async def _start(self, order: StartRun) -> None:
         run = order.run
         now = self.clock.monotonic()
-        link = self.links.get(run.worker)
+        link = self.workers.links.get(run.worker)
         job = self.scheduler.jobs.get(run.task.job)
         if link is None or job is None or not self.term.is_valid(now):
             failure = OrderFailure.NOT_SENT
@@ -547,7 +435,7 @@
                 self.scheduler.workers_with_unstored_ends.discard(worker_id)
                 continue
             self.scheduler.acknowledge_stored_ends(worker)
-            link = self.links.get(worker_id)
+            link = self.workers.links.get(worker_id)
             if link is not None and not worker.unstored_ends:
                 link.ends_stored.set()
         self._dispatch_orders()
--- a/tests/test_foreign_records_in_a_term.py
+++ b/tests/test_foreign_records_in_a_term.py
@@ -93,16 +93,16 @@
             core.put(f"servers/{name}", value)
     core.put("servers/first", json.dumps(WORKER).encode())
     running = asyncio.create_task(controller.run())
-    await wait_until(lambda: "first" in controller.links, running)
+    await wait_until(lambda: "first" in controller.workers.links, running)
     if not listed:
         for name, value in ODD_WORKERS.items():
             core.put(f"servers/{name}", value)
     core.put("servers/zlast", json.dumps(WORKER).encode())
-    await wait_until(lambda: "zlast" in controller.links, running)
+    await wait_until(lambda: "zlast" in controller.workers.links, running)
     await asyncio.sleep(0.3)
-    assert set(controller.links) <= {"first", "zlast", "unroutable"}
+    assert set(controller.workers.links) <= {"first", "zlast", "unroutable"}
     assert not running.done()
-    assert not any(task.done() for task in controller.link_tasks.values())
+    assert not any(task.done() for task in controller.workers.link_tasks.values())
     running.cancel()
     await asyncio.gather(running, return_exceptions=True)
 
--- a/tests/test_term_churn.py
+++ b/tests/test_term_churn.py
@@ -12,6 +12,7 @@
 from ebonyhub.jobs.records import JobState
 from ebonyhub.platform.config import WORKER_PREFIX
 from ebonyhub.scheduling.controller import Controller
+from ebonyhub.scheduling.worker_directory import WorkerDirectory
 from standins.term_cluster import TermCluster
 
 COMPLETION_LIMIT_SECONDS = 60.0
@@ -22,11 +23,11 @@
 @pytest.fixture
 def poisoned_entry(monkeypatch):
     """Let one store entry end each term by an error that no boundary foresees."""
-    replace_workers = Controller._replace_workers
+    replace_entries = WorkerDirectory.replace_entries
     log_wait_causes = Controller._log_wait_causes
 
-    def replace_workers_or_fail(controller, items):
-        replace_workers(controller, items)
+    def replace_entries_or_fail(directory, items):
+        replace_entries(directory, items)
         if any(item.key == POISONED_KEY for item in items):
             raise RuntimeError("unforeseen")
 
@@ -35,7 +36,7 @@
             raise RuntimeError("unforeseen")
         log_wait_causes(controller, now)
 
-    monkeypatch.setattr(Controller, "_replace_workers", replace_workers_or_fail)
+    monkeypatch.setattr(WorkerDirectory, "replace_entries", replace_entries_or_fail)
     monkeypatch.setattr(Controller, "_log_wait_causes", log_wait_causes_or_fail)
 
 
