--- a/src/ebonyhub/cluster/metadata_store.py
+++ b/src/ebonyhub/cluster/metadata_store.py
@@ -48,10 +48,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Batch:
-    """Items of a listing or watch, complete up to a store revision."""
+    """Items of a listing or watch, complete up to a store revision.
+
+    Not ``complete`` if a row named no key and was left out.
+    """
 
     items: Sequence[Item]
     revision: Revision
+    complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ebonyhub/cluster/mirror.py
+++ b/src/ebonyhub/cluster/mirror.py
@@ -104,6 +104,9 @@
         # All submissions up to this revision have been applied; only on the leader,
         # and only once it has listed the records.
         self.complete_until = INITIAL_REVISION
+        # Jobs whose submission could not be read since the records were listed; another
+        # entry may still send one that can.
+        self.rejected_submissions: set[JobId] = set()
         # Jobs whose visible state changed since the last take_changes() call.
         self.changed_jobs: dict[JobId, None] = {}
         # Finished jobs that a follower will drop, with the time each was seen to end.
@@ -120,6 +123,7 @@
         """Start or stop keeping complete records; stopping drops those held."""
         self.retains_records = enabled
         self.complete_until = INITIAL_REVISION
+        self.rejected_submissions.clear()
         self.finished_jobs.clear()
         if enabled:
             return
@@ -165,6 +169,8 @@
     def _reject(
         self, item: Item, error: str, event: Event = Event.INPUT_REJECTED
     ) -> None:
+        if item.key.startswith(ACCEPTED_PREFIX) and self.retains_records:
+            self.rejected_submissions.add(JobId(item.key[len(ACCEPTED_PREFIX) :]))
         self.rejections.add(InputSource.JOB_RECORD, item.key, item.value, error, event)
 
     def _apply_accepted(self, job_id: JobId, item: Item) -> JobId | None:
@@ -176,7 +182,8 @@
             known.record is not None or (known.is_accepted and not self.retains_records)
         ):
             return None
-        if INITIAL_REVISION < item.revision <= self.complete_until:
+        is_old = INITIAL_REVISION < item.revision <= self.complete_until
+        if is_old and job_id not in self.rejected_submissions:
             # Read before the job's records were removed. Loaded without its progress,
             # the job would run again.
             return None
--- a/src/ebonyhub/cluster/watches.py
+++ b/src/ebonyhub/cluster/watches.py
@@ -82,7 +82,9 @@
     async def poll_once(self) -> bool:
         """Make one list or watch call; return False to retry after a delay."""
         sent_at = self.clock.monotonic()
-        if not self.has_listed:
+        # The owner may ask for a new listing while a watch call is pending.
+        is_listing = not self.has_listed
+        if is_listing:
             result = await self.store.list(self.prefix)
         else:
             result = await self.store.watch(
@@ -108,10 +110,10 @@
             log_event(Event.STORE_RECOVERED, operation="watch", prefix=self.prefix)
         self.synced_at = sent_at
         self.revision_clock.record(result.ok.revision, sent_at)
-        full = not self.has_listed
-        if not self._deliver(result.ok, full):
+        if not self._deliver(result.ok, is_listing):
             return False
-        self.has_listed = True
+        if is_listing:
+            self.has_listed = True
         self.revision = Revision(max(self.revision, result.ok.revision))
         return True
 
--- a/src/ebonyhub/connection_pool.py
+++ b/src/ebonyhub/connection_pool.py
@@ -76,8 +76,12 @@
         return opened
 
     def has_idle_connection(self) -> bool:
-        """Return whether an idle connection is open, whatever its idle time."""
-        return any(connection.usable for connection in self.idle_connections)
+        """Return whether an idle connection is open that the next request uses."""
+        oldest_allowed = self.clock.monotonic() - self.max_idle_seconds
+        return any(
+            connection.usable and connection.idle_since >= oldest_allowed
+            for connection in self.idle_connections
+        )
 
     async def _connect(self) -> Result[HttpConnection, ExchangeError]:
         try:
--- a/src/ebonyhub/entry/leadership_manager.py
+++ b/src/ebonyhub/entry/leadership_manager.py
@@ -68,6 +68,8 @@
 # How long a stream to an arbitrary peer is kept before looking for the leader again.
 FALLBACK_PEER_SECONDS = 1.0
 REGISTER_RETRY_SECONDS = 1.0
+# Time for the watch to show a leader of which a peer has told.
+CONFIRMATION_SECONDS = 2.0
 # Limit on the hand-over of a stopping leader, whose lease would soon expire anyway.
 HANDOVER_TIMEOUT_SECONDS = 0.5
 # Method of a call between entries: become leader in place of the caller.
@@ -107,6 +109,8 @@
         self.entry_addresses: dict[EntryId, str] = {}
         self.leader: Leader | None = None
         self.newest_leader_revision = Revision(0)
+        # When a peer named the present leader, which the store has not confirmed yet.
+        self.unconfirmed_since: float | None = None
         self.leader_changed = asyncio.Event()
         self.leader_stream: PeerStream | None = None
         self.term: Term | None = None
@@ -130,6 +134,7 @@
         """Apply changes of the leader key and of the entries' addresses."""
         items = {item.key: item for item in batch.items}
         if full or LEADER_KEY in items:
+            self.unconfirmed_since = None
             leader_item = items.get(LEADER_KEY)
             if full and self.term is None:
                 # A revision that a peer sent may be higher than that of any leader.
@@ -177,6 +182,7 @@
             raise ValueError(decoded.error)
         if revision > self.newest_leader_revision:
             self.update_leader(Item(LEADER_KEY, value, Revision(revision)))
+            self.unconfirmed_since = self.clock.monotonic()
 
     def update_leader(self, item: Item | None) -> None:
         """Apply a value of the leader key; ends this entry's term if another leads."""
@@ -221,6 +227,7 @@
         """Keep a stream to the leader; campaign when there is none."""
         while True:
             self.leader_changed.clear()
+            self._confirm_leader()
             leader = self.leader
             if self.stopping or not self.watch.has_listed:
                 await asyncio.sleep(ELECTION_RETRY_SECONDS)
@@ -238,6 +245,15 @@
             else:
                 await self.connect_to_any_peer()
 
+    def _confirm_leader(self) -> None:
+        """Read the leader key if the store has not confirmed what a peer sent."""
+        since = self.unconfirmed_since
+        if since is None or self.store.failing:
+            return
+        if self.clock.monotonic() - since > CONFIRMATION_SECONDS:
+            self.unconfirmed_since = None
+            self.watch.has_listed = False
+
     async def connect_to_any_peer(self) -> None:
         """Hold a stream to an arbitrary entry until the leader is known."""
         others = [
@@ -415,7 +431,8 @@
         while not term.ended:
             job_listing = await self.store.list(JOB_PREFIX)
             progress_listing = await self.store.list(PROGRESS_PREFIX)
-            if job_listing.is_ok() and progress_listing.is_ok():
+            # A record that is left out would make its job look removed, or new.
+            if _is_complete(job_listing) and _is_complete(progress_listing):
                 changed = self.mirror.apply_listing(
                     [*job_listing.ok.items, *progress_listing.ok.items],
                     job_listing.ok.revision,
@@ -499,6 +516,10 @@
         self.end_term("shutdown")
 
 
+def _is_complete(listing: Result[Batch, StoreFailure]) -> bool:
+    return listing.is_ok() and listing.ok.complete
+
+
 def _takeover_rank(stream: PeerStream) -> tuple[float, int]:
     """Sort key for choosing a successor; the peer with the highest one is asked."""
     return (min(stream.peer_effective_cores, SUFFICIENT_CORES), stream.peer_started_ms)
--- a/src/ebonyhub/platform/store.py
+++ b/src/ebonyhub/platform/store.py
@@ -214,7 +214,7 @@
         """Read all keys that start with a prefix, page by page."""
         items: list[Item] = []
         revision: Revision | None = None
-        after = ""
+        after, complete = "", True
         for _ in range(MAX_PAGES):
             target = f"/kv-range?PathPrefix={quote(prefix, safe='')}"
             if after:
@@ -229,8 +229,9 @@
                 revision = Revision(page.revision)
             found = self._items(page.items, prefix, Revision(page.revision))
             items += found
+            complete = complete and len(found) == len(page.items)
             if not page.has_more:
-                return Ok(Batch(items, revision))
+                return Ok(Batch(items, revision, complete))
             if not found or found[-1].key == after:
                 break
             after = found[-1].key
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from ..clock import Clock
-from ..cluster.leadership import Term
+from ..cluster.leadership import LEADER_KEY, Term
 from ..cluster.metadata_store import Item, MetadataStore
 from ..cluster.mirror import JobMirror
 from ..cluster.revision_clock import RevisionClock
@@ -108,6 +108,7 @@
             self.wake.set,
         )  # fmt: skip
         self.order_tasks: set[asyncio.Task[None]] = set()
+        self.checking_leadership = False
         self.next_tick = 0.0
         self.next_wait_check = 0.0
         # What the ready tasks of each service waited for when last logged.
@@ -148,7 +149,7 @@
         if mirrored is None:
             return
         if mirrored.accepted is None:
-            self.scheduler.unreadable_jobs.add(job_id)
+            self.scheduler.abandon_job(job_id, mirrored.cancelled)
             return
         now, wall_ms = self.clock.monotonic(), self._wall_ms()
         known = job_id in self.scheduler.jobs
@@ -167,9 +168,10 @@
                 Event.BACKGROUND_TASK_FAILED, task="load", job=job_id,
                 error=repr(error),
             )  # fmt: skip
-            self.scheduler.abandon_job(job_id)
+            self.scheduler.abandon_job(job_id, mirrored.cancelled)
             return
-        self.scheduler.unreadable_jobs.discard(job_id)
+        if job_id in self.scheduler.unreadable_jobs:
+            self.scheduler.reread_ends(job_id)
         if not known:
             self._log_loaded(mirrored.accepted)
         self.wake.set()
@@ -416,6 +418,26 @@
         self.metrics.jobs_given_up.labels(queue).inc()
 
     def _on_fenced(self, worker: Worker) -> None:
+        if self.term.ended or self.checking_leadership:
+            return
+        self.checking_leadership = True
+        task = asyncio.create_task(self._check_leadership(worker))
+        self.order_tasks.add(task)
+        task.add_done_callback(self._order_done)
+
+    async def _check_leadership(self, worker: Worker) -> None:
+        """End the term if another entry leads, as a worker that refuses the token says.
+
+        A worker that refuses the token of the present leader is alone in this; ending
+        the term for it would end that of each successor, too.
+        """
+        try:
+            found = await self.store.get(LEADER_KEY)
+        finally:
+            self.checking_leadership = False
+        item = found.ok if found.is_ok() else None
+        if item is not None and int(item.revision) == int(self.term.token):
+            return
         if not self.term.ended:
             log_event(
                 Event.LEADERSHIP_LOST, cause="fenced", token=self.term.token,
--- a/src/ebonyhub/scheduling/lifecycle.py
+++ b/src/ebonyhub/scheduling/lifecycle.py
@@ -155,7 +155,8 @@
     step_progress.crash_evidence.pop(task.position, None)
     step_progress.late_crashes.pop(task.position, None)
     job.version += 1
-    if len(step_progress.done) >= step.count:
+    ready = job.pending.get((task.occurrence, task.step), ())
+    if len(step_progress.done) >= step.count or task.position in ready:
         refresh_pending(job, task.occurrence)
     if _occurrence_done(job, task.occurrence):
         _close_occurrence(job, task.occurrence, wall_ms)
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -28,6 +28,8 @@
 
 # The most ends that a worker lists in one report; a full list may be incomplete.
 MAX_ENDS_PER_REPORT = 500
+# Ends that a worker may list before those of unreadable jobs are acknowledged.
+MAX_HELD_ENDS = 400
 # Ends that the task itself brought about, so that the worker has survived it.
 _OWN_ENDS = frozenset({RunOutcome.DONE, RunOutcome.FAILED})
 
@@ -44,6 +46,8 @@
         wall_ms: int,
     ) -> None:
         """Apply a worker's report; ``sent_at`` is when it was requested."""
+        if self._is_of_earlier_process(worker, report, sent_at):
+            return
         # The latest time at which an earlier process under this id may have ended.
         silent_since = worker.silent_since or worker.last_response_at or now
         if report.born_ms and worker.born_ms and report.born_ms != worker.born_ms:
@@ -63,6 +67,7 @@
         worker.silent_since = None
         worker.clock_ms, worker.clock_read_at = report.clock_ms, now
         worker.expired = False
+        worker.listed_ends = len(report.ended)
         self._handle_ends(worker, report.ended, now, wall_ms)
         listed = set()
         for row in report.running:
@@ -75,6 +80,17 @@
         self._throttle_best_effort_runs(worker, now)
         self.acknowledge_stored_ends(worker)
 
+    def _is_of_earlier_process(
+        self, worker: Worker, report: WorkerReport, sent_at: float
+    ) -> bool:
+        """Return whether a report was overtaken by one of a later process.
+
+        The numbers of its ends would acknowledge ends of the later process.
+        """
+        return (
+            report.born_ms not in (0, worker.born_ms) and sent_at <= worker.restarted_at
+        )
+
     def _handle_restart(self, worker: Worker, report: WorkerReport, now: float) -> None:
         """Reset the report state of a worker that restarted under the same id.
 
@@ -88,6 +104,7 @@
             youngest=youngest_runs(worker, now),
         )  # fmt: skip
         self.on_worker_lost(LossCause.RESTARTED, len(worker.runs))
+        worker.restarted_at = now
         worker.last_seen_sequence = 0
         worker.acknowledged_sequence = 0
         worker.unstored_ends.clear()
@@ -228,7 +245,7 @@
         run.usage = row.usage
         job = self.jobs.get(row.task.job)
         if job is None:
-            if self.is_removed(row.task.job):
+            if self.may_stop_runs_of(row.task.job):
                 self.stop_run(run, StopReason.JOB_ENDED, now)
         elif job.is_final:
             self.stop_run(run, StopReason.JOB_ENDED, now)
@@ -245,8 +262,12 @@
             step = steps[row.task.step]
         else:
             step = StepSpec(1, Resources())
+        reserved = step.reserved
+        if job is None and not self.is_removed(row.task.job):
+            # What the run needs is not known, so nothing else starts beside it.
+            reserved = worker.entry.capacity
         run = Run(
-            row.task, row.number, worker.worker_id, worker.born_ms, step.reserved,
+            row.task, row.number, worker.worker_id, worker.born_ms, reserved,
             step, RunPhase.CONFIRMED, planned_at=now, confirmed_at=now,
         )  # fmt: skip
         self.reserve_for_run(run, worker)
@@ -329,19 +350,24 @@
         """Advance the acknowledged sequence over ends whose records are stored."""
         while worker.unstored_ends:
             sequence, versions = worker.unstored_ends[0]
-            if not all(self._is_stored(job, v) for job, v in versions.items()):
+            if not all(self._is_stored(worker, j, v) for j, v in versions.items()):
                 return
             worker.acknowledged_sequence = sequence
             worker.unstored_ends.pop(0)
         self.workers_with_unstored_ends.discard(worker.worker_id)
 
-    def _is_stored(self, job_id: JobId, version: int) -> bool:
+    def _is_stored(self, worker: Worker, job_id: JobId, version: int) -> bool:
         """Return whether a version of a job's record is stored, or has been removed.
 
         The worker forgets an end once it is acknowledged. An end of a job that is not
-        loaded must therefore stay on the worker for a leader that knows the job.
+        loaded must therefore stay on the worker for a leader that knows the job. An
+        unreadable job gives way before the worker's list is full, since ends of other
+        jobs would not be listed any more.
         """
         job = self.jobs.get(job_id)
         if job is None:
-            return self.is_removed(job_id)
+            holds_up_others = worker.listed_ends > MAX_HELD_ENDS
+            return self.is_removed(job_id) or (
+                holds_up_others and job_id in self.unreadable_jobs
+            )
         return job.stored_version >= version
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -117,6 +117,10 @@
     clock_read_at: float = 0.0
     # Latest lease end that was sent, in ms on the worker's clock.
     lease_end_ms: int = 0
+    # When a report of the present process, which restarted under the id, was received.
+    restarted_at: float = float("-inf")
+    # Number of ends in the last report.
+    listed_ends: int = 0
     # Sequence numbers of the last run end that was processed and acknowledged.
     last_seen_sequence: int = 0
     acknowledged_sequence: int = 0
@@ -172,7 +176,10 @@
         return self.clock_ms + elapsed_ms > self.lease_end_ms + CLOCK_MARGIN_MS
 
     def add(self, run: Run) -> None:
-        """Reserve capacity for a run."""
+        """Reserve capacity for a run, in place of an earlier entry of it."""
+        earlier = self.runs.get(run.key)
+        if earlier is not None:
+            self.remove(earlier)
         self.runs[run.key] = run
         if run.probation_seconds is not None:
             self.isolated_runs[run.key] = run
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -65,8 +65,8 @@
         # Whether all stored jobs have been loaded. Until then, a job that is not in
         # ``jobs`` may well exist.
         self.records_loaded = False
-        # Jobs with records that could not be loaded.
-        self.unreadable_jobs: set[JobId] = set()
+        # Jobs with records that could not be loaded, and whether each is cancelled.
+        self.unreadable_jobs: dict[JobId, bool] = {}
         # Jobs that have not ended.
         self.active: dict[JobId, Job] = {}
         self.workers: dict[WorkerId, Worker] = {}
@@ -140,12 +140,30 @@
         self.workers_of_job.pop(job_id, None)
         self.dirty.pop(job_id, None)
 
-    def abandon_job(self, job_id: JobId) -> None:
-        """Forget a job that could not be loaded, but keep what workers run of it."""
-        self.unreadable_jobs.add(job_id)
+    def abandon_job(self, job_id: JobId, cancelled: bool) -> None:
+        """Forget a job that could not be loaded, but keep what workers run of it.
+
+        Once it is cancelled, its runs are stopped.
+        """
+        self.unreadable_jobs[job_id] = cancelled
         self.active.pop(job_id, None)
         self.remove_job(job_id)
 
+    def may_stop_runs_of(self, job_id: JobId) -> bool:
+        """Return whether an unknown job's runs are certainly not wanted any more."""
+        return self.is_removed(job_id) or self.unreadable_jobs.get(job_id, False)
+
+    def reread_ends(self, job_id: JobId) -> None:
+        """Let workers' ends be handled again, since a job of theirs is loaded only now.
+
+        Ends that were handled before change nothing a second time.
+        """
+        self.unreadable_jobs.pop(job_id, None)
+        for worker in self.workers.values():
+            if any(job_id in versions for _, versions in worker.unstored_ends):
+                worker.unstored_ends.clear()
+                worker.last_seen_sequence = worker.acknowledged_sequence
+
     def mark_dirty(self, job: Job) -> None:
         """Schedule storing of the job's record and planning of its service."""
         self.dirty[job.job_id] = job
--- a/src/ebonyhub/scheduling/worker_link.py
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -28,6 +28,9 @@
 MAX_SILENCE_SECONDS = LONG_POLL_SECONDS + 0.6
 # Seconds between polls of a worker that does not respond.
 RETRY_DELAY_SECONDS = 0.25
+# Seconds until the next poll of a worker that refuses the token of the present leader;
+# the platform allows repetitions only after the time of a lease.
+FENCED_DELAY_SECONDS = 3.0
 # Seconds until the next poll after an internal error in handling a report.
 ERROR_DELAY_SECONDS = 0.5
 # Seconds within which a start order must reach its worker. Less than the 2 s for which
@@ -112,7 +115,9 @@
                 worker=self.worker.worker_id,
                 reason=failure.value,
             )
-        await asyncio.sleep(RETRY_DELAY_SECONDS * self.rng.uniform(0.8, 1.2))
+        is_fenced = failure is OrderFailure.FENCED
+        delay = FENCED_DELAY_SECONDS if is_fenced else RETRY_DELAY_SECONDS
+        await asyncio.sleep(delay * self.rng.uniform(0.8, 1.2))
 
     async def fetch_report(self) -> None:
         """Request a report at once, beside the pending long poll."""
--- a/tests/test_foreign_job_records.py
+++ b/tests/test_foreign_job_records.py
@@ -158,3 +158,11 @@
     counter = mirror.rejections.metrics.inputs_rejected.labels("job_record")
     assert counter._value.get() == 505
     assert len(lines) == 100
+
+
+def test_submission_that_a_watch_could_not_read_is_taken_from_a_peer():
+    """Its revision lies below the one up to which the mirror is complete."""
+    mirror = leader_mirror()
+    mirror.apply_listing([], Revision(10))
+    mirror.apply_changes([Item(accepted_key(JOB), b"", Revision(11))], Revision(11))
+    assert mirror.apply(Item(accepted_key(JOB), accepted(JOB), Revision(11))) == JOB
--- a/tests/test_lost_worker_evidence.py
+++ b/tests/test_lost_worker_evidence.py
@@ -126,6 +126,32 @@
         assert second.number == 2
 
 
+def test_ready_task_whose_lost_run_is_done_does_not_start_beside_others():
+    """It stayed ready while another task of its step was open."""
+    driver = Driver(("w1", "w2"))
+    job = driver.submit(JobSpec("t", (StepSpec(2, Resources(1000, 1), 300),)))
+    first, _ = driver.start_all()
+    lose_worker_of(driver, first)
+    driver.report(first.worker, ended=[done(first)])
+    assert job.progress.occurrences[0][0].done == {first.task.position}
+    assert [run for run in driver.start_all() if run.task == first.task] == []
+
+
+def test_late_answer_of_an_earlier_process_acknowledges_nothing():
+    """Its numbers of ends would make the worker forget ends of the present process."""
+    driver = Driver(("w1",))
+    job = driver.submit(JobSpec("t", (StepSpec(2, Resources(1000, 1), 300),)))
+    run, _ = driver.start_all()
+    driver.wait(1.0)
+    driver.report("w1", born=2)
+    driver.wait(0.1)
+    driver.report("w1", born=1, sent_at=driver.now - 0.9, ended=[done(run, 57)])
+    driver.scheduler.mark_stored(job, job.version)
+    driver.scheduler.acknowledge_stored_ends(driver.worker("w1"))
+    assert driver.worker("w1").acknowledged_sequence == 0
+    assert driver.worker("w1").born_ms == 2
+
+
 def test_later_run_in_a_job_that_goes_on_is_stopped():
     driver = Driver(("w1", "w2"))
     steps = (SPEC.steps[0], replace_after(SPEC.steps[0]))
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -184,3 +184,26 @@
     workers = [WorkerId("w1"), WorkerId("w2")]
     tickets = (await advisor.advise(JobId("j"), 0, 1, workers, 0.1)).ok
     assert tickets == {WorkerId("w2"): "j.0.1-w2"}
+
+
+class FrozenClock(SystemClock):
+    """A clock that jumps ahead, as after a freeze of the VM."""
+
+    ahead = 0.0
+
+    def monotonic(self):
+        return super().monotonic() + self.ahead
+
+
+async def test_poll_on_a_new_connection_after_a_freeze_acknowledges_nothing(served):
+    """The idle connection has expired, and the worker may have restarted meanwhile."""
+    core = StoreCore(time.monotonic)
+    standin = WorkerServer("w1", "s", served.listener, core)
+    await served.start(standin)
+    clock = FrozenClock()
+    client = WorkerClient(WorkerId("w1"), served.address, clock)
+    assert (await client.poll(LeaderToken(1), 0, None, 0.0)).is_ok()
+    clock.ahead = 3600.0
+    assert (await client.poll(LeaderToken(1), 57, None, 0.0)).is_ok()
+    assert standin.fake.acknowledged_sequence == 0
+    client.close()
--- a/tests/test_term_churn.py
+++ b/tests/test_term_churn.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from ebonyhub.cluster.leadership import LEADER_KEY
@@ -118,6 +119,46 @@
         await cluster.stop()
 
 
+async def follow(cluster, entry, seconds):
+    """Let an entry stand for election by itself; return the tokens of its terms."""
+    tokens = set()
+    parts = [entry.watch.run(), entry.follow_leader()]
+    tasks = [asyncio.create_task(part) for part in parts]
+    ends_at = cluster.clock.monotonic() + seconds
+    while cluster.clock.monotonic() < ends_at:
+        if entry.term is not None:
+            tokens.add(int(entry.term.token))
+        await asyncio.sleep(0.002)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return tokens
+
+
+async def test_one_worker_that_refuses_each_token_ends_no_term():
+    """It ended each term at once: 35 terms in 4 s."""
+    cluster = TermCluster(entries=1, workers=2, seed=1)
+    await cluster.platform.start()
+    try:
+        cluster.platform.workers[0].fake.token = 10**12
+        assert len(await follow(cluster, cluster.entries[0], 4.0)) == 1
+    finally:
+        await cluster.stop()
+
+
+async def test_entry_leads_after_a_peer_named_a_leader_that_does_not_exist():
+    cluster = TermCluster(entries=1, workers=0, seed=1)
+    await cluster.platform.start()
+    try:
+        (entry,) = cluster.entries
+        record = msgspec.structs.replace(entry.record, entry="e9")
+        entry.on_peer_leader(2**50, msgspec.msgpack.encode(record))
+        await follow(cluster, entry, 8.0)
+        assert entry.controller is not None
+    finally:
+        await cluster.stop()
+
+
 async def end_terms_at_random(cluster, terms, jobs):
     """Begin and end ``terms`` terms, several a second, while jobs arrive."""
     rng = cluster.rng
