--- a/tests/test_foreign_peers_and_watches.py
+++ b/tests/test_foreign_peers_and_watches.py
@@ -107,6 +107,21 @@
     assert handler.keys == {"a/1", "a/bad"}
 
 
+async def test_pending_watch_call_is_not_taken_for_the_listing_asked_for_meanwhile():
+    """What its answer does not contain would count as deleted."""
+    core, handler, watch, _ = watched()
+    core.put("a/1", b"x")
+    await watch.poll_once()
+    watch.wait_seconds = 5.0
+    pending = asyncio.create_task(watch.poll_once())
+    await asyncio.sleep(0)
+    watch.has_listed = False
+    core.put("a/2", b"x")
+    assert await pending
+    assert handler.keys == {"a/1", "a/2"}
+    assert not watch.has_listed
+
+
 async def test_listing_that_is_not_applied_is_read_again():
     core, handler, watch, _ = watched()
     core.put("a/1", b"x")
--- a/tests/test_foreign_store_documents.py
+++ b/tests/test_foreign_store_documents.py
@@ -282,3 +282,12 @@
         assert (await store.list("a/")).is_ok()
     assert len(lines) == 2
     assert store.metrics.inputs_rejected.labels("store")._value.get() == 10
+
+
+@pytest.mark.parametrize(
+    ("row", "complete"), [(SOUND_ROW, True), (b"7", False), (b"{}", False)]
+)
+async def test_listing_with_a_row_that_names_no_key_is_not_complete(row, complete):
+    """A job whose record is left out would count as removed, or as new."""
+    store = store_with_answer(b'{"AtRevision":9,"items":[%s,%s]}' % (SOUND_ROW, row))
+    assert (await store.list("a/")).ok.complete is complete
