Treat entries that are older than all observed revisions as old

An item that is older than all observations now has no known time, and its worker gets no starts until its next heartbeat. The failures of calls need no record any more.

--- a/src/ebonyhub/cluster/revision_clock.py
+++ b/src/ebonyhub/cluster/revision_clock.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 
-from ..clock import Clock
 from ..ids import Revision
 
 # Observations that are kept; watches make about two a second.
@@ -13,17 +12,15 @@
     """Tells after which time an item was written, in monotonic seconds.
 
     A call that returned revision R was sent at a time at which the store was at R at
-    most. An item with a higher revision was therefore written later.
+    most. An item with a higher revision was therefore written later. Nothing is known
+    about an item that is older than all observations: a process that has just started
+    may list items from before an outage of the store that it did not see.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        self.clock = clock
+    def __init__(self) -> None:
         self.observations: deque[tuple[Revision, float]] = deque(
             maxlen=MAX_OBSERVATIONS
         )
-        # Taken for items that are older than all observations. An item that is written
-        # regularly is recent, unless the store was away before the first observation.
-        self.oldest_write_at = clock.monotonic()
 
     def record(self, revision: Revision, sent_at: float) -> None:
         """Note the revision that the answer to a call named."""
@@ -35,14 +32,9 @@
                 self.observations.pop()
         self.observations.append((revision, sent_at))
 
-    def record_failure(self) -> None:
-        """Note that a call failed; the store may have been away until now."""
-        if not self.observations:
-            self.oldest_write_at = float("-inf")
-
     def written_after(self, revision: Revision) -> float:
         """Return a time after which the item of a revision was written."""
         for observed, sent_at in reversed(self.observations):
             if observed < revision:
                 return sent_at
-        return self.oldest_write_at
+        return float("-inf")
--- a/src/ebonyhub/cluster/watches.py
+++ b/src/ebonyhub/cluster/watches.py
@@ -51,7 +51,7 @@
         # Returns False while the owner receives the changes from another source.
         self.is_needed = is_needed
         self.rejections = rejections or Rejections()
-        self.revision_clock = revision_clock or RevisionClock(clock)
+        self.revision_clock = revision_clock or RevisionClock()
         self.revision = INITIAL_REVISION
         self.has_listed = False
         self.synced_at = float("-inf")
@@ -95,7 +95,6 @@
                 )
                 self.has_listed = False
                 return True
-            self.revision_clock.record_failure()
             if self.store_reachable:
                 self.store_reachable = False
                 log_event(
--- a/src/ebonyhub/entry/leadership_manager.py
+++ b/src/ebonyhub/entry/leadership_manager.py
@@ -116,7 +116,7 @@
         self.term_task: asyncio.Task[None] | None = None
         self.backoff = TermBackoff(clock, rng)
         self.stopping = False
-        self.revision_clock = RevisionClock(clock)
+        self.revision_clock = RevisionClock()
         self.watch = PrefixWatch(
             store, CLUSTER_PREFIX, clock, self.on_cluster_batch, WATCH_TIMEOUT_SECONDS,
             rejections=mirror.rejections, revision_clock=self.revision_clock,
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -77,7 +77,7 @@
         revision_clock: RevisionClock | None = None,
     ) -> None:
         self.term = term
-        self.revision_clock = revision_clock or RevisionClock(clock)
+        self.revision_clock = revision_clock or RevisionClock()
         self.store = store
         self.mirror = mirror
         self.advisor = advisor
