--- a/tests/test_foreign_records_in_a_term.py
+++ b/tests/test_foreign_records_in_a_term.py
@@ -93,16 +93,16 @@
             core.put(f"servers/{name}", value)
     core.put("servers/first", json.dumps(WORKER).encode())
     running = asyncio.create_task(controller.run())
-    await wait_until(lambda: "first" in controller.links, running)
+    await wait_until(lambda: "first" in controller.workers.links, running)
     if not listed:
         for name, value in ODD_WORKERS.items():
             core.put(f"servers/{name}", value)
     core.put("servers/zlast", json.dumps(WORKER).encode())
-    await wait_until(lambda: "zlast" in controller.links, running)
+    await wait_until(lambda: "zlast" in controller.workers.links, running)
     await asyncio.sleep(0.3)
-    assert set(controller.links) <= {"first", "zlast", "unroutable"}
+    assert set(controller.workers.links) <= {"first", "zlast", "unroutable"}
     assert not running.done()
-    assert not any(task.done() for task in controller.link_tasks.values())
+    assert not any(task.done() for task in controller.workers.link_tasks.values())
     running.cancel()
     await asyncio.gather(running, return_exceptions=True)
 
@@ -161,6 +161,19 @@
     assert counter._value.get() == 6
 
 
+async def test_wave_that_becomes_known_late_resumes_its_stored_progress():
+    """Begun anew, it would be stored without what the earlier leader has requested."""
+    core = StoreCore(SystemClock().monotonic)
+    key = f"{WAVE_PROGRESS_PREFIX}3"
+    core.put(key, msgpack.packb([["a"], ["a", "b"]]))
+    fleet, _ = build_fleet(core)
+    await fleet._load_wave_progress()
+    fleet.add_wave(Wave(WaveId(3), (VmId("a"), VmId("b"), VmId("c")), 60.0, 1))
+    await fleet._store_wave_progress()
+    assert fleet.planner.waves[3].begun == {"a"}
+    assert msgpack.unpackb(core.items[key].value) == [["a"], ["a", "b"]]
+
+
 @pytest.mark.parametrize(
     "packed",
     [
--- a/tests/test_revision_clock.py
+++ b/tests/test_revision_clock.py
@@ -72,11 +72,11 @@
         Metrics(CollectorRegistry()), None, 120.0, 4.0, lambda: None,
     )  # fmt: skip
     # The listing of the keys of the cluster precedes a term.
-    controller.revision_clock.record(Revision(core.revision), clock.monotonic())
+    controller.workers.revision_clock.record(Revision(core.revision), clock.monotonic())
     scheduler = controller.scheduler
     running = asyncio.create_task(controller.run())
     async with asyncio.timeout(10):
-        while WORKER not in controller.links:
+        while WORKER not in controller.workers.links:
             await asyncio.sleep(0.01)
         worker = scheduler.workers[WORKER]
         worker.last_response_at = clock.monotonic()
--- a/tests/test_term_churn.py
+++ b/tests/test_term_churn.py
@@ -6,12 +6,14 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from ebonyhub.cluster.leadership import LEADER_KEY
 from ebonyhub.jobs.records import JobState
 from ebonyhub.platform.config import WORKER_PREFIX
 from ebonyhub.scheduling.controller import Controller
+from ebonyhub.scheduling.worker_directory import WorkerDirectory
 from standins.term_cluster import TermCluster
 
 COMPLETION_LIMIT_SECONDS = 60.0
@@ -22,11 +24,11 @@
 @pytest.fixture
 def poisoned_entry(monkeypatch):
     """Let one store entry end each term by an error that no boundary foresees."""
-    replace_workers = Controller._replace_workers
+    replace_entries = WorkerDirectory.replace_entries
     log_wait_causes = Controller._log_wait_causes
 
-    def replace_workers_or_fail(controller, items):
-        replace_workers(controller, items)
+    def replace_entries_or_fail(directory, items):
+        replace_entries(directory, items)
         if any(item.key == POISONED_KEY for item in items):
             raise RuntimeError("unforeseen")
 
@@ -35,7 +37,7 @@
             raise RuntimeError("unforeseen")
         log_wait_causes(controller, now)
 
-    monkeypatch.setattr(Controller, "_replace_workers", replace_workers_or_fail)
+    monkeypatch.setattr(WorkerDirectory, "replace_entries", replace_entries_or_fail)
     monkeypatch.setattr(Controller, "_log_wait_causes", log_wait_causes_or_fail)
 
 
@@ -117,6 +119,46 @@
         await cluster.stop()
 
 
+async def follow(cluster, entry, seconds):
+    """Let an entry stand for election by itself; return the tokens of its terms."""
+    tokens = set()
+    parts = [entry.watch.run(), entry.follow_leader()]
+    tasks = [asyncio.create_task(part) for part in parts]
+    ends_at = cluster.clock.monotonic() + seconds
+    while cluster.clock.monotonic() < ends_at:
+        if entry.term is not None:
+            tokens.add(int(entry.term.token))
+        await asyncio.sleep(0.002)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return tokens
+
+
+async def test_one_worker_that_refuses_each_token_ends_no_term():
+    """It ended each term at once: 35 terms in 4 s."""
+    cluster = TermCluster(entries=1, workers=2, seed=1)
+    await cluster.platform.start()
+    try:
+        cluster.platform.workers[0].fake.token = 10**12
+        assert len(await follow(cluster, cluster.entries[0], 4.0)) == 1
+    finally:
+        await cluster.stop()
+
+
+async def test_entry_leads_after_a_peer_named_a_leader_that_does_not_exist():
+    cluster = TermCluster(entries=1, workers=0, seed=1)
+    await cluster.platform.start()
+    try:
+        (entry,) = cluster.entries
+        record = msgspec.structs.replace(entry.record, entry="e9")
+        entry.on_peer_leader(2**50, msgspec.msgpack.encode(record))
+        await follow(cluster, entry, 8.0)
+        assert entry.controller is not None
+    finally:
+        await cluster.stop()
+
+
 async def end_terms_at_random(cluster, terms, jobs):
     """Begin and end ``terms`` terms, several a second, while jobs arrive."""
     rng = cluster.rng
