--- a/src/ebonyhub/cluster/mirror.py
+++ b/src/ebonyhub/cluster/mirror.py
@@ -104,6 +104,9 @@
         # All submissions up to this revision have been applied; only on the leader,
         # and only once it has listed the records.
         self.complete_until = INITIAL_REVISION
+        # Whether the listing of the present term left out no row. If it did, a job that
+        # is not known may have records.
+        self.listing_complete = True
         # Jobs whose submission could not be read since the records were listed; another
         # entry may still send one that can.
         self.rejected_submissions: set[JobId] = set()
@@ -175,8 +178,9 @@
 
     def _apply_accepted(self, job_id: JobId, item: Item) -> JobId | None:
         if item.value is None:
+            known = self.jobs.get(job_id)
             self.remove(job_id)
-            return None
+            return job_id if known is not None and known.accepted is None else None
         known = self.jobs.get(job_id)
         if known is not None and (
             known.record is not None or (known.is_accepted and not self.retains_records)
@@ -249,7 +253,8 @@
         self._reject(item, problem, Event.JOB_PROGRESS_UNREADABLE)
         job.progress_unreadable, job.state_confirmed = True, False
         job.progress = b""
-        if self.retains_records:
+        if self.retains_records and item.value:
+            # Without a value, the revision is not that of the record either.
             job.progress_revision = item.revision
         self._update_derived_state(job_id, job)
         return None
--- a/src/ebonyhub/cluster/revision_clock.py
+++ b/src/ebonyhub/cluster/revision_clock.py
@@ -4,8 +4,10 @@
 
 from ..ids import Revision
 
-# Observations that are kept; watches make about two a second.
+# Observations that are kept, and the shortest time between two of them. A leader makes
+# one with each heartbeat of a worker; together they span more than 6 s.
 MAX_OBSERVATIONS = 128
+MIN_SPACING_SECONDS = 0.05
 
 
 class RevisionClock:
@@ -28,10 +30,17 @@
             last_revision, last_sent_at = self.observations[-1]
             if revision < last_revision or sent_at < last_sent_at:
                 return
-            if revision == last_revision:
+            if revision == last_revision or self._is_dense():
                 self.observations.pop()
         self.observations.append((revision, sent_at))
 
+    def _is_dense(self) -> bool:
+        """Return whether the last two observations are close to each other."""
+        if len(self.observations) < 2:
+            return False
+        spacing = self.observations[-1][1] - self.observations[-2][1]
+        return spacing < MIN_SPACING_SECONDS
+
     def written_after(self, revision: Revision) -> float:
         """Return a time after which the item of a revision was written."""
         for observed, sent_at in reversed(self.observations):
--- a/src/ebonyhub/entry/leadership_manager.py
+++ b/src/ebonyhub/entry/leadership_manager.py
@@ -134,9 +134,10 @@
         """Apply changes of the leader key and of the entries' addresses."""
         items = {item.key: item for item in batch.items}
         if full or LEADER_KEY in items:
+            unconfirmed = self.unconfirmed_since is not None
             self.unconfirmed_since = None
             leader_item = items.get(LEADER_KEY)
-            if full and self.term is None:
+            if (full or unconfirmed) and self.term is None:
                 # A revision that a peer sent may be higher than that of any leader.
                 self.newest_leader_revision = (
                     leader_item.revision if leader_item else ABSENT
@@ -431,8 +432,10 @@
         while not term.ended:
             job_listing = await self.store.list(JOB_PREFIX)
             progress_listing = await self.store.list(PROGRESS_PREFIX)
-            # A record that is left out would make its job look removed, or new.
-            if _is_complete(job_listing) and _is_complete(progress_listing):
+            if job_listing.is_ok() and progress_listing.is_ok():
+                self.mirror.listing_complete = (
+                    job_listing.ok.complete and progress_listing.ok.complete
+                )
                 changed = self.mirror.apply_listing(
                     [*job_listing.ok.items, *progress_listing.ok.items],
                     job_listing.ok.revision,
@@ -516,10 +519,6 @@
         self.end_term("shutdown")
 
 
-def _is_complete(listing: Result[Batch, StoreFailure]) -> bool:
-    return listing.is_ok() and listing.ok.complete
-
-
 def _takeover_rank(stream: PeerStream) -> tuple[float, int]:
     """Sort key for choosing a successor; the peer with the highest one is asked."""
     return (min(stream.peer_effective_cores, SUFFICIENT_CORES), stream.peer_started_ms)
--- a/src/ebonyhub/platform/cloud.py
+++ b/src/ebonyhub/platform/cloud.py
@@ -167,6 +167,10 @@
             case _:
                 return Error(CloudFailure.REFUSED)
 
+    def close(self) -> None:
+        """Close all connections."""
+        self.session.close()
+
     def _count(self, operation: str, result: Result[SmallResponse, Any]) -> None:
         label = result.error.kind.value if result.is_error() else str(result.ok.status)
         self.metrics.cloud_calls.labels(operation, label).inc()
@@ -235,3 +239,7 @@
             elif row.ok.worker in asked:
                 tickets[WorkerId(row.ok.worker)] = row.ok.ticket
         return tickets
+
+    def close(self) -> None:
+        """Close all connections."""
+        self.session.close()
--- a/src/ebonyhub/scheduling/committer.py
+++ b/src/ebonyhub/scheduling/committer.py
@@ -77,7 +77,7 @@
                 await self.work_available.wait()
                 self.work_available.clear()
                 await asyncio.sleep(BATCH_DELAY_SECONDS)
-                while len(self.tasks) < MAX_CONCURRENT_COMMITS:
+                while not self.term.ended and len(self.tasks) < MAX_CONCURRENT_COMMITS:
                     batch = self._next_batch()
                     if not batch:
                         break
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -11,7 +11,7 @@
 from ..clock import Clock
 from ..cluster.leadership import LEADER_KEY, Term
 from ..cluster.metadata_store import Item, MetadataStore
-from ..cluster.mirror import JobMirror
+from ..cluster.mirror import JobMirror, MirroredJob
 from ..cluster.revision_clock import RevisionClock
 from ..configuration import AdvisorPolicy, Configuration
 from ..events import Event, log_event
@@ -29,7 +29,7 @@
 from .retention import Retention
 from .runs import SLOW_CLOCK_FACTOR, Worker
 from .scheduler import Scheduler
-from .state import Advice, StepKey
+from .state import Advice, StepKey, UnreadableJob
 from .waiting import NOT_WAITING, WaitCause
 from .worker_directory import LEASE_EXTENSION_SECONDS, WorkerDirectory
 from .worker_link import WORKER_LEASE_SECONDS
@@ -147,9 +147,10 @@
         """Load a job that is new in the mirror, or cancel a known one."""
         mirrored = self.mirror.jobs.get(job_id)
         if mirrored is None:
+            self.scheduler.unreadable_jobs.pop(job_id, None)
             return
         if mirrored.accepted is None:
-            self.scheduler.abandon_job(job_id, mirrored.cancelled)
+            self._abandon_job(job_id, mirrored)
             return
         now, wall_ms = self.clock.monotonic(), self._wall_ms()
         known = job_id in self.scheduler.jobs
@@ -168,7 +169,7 @@
                 Event.BACKGROUND_TASK_FAILED, task="load", job=job_id,
                 error=repr(error),
             )  # fmt: skip
-            self.scheduler.abandon_job(job_id, mirrored.cancelled)
+            self._abandon_job(job_id, mirrored)
             return
         if job_id in self.scheduler.unreadable_jobs:
             self.scheduler.reread_ends(job_id)
@@ -176,6 +177,11 @@
             self._log_loaded(mirrored.accepted)
         self.wake.set()
 
+    def _abandon_job(self, job_id: JobId, mirrored: MirroredJob) -> None:
+        spec = mirrored.record.spec if mirrored.record is not None else None
+        unreadable = UnreadableJob(mirrored.cancelled, spec)
+        self.scheduler.abandon_job(job_id, unreadable)
+
     def _log_loaded(self, accepted: AcceptedJob) -> None:
         spec = accepted.spec
         queue = self.scheduler.queues.get(accepted.queue)
@@ -232,7 +238,7 @@
         """
         for job_id in list(self.mirror.jobs):
             self.handle_job_change(job_id)
-        self.scheduler.records_loaded = True
+        self.scheduler.records_loaded = self.mirror.listing_complete
         log_event(
             Event.CONTROLLER_STARTED, token=self.term.token,
             workers=len(self.scheduler.workers), jobs=len(self.scheduler.active),
@@ -249,6 +255,10 @@
         self.term.ended = True
         for task in orders:
             task.cancel()
+        if self.advisor is not None:
+            self.advisor.close()
+        if self.fleet is not None:
+            self.fleet.cloud.close()
         await self.workers.close()
         await asyncio.gather(*orders, return_exceptions=True)
 
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -65,6 +65,7 @@
             self.services_to_plan.add(worker.entry.service)
         worker.last_response_at = now
         worker.silent_since = None
+        worker.successor_service = None
         worker.clock_ms, worker.clock_read_at = report.clock_ms, now
         worker.expired = False
         worker.listed_ends = len(report.ended)
@@ -257,13 +258,15 @@
     ) -> Run:
         """Track a run that no record contains, so that its capacity stays reserved."""
         job = self.jobs.get(row.task.job)
-        steps = job.accepted.spec.steps if job else ()
+        unreadable = self.unreadable_jobs.get(row.task.job)
+        spec = job.accepted.spec if job else unreadable and unreadable.spec
+        steps = spec.steps if spec else ()
         if row.task.step < len(steps):
             step = steps[row.task.step]
         else:
             step = StepSpec(1, Resources())
         reserved = step.reserved
-        if job is None and not self.is_removed(row.task.job):
+        if not steps and not self.is_removed(row.task.job):
             # What the run needs is not known, so nothing else starts beside it.
             reserved = worker.entry.capacity
         run = Run(
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -13,6 +13,7 @@
 from ..events import Event, log_event
 from ..fleet.demand import ArrivalMeter
 from ..ids import JobId, QueueName, ServiceName, TaskId, VmId, WorkerId
+from ..jobs.model import JobSpec
 from . import lifecycle
 from .crashes import Crash
 from .health import FLEET_AVERAGE_WEIGHT, SlowdownAverage
@@ -55,6 +56,15 @@
         return not any(worker.worker_id in self.tickets for worker in workers)
 
 
+@dataclass(frozen=True, slots=True)
+class UnreadableJob:
+    """A job whose progress is not known; ``spec`` is None if its submission is not."""
+
+    # Its runs are stopped then.
+    cancelled: bool
+    spec: JobSpec | None = None
+
+
 class SchedulerState:
     """Holds jobs, workers and runs, and the elementary operations on them."""
 
@@ -65,8 +75,8 @@
         # Whether all stored jobs have been loaded. Until then, a job that is not in
         # ``jobs`` may well exist.
         self.records_loaded = False
-        # Jobs with records that could not be loaded, and whether each is cancelled.
-        self.unreadable_jobs: dict[JobId, bool] = {}
+        # Jobs with records that could not be loaded.
+        self.unreadable_jobs: dict[JobId, UnreadableJob] = {}
         # Jobs that have not ended.
         self.active: dict[JobId, Job] = {}
         self.workers: dict[WorkerId, Worker] = {}
@@ -140,18 +150,18 @@
         self.workers_of_job.pop(job_id, None)
         self.dirty.pop(job_id, None)
 
-    def abandon_job(self, job_id: JobId, cancelled: bool) -> None:
-        """Forget a job that could not be loaded, but keep what workers run of it.
-
-        Once it is cancelled, its runs are stopped.
-        """
-        self.unreadable_jobs[job_id] = cancelled
+    def abandon_job(self, job_id: JobId, unreadable: "UnreadableJob") -> None:
+        """Forget a job that could not be loaded, but keep what workers run of it."""
+        self.unreadable_jobs[job_id] = unreadable
         self.active.pop(job_id, None)
         self.remove_job(job_id)
 
     def may_stop_runs_of(self, job_id: JobId) -> bool:
         """Return whether an unknown job's runs are certainly not wanted any more."""
-        return self.is_removed(job_id) or self.unreadable_jobs.get(job_id, False)
+        unreadable = self.unreadable_jobs.get(job_id)
+        return self.is_removed(job_id) or (
+            unreadable is not None and unreadable.cancelled
+        )
 
     def reread_ends(self, job_id: JobId) -> None:
         """Let workers' ends be handled again, since a job of theirs is loaded only now.
--- a/src/ebonyhub/scheduling/worker_directory.py
+++ b/src/ebonyhub/scheduling/worker_directory.py
@@ -61,6 +61,7 @@
         self.on_fenced = on_fenced
         self.on_change = on_change
         self.revision: Revision = INITIAL_REVISION
+        self.may_open_links = False
         self.links: dict[WorkerId, WorkerLink] = {}
         self.link_tasks: dict[WorkerId, asyncio.Task[None]] = {}
 
@@ -75,7 +76,8 @@
             await asyncio.sleep(RETRY_DELAY_SECONDS)
 
     def open_links(self) -> None:
-        """Open a link to each registered worker."""
+        """Open a link to each registered worker, now and when more register."""
+        self.may_open_links = True
         for worker in self.scheduler.workers.values():
             if not worker.deregistered:
                 self._open_link(worker)
@@ -151,7 +153,7 @@
             self.clock.monotonic(),
             self.revision_clock.written_after(item.revision),
         )
-        if not self.scheduler.records_loaded:
+        if not self.may_open_links:
             return
         if address_changed or worker_id not in self.links:
             self._open_link(self.scheduler.workers[worker_id])
--- a/src/ebonyhub/scheduling/worker_link.py
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -28,8 +28,7 @@
 MAX_SILENCE_SECONDS = LONG_POLL_SECONDS + 0.6
 # Seconds between polls of a worker that does not respond.
 RETRY_DELAY_SECONDS = 0.25
-# Seconds until the next poll of a worker that refuses the token of the present leader;
-# the platform allows repetitions only after the time of a lease.
+# Seconds until the next poll of a worker that refuses the token of the present leader.
 FENCED_DELAY_SECONDS = 3.0
 # Seconds until the next poll after an internal error in handling a report.
 ERROR_DELAY_SECONDS = 0.5
--- a/tests/test_revision_clock.py
+++ b/tests/test_revision_clock.py
@@ -87,3 +87,12 @@
             await asyncio.sleep(0.01)
     running.cancel()
     await asyncio.gather(running, return_exceptions=True)
+
+
+def test_observations_of_a_busy_leader_span_more_than_the_age_of_an_entry():
+    """A large fleet writes hundreds of entries a second."""
+    clock = RevisionClock()
+    for number in range(3000):
+        clock.record(Revision(number), number * 0.005)
+    assert 0.0 < clock.written_after(Revision(3000 - 1000)) <= 10.0
+    assert clock.written_after(Revision(3000)) == 2999 * 0.005
--- a/tests/test_term_churn.py
+++ b/tests/test_term_churn.py
@@ -13,6 +13,7 @@
 from ebonyhub.jobs.records import JobState
 from ebonyhub.platform.config import WORKER_PREFIX
 from ebonyhub.scheduling.controller import Controller
+from ebonyhub.scheduling.scheduler import Scheduler
 from ebonyhub.scheduling.worker_directory import WorkerDirectory
 from standins.term_cluster import TermCluster
 
@@ -119,6 +120,32 @@
         await cluster.stop()
 
 
+async def test_links_open_after_the_jobs_are_loaded_and_end_with_the_term():
+    cluster = TermCluster(entries=1, workers=2, seed=1)
+    await cluster.platform.start()
+    try:
+        (entry,) = cluster.entries
+        await cluster.begin_term(entry)
+        await cluster.wait_until(lambda: entry.controller is not None, 10.0)
+        workers = entry.controller.workers
+        await cluster.wait_until(lambda: len(workers.link_tasks) == 2, 10.0)
+        tasks = list(workers.link_tasks.values())
+        entry.end_term("test")
+        await asyncio.wait({entry.term_task}, timeout=10.0)
+        assert all(task.done() for task in tasks)
+        again = WorkerDirectory(
+            workers.term, workers.store, Scheduler(), cluster.clock, cluster.rng,
+            workers.metrics, workers.rejections, workers.revision_clock,
+            workers.on_report, workers.on_fenced, lambda: None,
+        )  # fmt: skip
+        workers.term.ended = False
+        await again.load()
+        assert len(again.scheduler.workers) == 2
+        assert not again.links
+    finally:
+        await cluster.stop()
+
+
 async def follow(cluster, entry, seconds):
     """Let an entry stand for election by itself; return the tokens of its terms."""
     tokens = set()
