--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -178,6 +178,12 @@
         self.wake.set()
 
     def _abandon_job(self, job_id: JobId, mirrored: MirroredJob) -> None:
+        if job_id in self.scheduler.jobs:
+            # What this leader has in memory is newer than the record.
+            if mirrored.cancelled:
+                now, wall_ms = self.clock.monotonic(), self._wall_ms()
+                self.scheduler.cancel(job_id, now, wall_ms)
+            return
         spec = mirrored.record.spec if mirrored.record is not None else None
         unreadable = UnreadableJob(mirrored.cancelled, spec)
         self.scheduler.abandon_job(job_id, unreadable)
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -46,7 +46,7 @@
         wall_ms: int,
     ) -> None:
         """Apply a worker's report; ``sent_at`` is when it was requested."""
-        if self._is_of_earlier_process(worker, report, sent_at):
+        if self._is_of_unknown_process(worker, report, sent_at):
             return
         # The latest time at which an earlier process under this id may have ended.
         silent_since = worker.silent_since or worker.last_response_at or now
@@ -81,16 +81,18 @@
         self._throttle_best_effort_runs(worker, now)
         self.acknowledge_stored_ends(worker)
 
-    def _is_of_earlier_process(
+    def _is_of_unknown_process(
         self, worker: Worker, report: WorkerReport, sent_at: float
     ) -> bool:
-        """Return whether a report was overtaken by one of a later process.
+        """Return whether a report may not be of the worker's present process.
 
-        The numbers of its ends would acknowledge ends of the later process.
+        It was overtaken by one of a later process, or does not name its process any
+        more. The numbers of its ends would acknowledge ends of another process.
         """
-        return (
-            report.born_ms not in (0, worker.born_ms) and sent_at <= worker.restarted_at
-        )
+        if not report.born_ms:
+            return worker.reports_born
+        worker.reports_born = True
+        return report.born_ms != worker.born_ms and sent_at <= worker.restarted_at
 
     def _handle_restart(self, worker: Worker, report: WorkerReport, now: float) -> None:
         """Reset the report state of a worker that restarted under the same id.
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -119,6 +119,8 @@
     lease_end_ms: int = 0
     # When a report of the present process, which restarted under the id, was received.
     restarted_at: float = float("-inf")
+    # Whether its reports name the start of the process.
+    reports_born: bool = False
     # Number of ends in the last report.
     listed_ends: int = 0
     # Sequence numbers of the last run end that was processed and acknowledged.
--- a/tests/test_lost_worker_evidence.py
+++ b/tests/test_lost_worker_evidence.py
@@ -152,6 +152,20 @@
     assert driver.worker("w1").born_ms == 2
 
 
+def test_report_that_does_not_name_its_process_any_more_is_not_used():
+    """The worker may have restarted, and count its ends from 1 again."""
+    driver = Driver(("w1",))
+    job = driver.submit(JobSpec("t", (StepSpec(2, Resources(1000, 1), 300),)))
+    first, second = driver.start_all()
+    running = [RunningTask(second.task, second.number, "", 1.0, 0.0)]
+    driver.report("w1", running=running, ended=[done(first, 3)])
+    driver.wait(1.0)
+    driver.report("w1", born=0, ended=[done(second, 1)])
+    assert second.key in driver.worker("w1").runs
+    driver.report("w1", born=2, ended=[done(second, 1)])
+    assert job.progress.state is JobState.COMPLETED
+
+
 def test_later_run_in_a_job_that_goes_on_is_stopped():
     driver = Driver(("w1", "w2"))
     steps = (SPEC.steps[0], replace_after(SPEC.steps[0]))
--- a/tests/test_term_churn.py
+++ b/tests/test_term_churn.py
@@ -178,9 +178,16 @@
     await cluster.platform.start()
     try:
         (entry,) = cluster.entries
+        following = asyncio.create_task(follow(cluster, entry, 10.0))
+        await cluster.wait_until(lambda: entry.controller is not None, 5.0)
+        first_token = entry.term.token
+        entry.end_term("test")
+        await cluster.wait_until(lambda: entry.term_task is None, 5.0)
+        await cluster.wait_until(lambda: entry.watch.has_listed, 5.0)
+        # After the full listing, which would set the revision right.
         record = msgspec.structs.replace(entry.record, entry="e9")
         entry.on_peer_leader(2**50, msgspec.msgpack.encode(record))
-        await follow(cluster, entry, 8.0)
+        assert max(await following) > first_token
         assert entry.controller is not None
     finally:
         await cluster.stop()
--- a/tests/test_unreadable_jobs.py
+++ b/tests/test_unreadable_jobs.py
@@ -125,6 +125,15 @@
     assert leader.worker.acknowledged_sequence == 0
 
 
+async def test_loaded_job_survives_an_unreadable_record_that_a_caller_reads():
+    leader = Leader()
+    leader.make_readable()
+    leader.mirror.apply(Item(progress_key(JOB), UNREADABLE, Revision(20)))
+    leader.controller.handle_job_change(JOB)
+    assert JOB in leader.scheduler.jobs
+    assert JOB not in leader.scheduler.unreadable_jobs
+
+
 @pytest.mark.parametrize("submission_is_readable", [True, False])
 async def test_run_of_an_unreadable_job_reserves_capacity(submission_is_readable):
     """Without the submission its need is not known, and nothing starts beside it."""
