--- a/src/ebonyhub/entry/leadership_manager.py
+++ b/src/ebonyhub/entry/leadership_manager.py
@@ -47,6 +47,7 @@
 from ..node_settings import NodeSettings
 from ..rejections import InputSource
 from ..scheduling.controller import Controller
+from .handover import SUFFICIENT_CORES, Handover
 from .term_backoff import TermBackoff
 
 CLUSTER_PREFIX = "eb/n/"
@@ -56,14 +57,10 @@
 # Delay between attempts to become leader or to connect to the leader.
 ELECTION_RETRY_SECONDS = 0.1
 ELECTION_JITTER_SECONDS = 0.03
-# Effective cores that a leader should have. An entry with fewer delays its campaign in
-# proportion to the missing cores, and hands over to a peer that has clearly more.
-SUFFICIENT_CORES = 1.0
+# Delay of a campaign for each core that an entry lacks to lead.
 ELECTION_DELAY_SECONDS_PER_CORE = 0.3
-# A leader with too few cores hands over to a peer with at least this multiple of its
-# own. It checks for one only at this interval, because no task starts during a change
-# of leader.
-HANDOVER_CORE_RATIO = 1.5
+# A leader with too few cores looks for a better peer only at this interval, because no
+# task starts during a change of leader.
 HANDOVER_CHECK_INTERVAL_SECONDS = 1.0
 # How long a stream to an arbitrary peer is kept before looking for the leader again.
 FALLBACK_PEER_SECONDS = 1.0
@@ -72,8 +69,6 @@
 CONFIRMATION_SECONDS = 2.0
 # Limit on the hand-over of a stopping leader, whose lease would soon expire anyway.
 HANDOVER_TIMEOUT_SECONDS = 0.5
-# Method of a call between entries: become leader in place of the caller.
-TAKE_OVER_METHOD = "take_over"
 
 
 class LeadershipManager:
@@ -105,6 +100,7 @@
         self.peer_server = PeerServer(
             settings.ip, settings.peer_port, peer_handler, mirror.rejections
         )
+        self.handover = Handover(settings, self.peer_server)
         # Peer listener addresses of all entries, as registered in the store.
         self.entry_addresses: dict[EntryId, str] = {}
         self.leader: Leader | None = None
@@ -461,7 +457,7 @@
             await asyncio.sleep(RENEW_INTERVAL_SECONDS / 5)
             if self.clock.monotonic() - checked_at > HANDOVER_CHECK_INTERVAL_SECONDS:
                 checked_at = self.clock.monotonic()
-                if self.should_hand_over() and await self._ask_to_take_over(term):
+                if self.handover.is_due() and await self.handover.request(term):
                     self.end_term("weak")
                     return
             if self.clock.monotonic() < next_renewal_at and not self.store.failing:
@@ -472,33 +468,9 @@
                 continue
             if result.error is StoreFailure.LEASE_ENDED:
                 self.end_term("lease")
-            elif await self._ask_to_take_over(term):
+            elif await self.handover.request(term):
                 self.end_term("handed_over")
 
-    def should_hand_over(self) -> bool:
-        """Return whether this leader lacks cores and a peer has clearly more."""
-        own_cores = self.settings.effective_cores
-        best_peer_cores = max(
-            (s.peer_effective_cores for s in self.peer_server.streams), default=0.0
-        )
-        return (
-            own_cores < SUFFICIENT_CORES
-            and best_peer_cores >= own_cores * HANDOVER_CORE_RATIO
-        )
-
-    async def _ask_to_take_over(self, term: Term) -> bool:
-        """Ask the best-ranked peer to take over; return whether it now leads.
-
-        Among peers with enough cores, the one that started last is preferred: in a
-        rolling restart it is the last to be stopped again.
-        """
-        streams = [stream for stream in self.peer_server.streams if stream.is_open]
-        if not streams:
-            return False
-        chosen = max(streams, key=_takeover_rank)
-        answer = await chosen.call(TAKE_OVER_METHOD, int(term.token))
-        return answer.is_ok() and answer.ok[0] == 0
-
     async def register_address(self) -> None:
         """Store this entry's peer address; retries until it succeeds."""
         key = ENTRY_ADDRESS_PREFIX + self.settings.entry
@@ -515,10 +487,5 @@
         if self.term is not None:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(HANDOVER_TIMEOUT_SECONDS):
-                    await self._ask_to_take_over(self.term)
+                    await self.handover.request(self.term)
         self.end_term("shutdown")
-
-
-def _takeover_rank(stream: PeerStream) -> tuple[float, int]:
-    """Sort key for choosing a successor; the peer with the highest one is asked."""
-    return (min(stream.peer_effective_cores, SUFFICIENT_CORES), stream.peer_started_ms)
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -37,10 +37,10 @@
 from ..servers import HttpServer, build_server, run_server
 from ..settings import Listener
 from ..supervisor import Supervisor, run_until_signal
+from .handover import TAKE_OVER_METHOD
 from .job_api import JobApi, ReadinessApi
 from .job_service import JobService
 from .leadership_manager import (
-    TAKE_OVER_METHOD,
     WATCH_TIMEOUT_SECONDS,
     LeadershipManager,
 )
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -83,24 +83,7 @@
         self.retention = Retention(
             store, mirror, self.scheduler, term, clock, retention_seconds
         )
-        self.fleet = (
-            FleetController(
-                term,
-                store,
-                cloud,
-                clock,
-                lambda: self.scheduler.fleet_load(clock.monotonic()),
-                lambda: self.scheduler.demands(clock.monotonic()),
-                self.scheduler.set_cordoned,
-                lambda vms: self.scheduler.expire_workers_without_vm(
-                    vms, clock.monotonic(), self._wall_ms()
-                ),
-                lambda: bool(self.scheduler.unresponsive_workers(clock.monotonic())),
-                mirror.rejections,
-            )
-            if cloud is not None
-            else None
-        )
+        self.fleet = self._new_fleet(cloud) if cloud is not None else None
         self.wake = asyncio.Event()
         self.workers = WorkerDirectory(
             term, store, self.scheduler, clock, rng, metrics, mirror.rejections,
@@ -116,6 +99,23 @@
         # Steps with a pending call to the advisor.
         self.advice_in_progress: set[StepKey] = set()
 
+    def _new_fleet(self, cloud: CloudClient) -> FleetController:
+        scheduler, clock = self.scheduler, self.clock
+        return FleetController(
+            self.term,
+            self.store,
+            cloud,
+            clock,
+            lambda: scheduler.fleet_load(clock.monotonic()),
+            lambda: scheduler.demands(clock.monotonic()),
+            scheduler.set_cordoned,
+            lambda vms: scheduler.expire_workers_without_vm(
+                vms, clock.monotonic(), self._wall_ms()
+            ),
+            lambda: bool(scheduler.unresponsive_workers(clock.monotonic())),
+            self.mirror.rejections,
+        )
+
     def _new_scheduler(self, capacity_valid_seconds: float) -> Scheduler:
         scheduler = Scheduler()
         scheduler.on_worker_lost = self._count_lost_worker
--- a/tests/test_leader_choice.py
+++ b/tests/test_leader_choice.py
@@ -74,12 +74,12 @@
     manager = build_manager(
         cores, link_mbps, [Peer(effective_cores) for effective_cores in peers]
     )
-    assert manager.should_hand_over() == hands_over
+    assert manager.handover.is_due() == hands_over
 
 
 async def test_last_started_entry_with_enough_cores_is_asked_to_take_over():
     peers = [Peer(2.0, 5), Peer(1.07, 9), Peer(0.3, 20), Peer(3.0, 7, is_open=False)]
     manager = build_manager(0.5, 1000.0, peers)
     term = Term(LeaderToken(7), StoreLease(1), 0.0)
-    assert await manager._ask_to_take_over(term)
+    assert await manager.handover.request(term)
     assert [bool(peer.calls) for peer in peers] == [False, True, False, False]
