Abandon a job whose loading fails half way

Read in the last review of the change: the check for a loaded job also met one whose loading had just failed, which stayed tracked in part. The check stands where an unreadable record of a loaded job is found; the new test failed before.

--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -149,11 +149,16 @@
         if mirrored is None:
             self.scheduler.unreadable_jobs.pop(job_id, None)
             return
+        now, wall_ms = self.clock.monotonic(), self._wall_ms()
+        known = job_id in self.scheduler.jobs
+        if mirrored.accepted is None and known:
+            # What this leader has in memory is newer than the unreadable record.
+            if mirrored.cancelled:
+                self.scheduler.cancel(job_id, now, wall_ms)
+            return
         if mirrored.accepted is None:
             self._abandon_job(job_id, mirrored)
             return
-        now, wall_ms = self.clock.monotonic(), self._wall_ms()
-        known = job_id in self.scheduler.jobs
         if known and not mirrored.cancelled:
             return
         try:
@@ -178,12 +183,6 @@
         self.wake.set()
 
     def _abandon_job(self, job_id: JobId, mirrored: MirroredJob) -> None:
-        if job_id in self.scheduler.jobs:
-            # What this leader has in memory is newer than the record.
-            if mirrored.cancelled:
-                now, wall_ms = self.clock.monotonic(), self._wall_ms()
-                self.scheduler.cancel(job_id, now, wall_ms)
-            return
         spec = mirrored.record.spec if mirrored.record is not None else None
         unreadable = UnreadableJob(mirrored.cancelled, spec)
         self.scheduler.abandon_job(job_id, unreadable)
--- a/tests/test_unreadable_jobs.py
+++ b/tests/test_unreadable_jobs.py
@@ -134,6 +134,20 @@
     assert JOB not in leader.scheduler.unreadable_jobs
 
 
+async def test_job_whose_loading_fails_is_not_left_half_loaded(monkeypatch):
+    """Its runs would be tracked in part, and its tasks planned."""
+    leader = Leader()
+
+    def fail(*_):
+        raise RuntimeError("unforeseen")
+
+    monkeypatch.setattr(leader.scheduler, "_adopt_runs", fail)
+    leader.make_readable()
+    assert JOB not in leader.scheduler.jobs
+    assert JOB not in leader.scheduler.active
+    assert JOB in leader.scheduler.unreadable_jobs
+
+
 @pytest.mark.parametrize("submission_is_readable", [True, False])
 async def test_run_of_an_unreadable_job_reserves_capacity(submission_is_readable):
     """Without the submission its need is not known, and nothing starts beside it."""
