A wave waits for its VMs until lists read after it show that they are gone

A cordoned VM that one list left out counted as empty, too.

Change: absence is shown by complete lists that were requested after the wave was received. A VM that was listed at some time has left once it is missing for 2 s of lists; one that was never listed is waited for until the wave is due. A wave that names an unlisted VM has the list read at once. A completed wave goes on when a VM of it appears. The stored progress keeps the VMs seen, the due time and the completion, so a take-over neither forgets nor repeats them.

--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -210,6 +210,9 @@
     )
     WAVE_RECEIVED = EventSpec(2401, _I, "maintenance wave received", "None.")
     WAVE_COMPLETED = EventSpec(2402, _I, "maintenance wave completed", "None.")
+    WAVE_REOPENED = EventSpec(
+        2408, _I, "VM of a completed wave has appeared; the wave goes on", "None."
+    )
     VM_MOVE_PLANNED = EventSpec(2403, _I, "VM move planned", "None.")
     VM_MAINTENANCE_PLANNED = EventSpec(2404, _I, "VM maintenance planned", "None.")
     VM_CHANGE_ORDERED = EventSpec(2405, _I, "VM change ordered", "None.")
--- a/src/ebonyhub/fleet/changes.py
+++ b/src/ebonyhub/fleet/changes.py
@@ -56,10 +56,14 @@
 
 @dataclass(slots=True)
 class WaveState:
-    """Progress of a wave; ``due_at`` is monotonic seconds."""
+    """Progress of a wave; times are monotonic seconds."""
 
     wave: Wave
+    # When the wave or its latest change was received.
+    received_at: float
     due_at: float
+    # VMs of the wave that the cloud has listed at any time.
+    seen: set[VmId] = field(default_factory=set)
     # VMs whose maintenance the cloud has confirmed to have begun.
     begun: set[VmId] = field(default_factory=set)
     # VMs for which this leader or an earlier one may have requested maintenance.
--- a/src/ebonyhub/fleet/controller.py
+++ b/src/ebonyhub/fleet/controller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from math import inf
 
 import msgspec
 
@@ -15,7 +16,7 @@
 from ..platform.cloud import CloudClient, CloudFailure
 from ..platform.config import encode_wave_status, wave_number
 from ..rejections import InputSource, Rejections
-from .changes import VmChange
+from .changes import VmChange, WaveState
 from .demand import Demand
 from .model import FleetLoad, Vm, Wave
 from .planner import FleetPlanner
@@ -44,11 +45,22 @@
 
     begun: set[VmId]
     ordered: set[VmId]
+    # VMs that were listed at some time; one that is missing later has left.
+    seen: set[VmId] = msgspec.field(default_factory=set)
+    # When the wave is due, in ms since 1970; 0 in records of earlier versions.
+    due_ms: int = 0
+    # Whether the status for operators says that the wave is completed.
+    completed: bool = False
 
 
 _decode_wave_progress = msgspec.msgpack.Decoder(WaveProgress).decode
 
 
+def _encode_progress(wave: WaveId, record: WaveProgress) -> tuple[str, bytes]:
+    """Return the key and value of a wave's stored progress."""
+    return f"{WAVE_PROGRESS_PREFIX}{wave}", msgspec.msgpack.encode(record)
+
+
 class FleetController:
     """Moves and maintenance of VMs during one term of leadership."""
 
@@ -61,7 +73,7 @@
         read_loads: LoadReader,
         read_demands: DemandReader,
         on_cordoned: Callable[[set[VmId]], None],
-        on_vms_listed: Callable[[list[Vm]], None],
+        on_vms_listed: Callable[[list[Vm], float], None],
         has_silent_worker: Callable[[], bool],
         rejections: Rejections | None = None,
     ) -> None:
@@ -72,6 +84,7 @@
         self.read_loads = read_loads
         self.read_demands = read_demands
         self.on_cordoned = on_cordoned
+        # Called with each list of the VMs and the time at which it was requested.
         self.on_vms_listed = on_vms_listed
         # Whether a worker with runs does not answer; the VM list is then read earlier,
         # since the state of its VM may show that the runs have ended.
@@ -82,6 +95,8 @@
         self.listed_at = 0.0
         self.revisions: dict[str, Revision] = {}
         self.stored_progress: dict[WaveId, WaveProgress] = {}
+        # When each wave is due, in ms since 1970.
+        self.due_ms: dict[WaveId, int] = {}
         # Progress that an earlier leader stored. A wave may become known only after it
         # was read; begun anew, it would request its maintenance a second time.
         self.inherited_progress: dict[WaveId, Item] = {}
@@ -96,7 +111,15 @@
 
     def add_wave(self, wave: Wave) -> None:
         """Add an operator's wave to the planner."""
-        if not self.planner.add_wave(wave, self.clock.monotonic()):
+        is_known = wave.wave_id in self.planner.waves
+        now = self.clock.monotonic()
+        if not self.planner.add_wave(wave, now):
+            return
+        seconds_left = self.planner.waves[wave.wave_id].due_at - now
+        self.due_ms[wave.wave_id] = int((self.clock.wall() + seconds_left) * 1000)
+        if self.planner.wave_planner.has_unlisted_vms(wave.wave_id):
+            self.next_list_at = 0.0
+        if is_known:
             return
         item = self.inherited_progress.get(wave.wave_id)
         if item is not None:
@@ -158,9 +181,17 @@
             state.not_before = now + LATE_REQUEST_SECONDS
             return
         vms = set(state.wave.vms)
-        record = WaveProgress(decoded.ok.begun & vms, decoded.ok.ordered & vms)
-        self.planner.resume_wave(wave, set(record.begun), set(record.ordered), now)
-        self.stored_progress[wave] = record
+        stored = decoded.ok
+        begun, ordered, seen = stored.begun & vms, stored.ordered & vms, stored.seen
+        self.planner.resume_wave(wave, begun, ordered, now, seen & vms)
+        state.completed = stored.completed
+        if stored.due_ms > 0:
+            due_at = now + stored.due_ms / 1000 - self.clock.wall()
+            state.due_at = min(state.due_at, due_at)
+            self.due_ms[wave] = stored.due_ms
+        self.stored_progress[wave] = msgspec.structs.replace(
+            stored, begun=begun, ordered=ordered, seen=seen & vms
+        )
 
     def _reject(self, item: Item, error: str) -> None:
         self.rejections.add(InputSource.WAVE, item.key, item.value, error)
@@ -205,18 +236,24 @@
             )
 
     async def _list_vms(self) -> None:
-        listed = await self.cloud.list_vms()
-        now = self.clock.monotonic()
-        pause = (
-            ACTIVE_LIST_INTERVAL_SECONDS
-            if self.planner.changes
-            else IDLE_LIST_INTERVAL_SECONDS
-        )
-        self.next_list_at = now + pause
+        requested_at = self.clock.monotonic()
+        # May be set to an earlier time while the list is being read.
+        self.next_list_at = inf
+        try:
+            listed = await self.cloud.list_vms()
+        finally:
+            now = self.clock.monotonic()
+            pause = (
+                ACTIVE_LIST_INTERVAL_SECONDS
+                if self.planner.changes
+                else IDLE_LIST_INTERVAL_SECONDS
+            )
+            self.next_list_at = min(self.next_list_at, now + pause)
         self.listed_at = now
         if listed.is_ok():
-            self.planner.update_vms(listed.ok, now)
-            self.on_vms_listed(listed.ok)
+            listing = listed.ok
+            self.planner.update_vms(listing.vms, now, requested_at, listing.complete)
+            self.on_vms_listed(listing.vms, requested_at)
 
     async def _request_change(self, change: VmChange) -> None:
         """Request a change of an empty VM from the cloud and handle the answer."""
@@ -253,22 +290,48 @@
     async def _store_wave_progress(self) -> None:
         """Store the progress of the waves, and their status for operators."""
         for wave, state in self.planner.waves.items():
-            record = WaveProgress(set(state.begun), set(state.ordered))
-            if self.clock.monotonic() < state.not_before:
-                # A successor has to wait, too, so the unreadable record stays.
+            if state.completed or self.clock.monotonic() < state.not_before:
+                # While an unreadable record is waited for, it stays, since a successor
+                # has to wait for it, too.
                 continue
-            if state.completed or self.stored_progress.get(wave) == record:
+            record, stored = self._progress_of(state), self.stored_progress.get(wave)
+            if stored == record:
                 continue
-            rows = [(f"{WAVE_PROGRESS_PREFIX}{wave}", msgspec.msgpack.encode(record))]
-            if wave not in self.stored_progress:
+            rows = [_encode_progress(wave, record)]
+            if stored is None or stored.completed:
                 rows.append(encode_wave_status(wave, completed=False))
             if await self._commit(rows):
                 self.stored_progress[wave] = record
-        for state in self.planner.finished_waves():
-            status = encode_wave_status(state.wave.wave_id, completed=True)
-            if await self._commit([status]):
-                state.completed = True
-                log_event(Event.WAVE_COMPLETED, wave=state.wave.wave_id)
+        for state in self.planner.finished_waves(self.clock.monotonic()):
+            await self._store_completion(state)
+
+    async def _store_completion(self, state: WaveState) -> None:
+        """Store that a wave is completed, unless it changes meanwhile."""
+        wave = state.wave
+        record = msgspec.structs.replace(self._progress_of(state), completed=True)
+        rows = [
+            _encode_progress(wave.wave_id, record),
+            encode_wave_status(wave.wave_id, completed=True),
+        ]
+        if not await self._commit(rows):
+            return
+        self.stored_progress[wave.wave_id] = record
+        if state.wave is not wave:
+            return
+        state.completed = True
+        log_event(
+            Event.WAVE_COMPLETED, wave=wave.wave_id, begun=len(state.begun),
+            absent=len(wave.vms) - len(state.begun.intersection(wave.vms)),
+        )  # fmt: skip
+
+    def _progress_of(self, state: WaveState) -> WaveProgress:
+        wave = state.wave
+        return WaveProgress(
+            set(state.begun),
+            set(state.ordered),
+            state.seen.intersection(wave.vms),
+            self.due_ms[wave.wave_id],
+        )
 
     async def _commit(self, rows: list[tuple[str, bytes]]) -> bool:
         """Write the rows unless this entry no longer leads or one of them has changed.
--- a/src/ebonyhub/fleet/model.py
+++ b/src/ebonyhub/fleet/model.py
@@ -7,6 +7,10 @@
 from ..ids import PoolName, RackId, VmId, WaveId, WorkerId
 from ..jobs.model import Resources
 
+# Time for which the VM list may lag behind: behind the registration of a VM's new
+# worker, or by leaving out a VM that exists.
+VM_LIST_LAG_SECONDS = 2.0
+
 
 class VmState(Enum):
     """State of a VM as the cloud lists it."""
@@ -33,6 +37,17 @@
     worker: WorkerId
 
 
+@dataclass(frozen=True, slots=True)
+class VmListing:
+    """All VMs that the cloud lists.
+
+    Not ``complete`` if a row names no VM: one that is missing may be that row.
+    """
+
+    vms: list[Vm]
+    complete: bool = True
+
+
 @dataclass(frozen=True, slots=True)
 class Wave:
     """VMs on which an operator has requested maintenance.
--- a/src/ebonyhub/fleet/planner.py
+++ b/src/ebonyhub/fleet/planner.py
@@ -5,7 +5,7 @@
 standby pool, and each wave limits how many VMs are down for maintenance at once.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 
 from ..events import Event, log_event
 from ..ids import PoolName, VmId, WaveId
@@ -45,13 +45,23 @@
 
     # Inputs
 
-    def update_vms(self, vms: list[Vm], now: float) -> None:
-        """Replace the VM list; the first one of a term sets the pools."""
+    def update_vms(
+        self,
+        vms: list[Vm],
+        now: float,
+        requested_at: float | None = None,
+        complete: bool = True,
+    ) -> None:
+        """Replace the VM list; the first one of a term sets the pools.
+
+        ``requested_at`` is the time of the request for the list, by default ``now``.
+        """
         if not self.known_pools and vms and self.pool_names:
             self.first_listed_at = now
             self.known_pools = sorted(self.pool_names)
             self.sizer.register_pools(self.known_pools, len(vms))
-        self.replace_vms(vms, now)
+        self.replace_vms(vms, now, requested_at, complete)
+        self.wave_planner.update_seen()
 
     @property
     def waves(self) -> Mapping[WaveId, WaveState]:
@@ -59,18 +69,25 @@
         return self.wave_planner.waves
 
     def add_wave(self, wave: Wave, now: float) -> bool:
-        """Add an operator's wave; return False if it is already known."""
-        return self.wave_planner.add(wave, now)
+        """Add an operator's wave; return False if it is already known as it is."""
+        is_new = self.wave_planner.add(wave, now)
+        self.wave_planner.update_seen()
+        return is_new
 
     def resume_wave(
-        self, wave: WaveId, begun: set[VmId], ordered: set[VmId], now: float
+        self,
+        wave: WaveId,
+        begun: set[VmId],
+        ordered: set[VmId],
+        now: float,
+        seen: Set[VmId] = frozenset(),
     ) -> None:
         """Restore the progress of a wave that an earlier leader stored."""
-        self.wave_planner.resume(wave, begun, ordered, now)
+        self.wave_planner.resume(wave, begun, ordered, now, seen)
 
-    def finished_waves(self) -> list[WaveState]:
+    def finished_waves(self, now: float) -> list[WaveState]:
         """Return the waves to mark completed."""
-        return self.wave_planner.finished()
+        return self.wave_planner.finished(now)
 
     # Decisions
 
--- a/src/ebonyhub/fleet/state.py
+++ b/src/ebonyhub/fleet/state.py
@@ -2,18 +2,17 @@
 
 from collections.abc import Iterable
 from dataclasses import replace
+from math import inf
 
 from ..ids import PoolName, VmId, WorkerId
 from .changes import Arrival, ChangePhase, VmChange
-from .model import FleetLoad, Vm, VmLoad, VmState
+from .model import VM_LIST_LAG_SECONDS, FleetLoad, Vm, VmLoad, VmState
 
 # Time after which an accepted change of a VM that is up counts as complete, whatever
 # pool the VM is in. A move takes 1.5 s.
 MOVE_TIMEOUT_SECONDS = 6.0
 # A worker that registers sooner after the acceptance of a change started before it.
 MIN_CHANGE_SECONDS = 1.0
-# Time for which the VM list may lag behind the registration of a VM's new worker.
-VM_LIST_LAG_SECONDS = 2.0
 
 
 class FleetState:
@@ -32,10 +31,32 @@
         self.backoff_until: dict[VmId, float] = {}
         # VMs whose change ended before the VM list showed it.
         self.arrivals: dict[VmId, Arrival] = {}
-
-    def replace_vms(self, vms: Iterable[Vm], now: float) -> None:
-        """Replace the VM list and drop the accepted changes that are complete."""
+        # When the last complete list was requested.
+        self.listed_at = -inf
+        # VMs that were listed in this term and are missing now, with the time at which
+        # the first complete list without them was requested.
+        self.missing_since: dict[VmId, float] = {}
+
+    def replace_vms(
+        self,
+        vms: Iterable[Vm],
+        now: float,
+        requested_at: float | None = None,
+        complete: bool = True,
+    ) -> None:
+        """Replace the VM list and drop the accepted changes that are complete.
+
+        Only a ``complete`` list shows that a VM is missing, as of the time at which it
+        was requested.
+        """
+        known = set(self.vms)
         self.vms = {vm.vm_id: self._with_arrival(vm, now) for vm in vms}
+        for vm_id in self.missing_since.keys() & self.vms.keys():
+            del self.missing_since[vm_id]
+        if complete:
+            self.listed_at = now if requested_at is None else requested_at
+            for vm_id in known - self.vms.keys():
+                self.missing_since.setdefault(vm_id, self.listed_at)
         for change in list(self.changes.values()):
             if change.phase is not ChangePhase.ACCEPTED:
                 continue
@@ -141,7 +162,17 @@
         """Return what runs on the VM."""
         return self.fleet_load.for_vm(vm)
 
+    def has_left(self, vm_id: VmId) -> bool:
+        """Return whether a VM that existed is gone for good.
+
+        One list does not show this: it lags behind, and its pages are no snapshot.
+        """
+        if vm_id in self.vms or self.listed_at == -inf:
+            return False
+        missing_since = self.missing_since.setdefault(vm_id, self.listed_at)
+        return self.listed_at - missing_since >= VM_LIST_LAG_SECONDS
+
     def is_empty(self, vm_id: VmId) -> bool:
-        """Return whether a VM is known to run no task, or is no longer listed."""
+        """Return whether a VM is known to run no task, or has left."""
         vm = self.vms.get(vm_id)
-        return vm is None or self.load_of(vm).tasks == 0
+        return self.has_left(vm_id) if vm is None else self.load_of(vm).tasks == 0
--- a/src/ebonyhub/fleet/waves.py
+++ b/src/ebonyhub/fleet/waves.py
@@ -1,5 +1,6 @@
 """Plans the maintenance of VMs in waves, within the limit of each wave."""
 
+from collections.abc import Set
 from math import ceil
 
 from ..events import Event, log_event
@@ -24,7 +25,8 @@
         """Add an operator's wave; return False if it is already known."""
         if wave.wave_id in self.waves:
             return False
-        self.waves[wave.wave_id] = WaveState(wave, now + wave.duration_seconds)
+        due_at = now + wave.duration_seconds
+        self.waves[wave.wave_id] = WaveState(wave, now, due_at)
         log_event(
             Event.WAVE_RECEIVED,
             wave=wave.wave_id,
@@ -35,7 +37,12 @@
         return True
 
     def resume(
-        self, wave: WaveId, begun: set[VmId], ordered: set[VmId], now: float
+        self,
+        wave: WaveId,
+        begun: set[VmId],
+        ordered: set[VmId],
+        now: float,
+        seen: Set[VmId] = frozenset(),
     ) -> None:
         """Restore the progress of a wave that an earlier leader stored.
 
@@ -46,6 +53,7 @@
         state = self.waves[wave]
         state.begun |= begun
         state.ordered |= ordered
+        state.seen |= seen | begun | ordered
         for vm in sorted(ordered - begun):
             self.state.changes[vm] = VmChange(
                 vm, ChangePhase.CORDONED, now, wave=wave, outcome_unknown=True
@@ -67,6 +75,18 @@
             down += vm != change.vm and (ordered or self.state.is_in_maintenance(vm))
         return down < wave.max_down
 
+    def update_seen(self) -> None:
+        """Note which VMs the cloud lists; reopen completed waves whose VM has come."""
+        for state in self.waves.values():
+            listed = {vm for vm in state.wave.vms if vm in self.state.vms}
+            state.seen |= listed
+            if state.completed and not listed <= state.begun:
+                state.completed = False
+                log_event(
+                    Event.WAVE_REOPENED, wave=state.wave.wave_id,
+                    vms=len(listed - state.begun),
+                )  # fmt: skip
+
     def plan(self, targets: dict[PoolName, PoolTarget], now: float) -> None:
         """Cordon the VMs whose maintenance may begin."""
         for state in self.waves.values():
@@ -153,14 +173,31 @@
             for other in self.state.vms.values()
         )
 
-    def finished(self) -> list[WaveState]:
-        """Return the waves to mark completed: all VMs have begun or are not listed."""
+    def has_unlisted_vms(self, wave: WaveId) -> bool:
+        """Return whether the list does not name each VM of the wave."""
+        return any(vm not in self.state.vms for vm in self.waves[wave].wave.vms)
+
+    def finished(self, now: float) -> list[WaveState]:
+        """Return the waves to mark completed: all VMs have begun or will not begin."""
         return [
             state
             for state in self.waves.values()
             if not state.completed
             and self.state.vms
             and all(
-                vm in state.begun or vm not in self.state.vms for vm in state.wave.vms
+                vm in state.begun or self._is_absent(state, vm, now)
+                for vm in state.wave.vms
             )
         ]
+
+    def _is_absent(self, state: WaveState, vm: VmId, now: float) -> bool:
+        """Return whether a VM of the wave has left, or has not come in time.
+
+        A list that was requested before the wave was received shows neither, nor does
+        one that was requested before the wave was due show that a VM will not come.
+        """
+        if vm in self.state.vms or self.state.listed_at <= state.received_at:
+            return False
+        if vm in state.seen or vm in self.state.missing_since:
+            return self.state.has_left(vm)
+        return now >= state.due_at and self.state.listed_at >= state.due_at
--- a/src/ebonyhub/platform/cloud.py
+++ b/src/ebonyhub/platform/cloud.py
@@ -11,13 +11,13 @@
 from ..clock import Clock
 from ..decoding import Name, try_convert, try_decode
 from ..events import Event
-from ..fleet.model import Vm
+from ..fleet.model import Vm, VmListing
 from ..http_client import SmallResponse
 from ..http_session import HttpSession
 from ..ids import EntryId, JobId, LeaderToken, PoolName, VmId, WaveId, WorkerId
 from ..metrics import Metrics
 from ..rejections import RejectedAnswers
-from .vm_listing import VmListing
+from .vm_listing import ListingDecoder
 
 # Allows for a cloud API that answers 50 times slower than usual.
 CALL_TIMEOUT_SECONDS = 1.5
@@ -90,13 +90,13 @@
         self.last_vms: dict[VmId, Vm] = {}
         self.rejected_answers = RejectedAnswers("cloud", clock, metrics)
 
-    async def list_vms(self) -> Result[list[Vm], CloudFailure]:
+    async def list_vms(self) -> Result[VmListing, CloudFailure]:
         """Read all pages of the VM listing.
 
         A listing without an end is refused, since a VM that it does not name counts as
         gone.
         """
-        listing = VmListing()
+        decoder = ListingDecoder()
         tokens: set[str] = set()
         target = "/machines"
         while len(tokens) < MAX_LIST_PAGES:
@@ -106,28 +106,29 @@
             self._count("list", result)
             if result.is_error() or result.ok.status != 200:
                 return Error(CloudFailure.REFUSED)
-            added = listing.add_page(result.ok.body)
+            added = decoder.add_page(result.ok.body)
             if added.is_error():
                 return self._reject_listing(added.error)
             if added.ok is None:
-                return Ok(self._finish_listing(listing))
+                return Ok(self._finish_listing(decoder))
             if added.ok in tokens:
                 return self._reject_listing("a page token repeats")
             tokens.add(added.ok)
             target = f"/machines?PageToken={quote(added.ok, safe='')}"
         return self._reject_listing(f"more than {MAX_LIST_PAGES} pages")
 
-    def _reject_listing(self, problem: str) -> Result[list[Vm], CloudFailure]:
+    def _reject_listing(self, problem: str) -> Result[VmListing, CloudFailure]:
         self.rejected_answers.reject(Event.PLATFORM_ANSWER_UNREADABLE, "list", problem)
         return Error(CloudFailure.REFUSED)
 
-    def _finish_listing(self, listing: VmListing) -> list[Vm]:
-        if listing.problem:
+    def _finish_listing(self, decoder: ListingDecoder) -> VmListing:
+        if decoder.problem:
             self.rejected_answers.reject(
-                Event.INPUT_PARTLY_REJECTED, "machine", listing.problem
+                Event.INPUT_PARTLY_REJECTED, "machine", decoder.problem
             )
-        self.last_vms = listing.finish(self.last_vms)
-        return list(self.last_vms.values())
+        self.last_vms = decoder.finish(self.last_vms)
+        complete = not decoder.has_nameless_rows
+        return VmListing(list(self.last_vms.values()), complete)
 
     async def move_vm(
         self, vm: VmId, pool: PoolName, token: LeaderToken
--- a/src/ebonyhub/platform/vm_listing.py
+++ b/src/ebonyhub/platform/vm_listing.py
@@ -59,8 +59,8 @@
 _decode_page = msgspec.json.Decoder(MachinePage).decode
 
 
-class VmListing:
-    """The rows of all pages of one listing.
+class ListingDecoder:
+    """Collects the rows of all pages of one listing.
 
     What the listing does not name counts as gone, and the runs on it as ended. A row
     that cannot be read therefore becomes a VM in an unknown state, from which nothing
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -109,7 +109,7 @@
             lambda: scheduler.fleet_load(clock.monotonic()),
             lambda: scheduler.demands(clock.monotonic()),
             scheduler.set_cordoned,
-            lambda vms: scheduler.expire_workers_without_vm(
+            lambda vms, requested_at: scheduler.expire_workers_without_vm(
                 vms, clock.monotonic(), self._wall_ms()
             ),
             lambda: bool(scheduler.unresponsive_workers(clock.monotonic())),
