A wave that the operator changes is taken as changed

Cause: a wave whose number was known was ignored, so a VM that the operator added to it was never maintained, and the wave was said to be completed.

Change: the VMs, the limit and the duration follow the document; progress of VMs stays. A completion that is being stored when the wave changes does not count.

--- a/src/ebonyhub/fleet/waves.py
+++ b/src/ebonyhub/fleet/waves.py
@@ -22,11 +22,21 @@
         self.waves: dict[WaveId, WaveState] = {}
 
     def add(self, wave: Wave, now: float) -> bool:
-        """Add an operator's wave; return False if it is already known."""
-        if wave.wave_id in self.waves:
+        """Add an operator's wave; return False if it is already known as it is.
+
+        A changed wave keeps the progress of its VMs.
+        """
+        known = self.waves.get(wave.wave_id)
+        if known is not None and known.wave == wave:
             return False
         due_at = now + wave.duration_seconds
-        self.waves[wave.wave_id] = WaveState(wave, now, due_at)
+        if known is None:
+            self.waves[wave.wave_id] = WaveState(wave, now, due_at)
+        else:
+            if known.wave.duration_seconds == wave.duration_seconds:
+                due_at = known.due_at
+            known.wave, known.received_at, known.due_at = wave, now, due_at
+            known.completed = False
         log_event(
             Event.WAVE_RECEIVED,
             wave=wave.wave_id,
--- a/tests/test_waves_wait_for_their_vms.py
+++ b/tests/test_waves_wait_for_their_vms.py
@@ -5,7 +5,7 @@
 later, or the operator added it to the wave.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import inf
 
 import msgspec
@@ -258,6 +258,46 @@
     assert fleet.statuses() == ["running", "completed"] * 2
 
 
+@pytest.mark.parametrize("first", [("a",), ("a", "b")])
+@pytest.mark.parametrize("completed", [False, True])
+@pytest.mark.parametrize("take_over", [False, True])
+async def test_vm_that_the_operator_adds_to_a_wave_is_maintained(
+    first, completed, take_over
+):
+    fleet = await Fleet().start()
+    fleet.request(*first)
+    await fleet.run(2.0 if completed else STEP_SECONDS / 2)
+    fleet.cloud.listed.add("new")
+    fleet.request(*first, "new")
+    if take_over:
+        await fleet.take_over()
+    await fleet.run(8.0)
+    assert set(fleet.cloud.maintained) == {*first, "new"}
+    assert fleet.status() == "completed"
+
+
+async def test_wave_that_changes_while_its_completion_is_stored_goes_on():
+    fleet = await Fleet().start()
+    store = fleet.controller.store
+    commit = store.commit
+
+    async def commit_and_change(transaction):
+        result = await commit(transaction)
+        if any(b"completed" in write.value for write in transaction.writes):
+            store.commit = commit
+            fleet.cloud.listed.add("new")
+            fleet.request("a", "new")
+        return result
+
+    store.commit = commit_and_change
+    # The status is completed when the wave changes, which is allowed.
+    fleet.completed_at[1] = fleet.clock.now
+    fleet.request("a")
+    await fleet.run(4.0)
+    assert fleet.cloud.maintained == ["a", "new"]
+    assert fleet.status() == "completed"
+
+
 async def test_new_leader_does_not_store_a_completed_wave_again():
     fleet = await Fleet().start()
     fleet.request("a")
@@ -296,6 +336,25 @@
     assert fleet.cloud.maintained == []
 
 
+@pytest.mark.parametrize(
+    ("fields", "due_after"),
+    [
+        ({"max_down": 2}, DURATION_SECONDS),
+        ({"duration_seconds": 5.0}, 10.0 + 5.0),
+        ({"duration_seconds": 60.0}, 10.0 + 60.0),
+    ],
+)
+async def test_changed_wave_is_due_by_its_new_duration(fields, due_after):
+    fleet = await Fleet().start()
+    began = fleet.clock.now
+    fleet.request("typo")
+    await fleet.run(10.0)
+    fleet.waves[1] = replace(fleet.waves[1], **fields)
+    fleet.controller.add_wave(fleet.waves[1])
+    due_at = fleet.controller.planner.waves[WaveId(1)].due_at
+    assert due_at - began == pytest.approx(due_after, abs=2 * STEP_SECONDS)
+
+
 async def test_vm_that_returned_after_the_last_list_is_maintained():
     fleet = await Fleet().start()
     fleet.cloud.listed.discard("b")
