A VM list that was requested before a worker answered does not end it

Cause: an unresponsive worker whose VM the list showed as gone, in maintenance or with another worker lost its runs, though the list could be older than the worker's registration or last answer. Its tasks would start a second time beside it.

Change: the list counts for a worker only if it was requested after the worker's last answer or, if it has not answered this leader yet, after it was found. The list's own lag behind a registration stays uncovered: an existing test asks that a list ends a worker that was found less than 2 s ago.

Measured: with any list as evidence, 6 of the 12 new cases fail; all pass now.

--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -110,7 +110,7 @@
             lambda: scheduler.demands(clock.monotonic()),
             scheduler.set_cordoned,
             lambda vms, requested_at: scheduler.expire_workers_without_vm(
-                vms, clock.monotonic(), self._wall_ms()
+                vms, clock.monotonic(), self._wall_ms(), requested_at
             ),
             lambda: bool(scheduler.unresponsive_workers(clock.monotonic())),
             self.mirror.rejections,
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -78,15 +78,23 @@
             )
 
     def expire_workers_without_vm(
-        self, vms: Iterable[Vm], now: float, wall_ms: int
+        self,
+        vms: Iterable[Vm],
+        now: float,
+        wall_ms: int,
+        requested_at: float | None = None,
     ) -> None:
         """Expire the unresponsive workers that no longer exist by the cloud's VM list.
 
         All runs have ended on a VM that is moving, in maintenance, down, no longer
-        listed, or listed with another worker.
+        listed, or listed with another worker. ``requested_at`` is the time of the
+        request for the list, by default ``now``.
         """
         by_id = {vm.vm_id: vm for vm in vms}
+        asked_at = now if requested_at is None else requested_at
         for worker in self.unresponsive_workers(now):
+            if not _can_list_show(worker, asked_at):
+                continue
             cause = loss_by_vm(worker, by_id.get(worker.entry.vm))
             if cause is not None:
                 self.expire_worker(worker, cause, now, wall_ms)
@@ -223,3 +231,13 @@
     def log_quarantine(self, worker: Worker, cause: str) -> None:
         """Log that a worker is quarantined for ``cause``."""
         log_event(Event.WORKER_QUARANTINED, worker=worker.worker_id, cause=cause)
+
+
+def _can_list_show(worker: Worker, requested_at: float) -> bool:
+    """Return whether a list requested at a time can show that a worker has ended.
+
+    An earlier one may show the VM as it was before the worker started.
+    """
+    answered_at = worker.last_response_at
+    known_at = worker.discovered_at if answered_at is None else answered_at
+    return requested_at > known_at
--- a/tests/test_lost_worker_evidence.py
+++ b/tests/test_lost_worker_evidence.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from ebonyhub.ids import ServiceName, WorkerId
+from ebonyhub.fleet.model import Vm, VmState
+from ebonyhub.ids import PoolName, RackId, ServiceName, WorkerId
 from ebonyhub.jobs.model import JobSpec, Resources, StepSpec
 from ebonyhub.jobs.records import JobState
 from ebonyhub.scheduling.model import EndedTask, RunningTask, RunOutcome
@@ -198,3 +199,34 @@
     assert driver.scheduler.jobs[JOB] is job
     assert job.progress.state is JobState.RUNNING
     assert WorkerId("w1") in driver.scheduler.workers
+
+
+@pytest.mark.parametrize("listed", ["gone", "of another worker", "in maintenance"])
+@pytest.mark.parametrize(
+    ("has_answered", "requested_after", "lost"),
+    [(True, -0.1, False), (True, 0.1, True), (False, -0.1, False), (False, 0.1, True)],
+)
+def test_older_vm_list_does_not_end_a_worker(
+    listed, has_answered, requested_after, lost
+):
+    """The list was requested before the worker answered or, if not yet, was found."""
+    driver = Driver(("w1",))
+    driver.submit(JobSpec("t", (StepSpec(1, Resources(1000, 1), 300_000),)))
+    (run,) = driver.start_all()
+    worker = driver.worker("w1")
+    known_at = worker.last_response_at
+    worker.discovered_at = known_at - (10.0 if has_answered else 0.0)
+    worker.last_response_at = known_at if has_answered else None
+    worker.lease_end_ms = int((driver.now + 60) * 1000)
+    worker.silent_since = known_at + 0.2
+    driver.wait(1.0)
+    vms = []
+    if listed != "gone":
+        state = VmState.UP if listed == "of another worker" else VmState.MAINTENANCE
+        vm_id, pool = worker.entry.vm, PoolName(worker.entry.service)
+        other = WorkerId("w0")
+        vms.append(Vm(vm_id, pool, state, "z", RackId("r"), Resources(), other))
+    driver.scheduler.expire_workers_without_vm(
+        vms, driver.now, 0, known_at + requested_after
+    )
+    assert (run.key not in worker.runs) is lost
