--- a/tests/test_waves_wait_for_their_vms.py
+++ b/tests/test_waves_wait_for_their_vms.py
@@ -75,9 +75,12 @@
     # Outcomes of the next requests, None for success.
     outcomes: list = field(default_factory=list)
     lists: int = 0
+    refuses_lists: bool = False
 
     async def list_vms(self):
         self.lists += 1
+        if self.refuses_lists:
+            return Error(CloudFailure.REFUSED)
         vms = [
             Vm(
                 VmId(name), POOL, VmState.UP, "z", RackId("r"),
@@ -356,6 +359,7 @@
 
 
 async def test_vm_that_returned_after_the_last_list_is_maintained():
+    """The cloud refuses lists for some time, so that the old list stays."""
     fleet = await Fleet().start()
     fleet.cloud.listed.discard("b")
     await fleet.run(10.0)
@@ -363,6 +367,9 @@
     while fleet.cloud.lists == lists:
         await fleet.run(STEP_SECONDS)
     fleet.cloud.listed.add("b")
+    fleet.cloud.refuses_lists = True
     fleet.request("b")
-    await fleet.run(2.0)
+    await fleet.run(5.0)
+    fleet.cloud.refuses_lists = False
+    await fleet.run(4.0)
     assert fleet.cloud.maintained == ["b"]
