A cancel of an unknown job withdraws its id before it is answered with 410

Callers saw: 504 for a submission, 410 for its cancel, and seconds later the job ran for good.

The cancel of a forwarded call did not even read.

Change: submissions are stored on condition that one key, eb/withdrawn, has the revision that the entry knows. The cancel of an unknown job writes that key, with the id and on condition that no record exists, and only then answers. So no write that was sent before can be applied, whichever entry sent it and whether it lives; one that is sent later finds the id and is refused at once with 429 and Retry-After, for 30 s. If the store does not answer, the cancel gets 504.

--- a/src/ebonyhub/entry/job_service.py
+++ b/src/ebonyhub/entry/job_service.py
@@ -1,12 +1,14 @@
 """Callers' operations: submit, read and cancel a job, and count a queue's waiting jobs.
 
-A submission is accepted once its record is stored. An entry whose store calls fail
-forwards the call to a peer.
+A submission is accepted once its record is stored. A cancel of an unknown job withdraws
+its id first, so that no submission that is still under way is accepted afterwards. An
+entry whose store calls fail forwards the call to a peer.
 """
 
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from math import ceil
 from typing import Any
 
 import msgspec
@@ -33,11 +35,20 @@
 from ..jobs.validation import accepted_problem, is_job_id
 from ..metrics import Metrics
 from ..scheduling.overload import ForecastCache, retry_after_seconds
+from .withdrawals import WITHDRAWALS_KEY, Withdrawal, Withdrawals
 
 # If neither the watch nor the leader has updated the mirror for this long, reads of
 # unfinished jobs go to the store, or to a peer if store calls fail.
 MAX_STALENESS_SECONDS = 2.5
 
+# Attempts to store a submission, of which a few may get no answer. Others fail since
+# the withdrawn ids have changed.
+MAX_SUBMISSION_ATTEMPTS = 8
+MAX_UNANSWERED_ATTEMPTS = 2
+# A submission is not attempted again after this time, in which the process may have
+# been suspended. Must be well below the time for which an id stays withdrawn.
+MAX_SUBMISSION_SECONDS = 10.0
+
 _decode_accepted = msgspec.msgpack.Decoder(AcceptedJob).decode
 
 PeerCall = Callable[[str, Any], Awaitable[Result[tuple[int, Any], PeerFailure]]]
@@ -59,6 +70,14 @@
 # The records of the job cannot be used; another entry would read the same ones.
 UNREADABLE = JobAnswer(error=ErrorKind.STORE_UNAVAILABLE)
 OUTCOME_UNKNOWN = JobAnswer(error=ErrorKind.STORE_OUTCOME_UNKNOWN)
+TOO_MANY_WITHDRAWALS = JobAnswer(error=ErrorKind.STORE_UNAVAILABLE)
+
+_WITHDRAWAL_ANSWERS = {
+    Withdrawal.DONE: NOT_FOUND,
+    Withdrawal.NOT_STORED: NOT_STORED,
+    Withdrawal.TOO_MANY: TOO_MANY_WITHDRAWALS,
+    Withdrawal.UNKNOWN: OUTCOME_UNKNOWN,
+}
 
 
 class JobService:
@@ -77,6 +96,7 @@
         on_records: Callable[[list[Item]], None],
         forecast_cache: ForecastCache,
         rng: random.Random,
+        withdrawals: Withdrawals,
     ) -> None:
         self.store = store
         self.mirror = mirror
@@ -86,6 +106,7 @@
         self.on_records = on_records
         self.forecast_cache = forecast_cache
         self.rng = rng
+        self.withdrawals = withdrawals
         self.synced_at = float("-inf")
 
     # Submission
@@ -94,6 +115,9 @@
         """Accept a job; a repeated submission is accepted without a second job."""
         if self._is_accepted(job_id):
             return ACCEPTED
+        withdrawn = self._withdrawn_answer(job_id)
+        if withdrawn is not None:
+            return withdrawn
         refusal = await self._check_overload(queue, job_id, spec)
         if refusal is not None:
             return refusal
@@ -133,8 +157,48 @@
         return JobAnswer(error=ErrorKind.OVERLOADED, retry_after=retry_after)
 
     async def store_submission(self, job_id: JobId, value: bytes) -> JobAnswer:
-        """Store the submission record; retries once if the outcome is unknown."""
-        return await self._create_record(accepted_key(job_id), value)
+        """Store the submission record unless the id has been withdrawn.
+
+        Retries once if the outcome is unknown, and whenever the withdrawn ids have
+        changed. A withdrawn id has no record, and an attempt that got no answer will
+        not create one any more.
+        """
+        key = accepted_key(job_id)
+        started_at, unanswered = self.clock.monotonic(), 0
+        for _ in range(MAX_SUBMISSION_ATTEMPTS):
+            withdrawn = self._withdrawn_answer(job_id)
+            if withdrawn is not None:
+                return withdrawn
+            if self.clock.monotonic() - started_at > MAX_SUBMISSION_SECONDS:
+                return OUTCOME_UNKNOWN
+            conditions = {key: ABSENT, WITHDRAWALS_KEY: self.withdrawals.revision}
+            result = await self.store.commit(
+                Transaction(conditions, (Write(key, value),))
+            )
+            if result.is_ok():
+                self._publish_record(key, value, result.ok)
+                return ACCEPTED
+            failure = result.error
+            if failure.kind is StoreFailure.CONFLICT:
+                item = failure.current.get(key)
+                if item is not None:
+                    self._publish_record(key, item.value or value, item.revision)
+                    return ACCEPTED
+                self.withdrawals.observe(failure.current.get(WITHDRAWALS_KEY))
+                self.metrics.retries.labels("withdrawals_changed").inc()
+                continue
+            may_be_stored = failure.kind is StoreFailure.UNKNOWN
+            unanswered += may_be_stored
+            if not may_be_stored or unanswered == MAX_UNANSWERED_ATTEMPTS:
+                break
+        return OUTCOME_UNKNOWN if unanswered else NOT_STORED
+
+    def _withdrawn_answer(self, job_id: JobId) -> JobAnswer | None:
+        """Return the refusal of a withdrawn id, None if the id is not withdrawn."""
+        seconds = self.withdrawals.remaining_seconds(job_id)
+        if seconds <= 0.0:
+            return None
+        return JobAnswer(error=ErrorKind.JOB_WITHDRAWN, retry_after=ceil(seconds))
 
     async def _create_record(self, key: str, value: bytes) -> JobAnswer:
         outcome_unknown = False
@@ -178,9 +242,8 @@
 
     async def read(self, job_id: JobId) -> JobAnswer:
         """Return the state of a job from the mirror, the store or a peer."""
-        stale = self.clock.monotonic() - self.synced_at > MAX_STALENESS_SECONDS
-        state = self.mirror.confirmed_state(job_id)
-        if state is not None and (not stale or state.is_final):
+        state = self._fresh_state(job_id)
+        if state is not None:
             return JobAnswer(state)
         if not self.store.failing:
             answer = await self.read_store(job_id)
@@ -191,6 +254,12 @@
             return JobAnswer(self.mirror.jobs[job_id].visible_state)
         return answer
 
+    def _fresh_state(self, job_id: JobId) -> JobState | None:
+        """Return the state by the mirror, None if the mirror may be out of date."""
+        stale = self.clock.monotonic() - self.synced_at > MAX_STALENESS_SECONDS
+        state = self.mirror.confirmed_state(job_id)
+        return state if state is None or not stale or state.is_final else None
+
     async def read_store(self, job_id: JobId) -> JobAnswer:
         """Read the state of a job from the records in the store."""
         for key in (accepted_key(job_id), cancelled_key(job_id), progress_key(job_id)):
@@ -216,16 +285,32 @@
     # Cancellation
 
     async def cancel(self, job_id: JobId) -> JobAnswer:
-        """Cancel a job; has no effect on a job that has ended."""
-        answer = await self.read(job_id)
-        if answer.state is None or answer.state.is_final:
-            return answer
+        """Cancel a job; has no effect on a job that has ended.
+
+        If there is no such job, none is accepted by a submission that was sent before.
+        """
+        state = self._fresh_state(job_id)
+        if state is not None and state.is_final:
+            return JobAnswer(state)
         if not self.store.failing:
-            stored = await self.store_cancellation(job_id)
-            if stored is not NOT_STORED:
-                return stored
+            answer = await self._cancel_in_store(job_id)
+            if answer is not NOT_STORED:
+                return answer
         return await self._forward("cancel", [job_id], job_id)
 
+    async def _cancel_in_store(self, job_id: JobId) -> JobAnswer:
+        state = self._fresh_state(job_id)
+        answer = JobAnswer(state) if state is not None else NOT_FOUND
+        if state is None:
+            answer = await self.read_store(job_id)
+        if answer is NOT_FOUND:
+            outcome = await self.withdrawals.withdraw(job_id)
+            if outcome is not Withdrawal.JOB_EXISTS:
+                return _WITHDRAWAL_ANSWERS[outcome]
+        elif answer.state is None or answer.state.is_final:
+            return answer
+        return await self.store_cancellation(job_id)
+
     async def store_cancellation(self, job_id: JobId) -> JobAnswer:
         """Store the cancellation record of a job."""
         return await self._create_record(cancelled_key(job_id), b"\x01")
@@ -248,7 +333,7 @@
                 return encode_peer_answer(ACCEPTED)
             return encode_peer_answer(await self.store_submission(job_id, value))
         if method == "cancel":
-            return encode_peer_answer(await self.store_cancellation(job_id))
+            return encode_peer_answer(await self._cancel_in_store(job_id))
         state = self.mirror.confirmed_state(job_id)
         if state is not None:
             return encode_peer_answer(JobAnswer(state))
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -45,6 +45,7 @@
     LeadershipManager,
 )
 from .status_api import StatusApi, StatusSources
+from .withdrawals import Withdrawals
 
 # Pause between calls of the job watch; changes usually arrive sooner on peer streams.
 JOB_WATCH_PAUSE_SECONDS = 0.5
@@ -84,10 +85,13 @@
             settings, self.store, self.mirror, self.clock, self.rng,
             self, lambda: self.configuration is not None, self.build_controller,
         )  # fmt: skip
+        self.withdrawals = Withdrawals(
+            self.store, self.clock, self.rng, self.on_local_records, self.rejections
+        )
         self.service = JobService(
             self.store, self.mirror, self.clock, self.metrics,
             self.leadership.call_peer, self.on_local_records, self.forecast_cache,
-            self.rng,
+            self.rng, self.withdrawals,
         )  # fmt: skip
         self.job_api = JobApi(
             self.service, lambda: self.configuration, lambda: self.leadership.stopping,
@@ -352,6 +356,7 @@
         root.add("job-watch", self.job_watch.run)
         root.add("states", self.broadcast_periodically)
         root.add("leadership", self.leadership.follow_leader)
+        root.add("withdrawals", self.withdrawals.run)
         root.add("registration", self.leadership.register_address)
         await run_until_signal(root, self.shut_down)
         log_event(Event.SHUTDOWN_COMPLETED, entry=self.settings.entry)
--- a/src/ebonyhub/errors.py
+++ b/src/ebonyhub/errors.py
@@ -37,6 +37,7 @@
     CONFIGURATION_MISSING = "configuration_missing"
     SHUTTING_DOWN = "shutting_down"
     UNKNOWN_JOB = "unknown_job"
+    JOB_WITHDRAWN = "job_withdrawn"
     OVERLOADED = "overloaded"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_OUTCOME_UNKNOWN = "store_outcome_unknown"
@@ -76,6 +77,7 @@
     ErrorKind.CONFIGURATION_MISSING: ErrorResponse(503, _NOT_RUN, 1),
     ErrorKind.SHUTTING_DOWN: ErrorResponse(503, _NOT_RUN, 1),
     ErrorKind.OVERLOADED: ErrorResponse(503, _NOT_RUN, 2),
+    ErrorKind.JOB_WITHDRAWN: ErrorResponse(429, _NOT_RUN, 30),
     ErrorKind.UNKNOWN_JOB: ErrorResponse(410, _NOT_RUN),
     ErrorKind.STORE_UNAVAILABLE: ErrorResponse(503, _NOT_RUN, 2),
     ErrorKind.STORE_OUTCOME_UNKNOWN: ErrorResponse(504, _UNKNOWN),
--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -224,6 +224,12 @@
         "job refused because it would finish too late to be useful",
         "Check the size of the service's pool; more VMs admit more jobs.",
     )
+    JOB_IDS_WITHDRAWN = EventSpec(
+        2106,
+        _I,
+        "cancels of unknown jobs stored; submissions under their ids are refused",
+        "None.",
+    )
     PLATFORM_ANSWER_UNREADABLE = EventSpec(
         2502,
         _W,
--- a/tests/test_foreign_peers_and_watches.py
+++ b/tests/test_foreign_peers_and_watches.py
@@ -29,6 +29,7 @@
     decode_peer_answer,
 )
 from ebonyhub.entry.leadership_manager import LeadershipManager
+from ebonyhub.entry.withdrawals import Withdrawals
 from ebonyhub.errors import ErrorKind
 from ebonyhub.ids import DataCentre, EntryId
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec
@@ -281,11 +282,15 @@
 
 def build_service(core):
     clock, metrics = SystemClock(), Metrics(CollectorRegistry())
-    mirror = JobMirror()
+    mirror, store, rng = JobMirror(), MemoryStore(core), random.Random(1)
+
+    def apply(items):
+        for item in items:
+            mirror.apply(item)
+
     return JobService(
-        MemoryStore(core), mirror, clock, metrics, None,
-        lambda items: [mirror.apply(item) for item in items], ForecastCache(),
-        random.Random(1),
+        store, mirror, clock, metrics, None, apply, ForecastCache(), rng,
+        Withdrawals(store, clock, rng, apply),
     )  # fmt: skip
 
 
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -21,6 +21,7 @@
     decode_peer_answer,
     encode_peer_answer,
 )
+from ebonyhub.entry.withdrawals import Withdrawals
 from ebonyhub.errors import ErrorKind
 from ebonyhub.ids import JobId, QueueName, ServiceName
 from ebonyhub.jobs.model import JobSpec, Resources, StepSpec
@@ -50,6 +51,9 @@
         self.service = JobService(
             self.store, self.mirror, SystemClock(), Metrics(CollectorRegistry()),
             self.call_peer, self.apply_records, ForecastCache(), random.Random(1),
+            Withdrawals(
+                self.store, SystemClock(), random.Random(2), self.apply_records
+            ),
         )  # fmt: skip
         self.service.synced_at = SystemClock().monotonic()
 
