Soak: callers that leave without an answer cancel the job and expect that it never runs

A conflict that names no record that can be read was taken for an acceptance.

Change: 0.4 of the callers without an answer leave and cancel; a job whose cancel was answered 410 must be unknown at the end, must never run, and a late copy of its submission must not be accepted. A conflict without a readable reason is reported as an unknown outcome. A due time out of range makes the record of a wave unreadable, as other fields do.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 from ebonyhub.http_client import RequestHead, open_connection, send_and_receive
 from ebonyhub.ids import JobId
@@ -27,6 +28,8 @@
 # Time in which a process that has closed its connections exits.
 EXIT_TIMEOUT_SECONDS = 1.5
 LONG_RUNNING_JOBS = 2
+# Share of callers that leave after an attempt without an answer, and cancel the job.
+LEAVING_SHARE = 0.4
 
 
 class ReportedOutcome(Enum):
@@ -40,6 +43,8 @@
     # A cancellation was sent and has no answer yet.
     CANCEL_SENT = "cancel_sent"
     CANCELLED = "cancelled"
+    # A cancellation was answered with "no such job", so the job must never run.
+    WITHDRAWN = "withdrawn"
 
 
 @dataclass
@@ -55,6 +60,8 @@
     finished_jobs: list[str] = field(default_factory=list)
     problems: list[str] = field(default_factory=list)
     answered_calls: int = 0
+    # Draws who leaves; apart from ``rng``, which draws the jobs.
+    leaving_rng: random.Random = field(default_factory=lambda: random.Random(1))
 
     async def submit_jobs(self) -> None:
         """Submit long-running jobs, then all kinds until the task is cancelled."""
@@ -86,11 +93,38 @@
                 self.reported_outcomes[job] = previous
                 if drawn.abandons:
                     return
+            elif self.leaving_rng.random() < LEAVING_SHARE:
+                await self._leave(job, body)
+                return
             await asyncio.sleep(RETRY_DELAY_SECONDS)
         if drawn.cancel_after is not None:
             await asyncio.sleep(drawn.cancel_after)
             await self._cancel(job)
 
+    async def _leave(self, job: str, body: dict[str, Any]) -> None:
+        """Cancel a job whose acceptance is unknown; a late copy may still arrive."""
+        outcome = ReportedOutcome.UNKNOWN
+        while outcome is ReportedOutcome.UNKNOWN:
+            entry = self.rng.choice(self.cluster.names)
+            answer = await self.cluster.call(entry, "DELETE", job)
+            if answer is not None and answer.status == 200:
+                outcome = ReportedOutcome.CANCELLED
+                state = json.loads(answer.body).get("State")
+                if state in ("completed", "failed"):
+                    outcome = ReportedOutcome.CANCEL_SENT
+                else:
+                    self.oracle.record_cancellation(JobId(job))
+            elif answer is not None and answer.status == 410:
+                outcome = ReportedOutcome.WITHDRAWN
+            else:
+                await asyncio.sleep(RETRY_DELAY_SECONDS)
+        self.reported_outcomes[job] = outcome
+        if outcome is ReportedOutcome.WITHDRAWN:
+            entry = self.rng.choice(self.cluster.names)
+            copy = await self.cluster.call(entry, "POST", job, body)
+            if copy is not None and copy.status == 200:
+                self.problems.append(f"{entry} accepted {job} after its cancellation")
+
     async def _cancel(self, job: str) -> None:
         while True:
             self.reported_outcomes[job] = ReportedOutcome.CANCEL_SENT
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -154,9 +154,12 @@
             continue
         entry = cluster.names[number % len(cluster.names)]
         answer = await cluster.call(entry, "GET", job)
-        if answer is None or answer.status != 200:
+        expected_status = 410 if outcome is ReportedOutcome.WITHDRAWN else 200
+        if answer is None or answer.status != expected_status:
             status = answer.status if answer else "nothing"
-            wrong.append(f"{entry} answers {status} for the accepted job {job}")
+            wrong.append(f"{entry} answers {status} for the {outcome.value} job {job}")
+            continue
+        if outcome is ReportedOutcome.WITHDRAWN:
             continue
         state = json.loads(answer.body)["State"]
         if state not in expected_states(callers, job):
@@ -209,12 +212,13 @@
 
 
 def unexpected_runs(callers: Callers, oracle: Oracle, cluster: JobCluster) -> list[str]:
-    """Return refused jobs that ran and cancelled jobs that still run."""
+    """Return refused or withdrawn jobs that ran, and cancelled ones that still run."""
     started = {task.job for task in oracle.tasks}
+    never = (ReportedOutcome.REFUSED, ReportedOutcome.WITHDRAWN)
     problems = [
-        f"job {job} ran although every attempt was refused"
+        f"job {job} ran although it was {outcome.value}"
         for job, outcome in callers.reported_outcomes.items()
-        if outcome is ReportedOutcome.REFUSED and JobId(job) in started
+        if outcome in never and JobId(job) in started
     ]
     return problems + [
         f"cancelled job {job} still runs"
--- a/src/ebonyhub/entry/job_service.py
+++ b/src/ebonyhub/entry/job_service.py
@@ -184,7 +184,12 @@
                 if item is not None:
                     self._publish_record(key, item.value or value, item.revision)
                     return ACCEPTED
-                self.withdrawals.observe(failure.current.get(WITHDRAWALS_KEY))
+                withdrawn_ids = failure.current.get(WITHDRAWALS_KEY)
+                revision = withdrawn_ids.revision if withdrawn_ids else ABSENT
+                if revision == conditions[WITHDRAWALS_KEY]:
+                    # The record exists, but its row cannot be read.
+                    return OUTCOME_UNKNOWN
+                self.withdrawals.observe(withdrawn_ids)
                 self.metrics.retries.labels("withdrawals_changed").inc()
                 continue
             may_be_stored = failure.kind is StoreFailure.UNKNOWN
--- a/src/ebonyhub/fleet/controller.py
+++ b/src/ebonyhub/fleet/controller.py
@@ -10,7 +10,7 @@
 from ..cluster.leadership import LEADER_KEY, Term
 from ..cluster.metadata_store import ABSENT, Item, MetadataStore, Transaction, Write
 from ..configuration import Configuration
-from ..decoding import try_decode
+from ..decoding import Count, try_decode
 from ..events import Event, log_event
 from ..ids import PoolName, Revision, VmId, WaveId, WorkerId
 from ..platform.cloud import CloudClient, CloudFailure
@@ -48,7 +48,7 @@
     # VMs that were listed at some time; one that is missing later has left.
     seen: set[VmId] = msgspec.field(default_factory=set)
     # When the wave is due, in ms since 1970; 0 in records of earlier versions.
-    due_ms: int = 0
+    due_ms: Count = 0
     # Whether the status for operators says that the wave is completed.
     completed: bool = False
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -22,7 +22,8 @@
     progress_key,
 )
 from ebonyhub.scheduling.model import RunOutcome
-from soak.callers import Callers
+from soak.callers import Callers, ReportedOutcome
+from soak.checks import unexpected_runs
 from soak.finished_jobs import RECENT_JOBS, store_finished_jobs
 from soak.stored_progress import StoredProgressCheck
 from soak.workload import JobKind, draw_job
@@ -244,3 +245,20 @@
     network.close()
     assert calls_by_connection[:2] == [3, 3]
     assert callers.problems == []
+
+
+@pytest.mark.parametrize(
+    ("outcome", "is_problem"),
+    [
+        (ReportedOutcome.REFUSED, True),
+        (ReportedOutcome.WITHDRAWN, True),
+        (ReportedOutcome.UNKNOWN, False),
+        (ReportedOutcome.ACCEPTED, False),
+        (ReportedOutcome.CANCELLED, False),
+    ],
+)
+def test_run_of_a_job_that_callers_were_told_does_not_exist(outcome, is_problem):
+    callers = SimpleNamespace(reported_outcomes={JOB: outcome})
+    oracle = SimpleNamespace(tasks={TASK: None})
+    cluster = SimpleNamespace(platform=SimpleNamespace(workers=[]))
+    assert bool(unexpected_runs(callers, oracle, cluster)) is is_problem
--- a/tests/test_withdrawn_ids.py
+++ b/tests/test_withdrawn_ids.py
@@ -62,6 +62,8 @@
             self.core.commit(transaction)
         elif fate == "refused":
             return Error(CommitFailure(StoreFailure.REFUSED))
+        elif fate == "unreadable conflict":
+            return Error(CommitFailure(StoreFailure.CONFLICT))
         else:
             return await super().commit(transaction)
         return Error(CommitFailure(StoreFailure.UNKNOWN))
@@ -218,6 +220,14 @@
     assert accepted_key(JOB) not in world.core.items
 
 
+async def test_conflict_with_an_unreadable_record_is_not_reported_as_not_run(world):
+    entry = world.entries[0]
+    world.core.delete(WITHDRAWALS_KEY)
+    entry.withdrawals.observe(None)
+    entry.store.fates = ["unreadable conflict"]
+    assert (await entry.submit()).error is ErrorKind.STORE_OUTCOME_UNKNOWN
+
+
 async def test_store_calls_of_the_common_path(world):
     entry, other = world.entries
     await entry.submit()
