--- a/tests/test_cancel_state_machine.py
+++ b/tests/test_cancel_state_machine.py
@@ -143,6 +143,11 @@
             submissions = [
                 r for r in self.requests if r.job == job and r.method == "submit"
             ]
+            assert any(
+                r.answer is None
+                or r.answer.error in (None, ErrorKind.STORE_OUTCOME_UNKNOWN)
+                for r in submissions
+            ), "every attempt was refused, and the job is accepted"
             for cancel in self.requests:
                 if cancel.job != job or cancel.method != "cancel":
                     continue
