A task is judged stuck by its estimate and the progress that its step has shown

Cause: a task counted as stuck after 1.6 s without a change of its percent, as if progress were reported at least once a second. In whole percent a task of over 160 s changes less often.

Change: allowed is the longest of 1.6 s, 4% of the estimate and four times the longest time without progress that a run of the step has got over; twice as much after each verdict on the same task, since the estimate may be far too low. A run of over 10 s is stopped only if it can start elsewhere at once, or after four times as long. Only the first verdict on a task quarantines the worker. RUN_STUCK (E2214) logs each verdict with what was allowed. Tasks with estimates of up to 40 s are judged as before.

--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -180,6 +180,12 @@
         "worker lists the end of a run that the leader does not know",
         "None if the job's records have been removed; else report it.",
     )
+    RUN_STUCK = EventSpec(
+        2214,
+        _W,
+        "run without progress for longer than allowed; it is stopped",
+        "Check the worker; if the task is sound, its estimate is too low.",
+    )
     WORKER_DISCOVERED = EventSpec(2301, _I, "worker discovered in the store", "None.")
     WORKER_DRAINING = EventSpec(2302, _I, "worker is draining", "None.")
     WORKER_ENTRY_REMOVED = EventSpec(2303, _I, "worker's store entry removed", "None.")
--- a/src/ebonyhub/scheduling/health.py
+++ b/src/ebonyhub/scheduling/health.py
@@ -13,9 +13,21 @@
 FAILURES_BEFORE_QUARANTINE = 2
 # Seconds of quarantine before the worker gets new tasks.
 QUARANTINE_SECONDS = 4.0
-# Seconds without progress after which a task is stuck. Progress is reported in percent
-# of the work, at least once a second.
+# Seconds without progress after which a task is stuck, at least. Workers report once a
+# second.
 STUCK_SECONDS = 1.6
+# Progress is reported in percent, perhaps in whole ones: a task is not stuck before
+# this share of its estimate has passed without progress, nor before this multiple of
+# the longest time without progress that a task of its step has got over.
+STUCK_ESTIMATE_SHARE = 0.04
+STUCK_INTERVAL_FACTOR = 4.0
+# Doublings of the time for a task that was stopped as stuck before: its estimate may be
+# far too low, and it must get done all the same.
+MAX_STUCK_DOUBLINGS = 12
+# A run of this age is stopped only if it can start elsewhere at once, or after a longer
+# time without progress: it has more to lose.
+OLD_RUN_SECONDS = 10.0
+OLD_RUN_FACTOR = 4.0
 # A worker is slow if its tasks, relative to their estimates, take this many times as
 # long as the average over all workers.
 SLOW_FACTOR = 3.0
@@ -102,6 +114,24 @@
         return exp(self.slowdown.average - fleet_average.average) > SLOW_FACTOR
 
 
-def is_stuck(progress_at: float, now: float) -> bool:
-    """Return whether a task's last progress is more than STUCK_SECONDS ago."""
-    return now - progress_at > STUCK_SECONDS
+def stuck_after_seconds(
+    estimate: float = 0.0, longest_interval: float = 0.0, earlier_verdicts: int = 0
+) -> float:
+    """Return the seconds without progress after which a task counts as stuck.
+
+    ``estimate`` is that of its run time, ``longest_interval`` the longest time without
+    progress of tasks of its step that went on; both in seconds.
+    """
+    allowed = max(
+        STUCK_SECONDS,
+        STUCK_ESTIMATE_SHARE * estimate,
+        STUCK_INTERVAL_FACTOR * longest_interval,
+    )
+    return float(allowed * 2 ** min(earlier_verdicts, MAX_STUCK_DOUBLINGS))
+
+
+def is_stuck(
+    progress_at: float, now: float, allowed_seconds: float = STUCK_SECONDS
+) -> bool:
+    """Return whether a task's last progress is longer ago than it may be."""
+    return now - progress_at > allowed_seconds
--- a/src/ebonyhub/scheduling/lifecycle.py
+++ b/src/ebonyhub/scheduling/lifecycle.py
@@ -238,6 +238,7 @@
     )
     job.pending.clear()
     job.workers_to_avoid.clear()
+    job.stuck_verdicts.clear()
     job.version += 1
 
 
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -241,12 +241,16 @@
             run.confirmed_at = now
             run.progress_changed_at = now
         run.born_ms = worker.born_ms
-        if row.percent != run.progress_percent:
+        job = self.jobs.get(row.task.job)
+        if row.percent == run.progress_percent:
+            run.unchanged_until = now
+        else:
+            if job is not None:
+                _note_progress_interval(job, run)
             run.progress_percent = row.percent
             run.progress_changed_at = now
         run.checkpoint = row.checkpoint or run.checkpoint
         run.usage = row.usage
-        job = self.jobs.get(row.task.job)
         if job is None:
             if self.may_stop_runs_of(row.task.job):
                 self.stop_run(run, StopReason.JOB_ENDED, now)
@@ -376,3 +380,10 @@
                 holds_up_others and job_id in self.unreadable_jobs
             )
         return job.stored_version >= version
+
+
+def _note_progress_interval(job: Job, run: Run) -> None:
+    """Note for how long a run that goes on was seen without progress."""
+    interval = run.unchanged_until - max(run.progress_changed_at, run.confirmed_at)
+    if interval > job.progress_intervals.get(run.task.step, 0.0):
+        job.progress_intervals[run.task.step] = interval
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -70,6 +70,8 @@
     checkpoint: str = ""
     progress_percent: float = 0.0
     progress_changed_at: float = 0.0
+    # When the worker last reported the same progress as before.
+    unchanged_until: float = 0.0
     # Tail latency in ms for a serving task, thousandths of a core for others.
     usage: float = 0.0
     # Share of full speed to which a best-effort run is throttled.
@@ -225,6 +227,10 @@
     min_pending_cpu: int = 0
     # Workers on which a task has failed or got stuck; used again only as a last resort.
     workers_to_avoid: dict[TaskId, set[WorkerId]] = field(default_factory=dict)
+    # How often each task has been stopped as stuck.
+    stuck_verdicts: dict[TaskId, int] = field(default_factory=dict)
+    # Longest time without progress that a run of each step has got over, in seconds.
+    progress_intervals: dict[int, float] = field(default_factory=dict)
     # Tasks of the job may be suspected of crashing their workers.
     has_suspects: bool = False
     # First scheduled occurrence that has not been started.
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -6,14 +6,19 @@
 from ..fleet.model import Vm
 from ..ids import VmId, WorkerId
 from .crash_attribution import CrashAttribution
-from .health import is_stuck
+from .health import (
+    OLD_RUN_FACTOR,
+    OLD_RUN_SECONDS,
+    is_stuck,
+    stuck_after_seconds,
+)
 from .losses import LossCause, loss_by_vm
 from .model import WorkerEntry
 from .orders import FetchReport
 from .overdue import is_report_overdue
 from .placement import StepRequirements, choose_worker, meets_constraints
-from .runs import Run, RunPhase, StopReason, Worker
-from .state import RESPONSE_MAX_AGE_SECONDS, is_serving
+from .runs import Job, Run, RunPhase, StopReason, Worker
+from .state import RESPONSE_MAX_AGE_SECONDS, is_serving, short_name
 
 
 class WorkerMonitor(CrashAttribution):
@@ -192,6 +197,12 @@
         unavailable = run.step.count - 1 - serving
         if unavailable >= max(1, run.step.max_unavailable):
             return False
+        return self._has_room_elsewhere(run, job, None, now)
+
+    def _has_room_elsewhere(
+        self, run: Run, job: Job, present: Worker | None, now: float
+    ) -> bool:
+        """Return whether a worker other than ``present`` could start the task now."""
         requirements = StepRequirements(
             job.job_id, run.task.occurrence, run.task.step, run.step
         )
@@ -199,7 +210,9 @@
         others = [
             worker
             for worker in self.workers.values()
-            if worker.entry.service == service and self.is_eligible(worker, now)
+            if worker is not present
+            and worker.entry.service == service
+            and self.is_eligible(worker, now)
         ]
         others = [
             worker for worker in others if meets_constraints(requirements, worker)
@@ -220,13 +233,36 @@
             or run.speed_percent < 100
         ):
             return
-        if is_stuck(max(run.progress_changed_at, run.confirmed_at), responded_at):
-            if not job.is_final:
-                job.workers_to_avoid.setdefault(run.task, set()).add(worker.worker_id)
-            self.stop_run(run, StopReason.NO_PROGRESS, now)
-            if not worker.health.is_quarantined(now):
-                worker.health.quarantine(now)
-                self.log_quarantine(worker, "no_progress")
+        verdicts = job.stuck_verdicts.get(run.task, 0)
+        allowed = stuck_after_seconds(
+            run.step.estimate_ms / 1000,
+            job.progress_intervals.get(run.task.step, 0.0),
+            verdicts,
+        )
+        progress_at = max(run.progress_changed_at, run.confirmed_at)
+        if not is_stuck(progress_at, responded_at, allowed):
+            return
+        is_old = now - run.confirmed_at > OLD_RUN_SECONDS
+        if (
+            is_old
+            and not is_stuck(progress_at, responded_at, allowed * OLD_RUN_FACTOR)
+            and not self._has_room_elsewhere(run, job, worker, now)
+        ):
+            return
+        log_event(
+            Event.RUN_STUCK, job=run.task.job, task=short_name(run.task),
+            run=run.number, worker=worker.worker_id, percent=run.progress_percent,
+            silent=round(responded_at - progress_at, 2), allowed=round(allowed, 2),
+            earlier=verdicts,
+        )  # fmt: skip
+        if not job.is_final:
+            job.workers_to_avoid.setdefault(run.task, set()).add(worker.worker_id)
+            job.stuck_verdicts[run.task] = verdicts + 1
+        self.stop_run(run, StopReason.NO_PROGRESS, now)
+        # After the second verdict it is the task that is in doubt, not the worker.
+        if not verdicts and not worker.health.is_quarantined(now):
+            worker.health.quarantine(now)
+            self.log_quarantine(worker, "no_progress")
 
     def log_quarantine(self, worker: Worker, cause: str) -> None:
         """Log that a worker is quarantined for ``cause``."""
