--- a/tests/test_cancel_state_machine.py
+++ b/tests/test_cancel_state_machine.py
@@ -269,7 +269,8 @@
         tasks = asyncio.all_tasks(self.loop)
         for task in tasks:
             task.cancel()
-        self.loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        if tasks:
+            self.loop.run_until_complete(asyncio.wait(tasks))
         self.loop.close()
 
 
