Workspaces in the configuration, the settings and the records of jobs

Cause: a configuration's workspaces, their API keys, weights and limits were not decoded, and a job's record did not name its workspace.

--- a/src/ebonyhub/configuration.py
+++ b/src/ebonyhub/configuration.py
@@ -1,9 +1,11 @@
-"""Queues and services as the operators have configured them on the platform."""
+"""Queues, services and workspaces as the operators have configured them."""
 
+import hashlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from .ids import QueueName, ServiceName
+from .ids import QueueName, ServiceName, WorkspaceName
+from .jobs.model import Resources
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +37,8 @@
     target_seconds: float
     timeout_seconds: float
     advisor: AdvisorPolicy | None = None
+    # Whether calls without an API key are served.
+    allows_anonymous: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +53,25 @@
     connection_limit: int
 
 
+def digest_key(key: bytes) -> bytes:
+    """Return the SHA-256 digest of an API key; the key itself is kept nowhere."""
+    return hashlib.sha256(key).digest()
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """A group of callers with its API keys, its share and its limit."""
+
+    name: WorkspaceName
+    key_digests: frozenset[bytes] = frozenset()
+    # 0 is the highest priority; decides who gets capacity that others lend.
+    priority: int = 0
+    # Share under shortage, and jobs per second to which the workspace is entitled.
+    weight: float = 1.0
+    # What its tasks may reserve over all workers; 0 means no limit.
+    limit: Resources = field(default_factory=Resources)
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationLimits:
     """Limits on the requests of callers."""
@@ -66,8 +89,11 @@
     services: Mapping[ServiceName, Service]
     limits: ConfigurationLimits = ConfigurationLimits()
     queues_by_host: Mapping[str, tuple[Queue, ...]] = field(default_factory=dict)
-    # Why rows for a queue or service were left out, as texts for the log.
+    # Why rows for a queue, service or workspace were left out, as texts for the log.
     rejected_rows: tuple[str, ...] = ()
+    # Empty where callers need no API keys.
+    workspaces: Mapping[WorkspaceName, Workspace] = field(default_factory=dict)
+    workspaces_by_digest: Mapping[bytes, WorkspaceName] = field(default_factory=dict)
 
     def queue_for(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of ``path``, or None."""
@@ -76,6 +102,10 @@
                 return queue
         return None
 
+    def workspace_of_key(self, key: bytes) -> WorkspaceName | None:
+        """Return the workspace that holds an API key, None for an unknown key."""
+        return self.workspaces_by_digest.get(digest_key(key))
+
 
 def build_configuration(
     version: int,
@@ -83,8 +113,12 @@
     services: Mapping[ServiceName, Service],
     limits: ConfigurationLimits,
     rejected_rows: tuple[str, ...] = (),
+    workspaces: Mapping[WorkspaceName, Workspace] | None = None,
 ) -> Configuration:
-    """Return a configuration with its routing table by host, longest prefix first."""
+    """Return a configuration with its routing table by host, longest prefix first.
+
+    A key that two workspaces hold belongs to the first of them.
+    """
     queues_by_host: dict[str, list[Queue]] = {}
     for queue in queues.values():
         queues_by_host.setdefault(queue.host, []).append(queue)
@@ -92,6 +126,12 @@
         host: tuple(sorted(host_queues, key=lambda queue: -len(queue.prefix)))
         for host, host_queues in queues_by_host.items()
     }
+    workspaces = workspaces or {}
+    workspaces_by_digest: dict[bytes, WorkspaceName] = {}
+    for workspace in workspaces.values():
+        for digest in workspace.key_digests:
+            workspaces_by_digest.setdefault(digest, workspace.name)
     return Configuration(
-        version, queues, services, limits, routing_table, rejected_rows
-    )
+        version, queues, services, limits, routing_table, rejected_rows,
+        workspaces, workspaces_by_digest,
+    )  # fmt: skip
--- a/src/ebonyhub/ids.py
+++ b/src/ebonyhub/ids.py
@@ -21,6 +21,8 @@
 # Made by ``instance_id``.
 InstanceId = NewType("InstanceId", str)
 QueueName = NewType("QueueName", str)
+# Empty for jobs and calls without a workspace.
+WorkspaceName = NewType("WorkspaceName", str)
 JobId = NewType("JobId", str)
 WorkerId = NewType("WorkerId", str)
 # Revision of the platform's store, which rises with every commit to any key.
--- a/src/ebonyhub/jobs/model.py
+++ b/src/ebonyhub/jobs/model.py
@@ -3,9 +3,11 @@
 The types are msgspec structs, as they are also stored and sent to peers.
 """
 
+from typing import NamedTuple
+
 import msgspec
 
-from ..ids import JobId, QueueName, RackId, ServiceName
+from ..ids import JobId, QueueName, RackId, ServiceName, WorkspaceName
 
 
 class Resources(msgspec.Struct, frozen=True, array_like=True):
@@ -176,6 +178,21 @@
     return tasks * min(due, spec.repeat_count)
 
 
+class JobScope(NamedTuple):
+    """Whom a job belongs to: its queue, and its workspace if it has one."""
+
+    queue: QueueName
+    workspace: WorkspaceName = WorkspaceName("")
+
+    def is_visible_to(self, caller: "JobScope") -> bool:
+        """Return whether a caller of a queue may see and cancel the job.
+
+        A job without a workspace belongs to everyone who may use its queue.
+        """
+        same_workspace = self.workspace in ("", caller.workspace)
+        return self.queue == caller.queue and same_workspace
+
+
 class AcceptedJob(msgspec.Struct, frozen=True, array_like=True):
     """Stored record of an accepted job; it is never modified."""
 
@@ -186,3 +203,12 @@
     max_attempts: int
     accepted_ms: int
     spec: JobSpec
+    # Empty in records of earlier versions and where callers need no API keys.
+    workspace: WorkspaceName = WorkspaceName("")
+    # Limit of the workspace on acceptance, for use if the workspace is removed later.
+    workspace_limit: Resources = Resources()
+
+    @property
+    def scope(self) -> JobScope:
+        """Return whom the job belongs to."""
+        return JobScope(self.queue, self.workspace)
--- a/src/ebonyhub/jobs/validation.py
+++ b/src/ebonyhub/jobs/validation.py
@@ -12,6 +12,8 @@
 _JOB_ID = re.compile(r"[0-9A-Za-z_-]{1,64}")
 MAX_NAME_LENGTH = 256
 MAX_ATTEMPTS = 1_000_000
+# Limit of a workspace in each kind of resource; the configuration allows as much.
+MAX_LIMIT = 10**12
 
 
 def is_job_id(text: str) -> bool:
@@ -23,8 +25,12 @@
     """Return why a submission record under the key of a job is invalid, else None."""
     if record.job != job_id:
         return "the record is that of another job"
-    if max(len(record.queue), len(record.service)) > MAX_NAME_LENGTH:
-        return "the name of the queue or service is too long"
+    names = (record.queue, record.service, record.workspace)
+    if max(map(len, names)) > MAX_NAME_LENGTH:
+        return "the name of the queue, service or workspace is too long"
+    limit = record.workspace_limit
+    if not _within((limit.cpu, limit.memory, limit.accelerators), MAX_LIMIT):
+        return "the limit of the workspace is out of range"
     if not 0 <= record.max_attempts <= MAX_ATTEMPTS:
         return "the number of attempts is out of range"
     if not 0 <= record.accepted_ms <= MAX_INTEGER:
--- a/src/ebonyhub/node_settings.py
+++ b/src/ebonyhub/node_settings.py
@@ -9,6 +9,7 @@
 LINK_MBPS_PER_CORE = 25.0
 # Time for a start order to reach its worker.
 START_MARGIN_SECONDS = 0.5
+DEFAULT_RATE_WINDOW_SECONDS = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +36,18 @@
     # workers write their entries; infinity if the platform sets no limit.
     contact_seconds: float = inf
     heartbeat_seconds: float = inf
+    # Whether callers need API keys of workspaces.
+    has_workspaces: bool = False
+    # Whether the limits and shares of workspaces are enforced.
+    has_limits: bool = False
+    # Whether jobs are refused under overload by what the refusal costs callers.
+    sheds_by_cost: bool = False
+    # Whether an entry without news of the configuration refuses keys after
+    # ``revocation_seconds``.
+    strict_revocation: bool = False
+    revocation_seconds: float = inf
+    # Time over which the jobs per second of a workspace are counted.
+    rate_window_seconds: float = DEFAULT_RATE_WINDOW_SECONDS
 
     @property
     def peer_port(self) -> int:
--- a/src/ebonyhub/platform/config.py
+++ b/src/ebonyhub/platform/config.py
@@ -13,13 +13,23 @@
     ConfigurationLimits,
     Queue,
     Service,
+    Workspace,
     build_configuration,
 )
 from ..decoding import MAX_INTEGER, Count, Name, parse_address, try_decode
 from ..fleet.model import Wave
-from ..ids import QueueName, RackId, ServiceName, VmId, WaveId, WorkerId
+from ..ids import (
+    QueueName,
+    RackId,
+    ServiceName,
+    VmId,
+    WaveId,
+    WorkerId,
+    WorkspaceName,
+)
 from ..jobs.model import Resources
 from ..scheduling.model import WorkerEntry
+from .tenants import decode_workspaces
 
 CONFIG_KEY = "op/config"
 OPERATOR_PREFIX = "op/"
@@ -64,6 +74,7 @@
     target_latency_ms: Amount = 0
     timeout_ms: Amount = 3000
     placement_advisor: AdvisorRow | None = None
+    allow_anonymous: bool | None = False
 
 
 class ServiceRow(msgspec.Struct, rename="pascal"):
@@ -89,6 +100,7 @@
     routes: list[msgspec.Raw]
     services: list[msgspec.Raw]
     limits: LimitsRow | None = None
+    tenants: list[msgspec.Raw] | None = None
 
 
 class WaveRow(msgspec.Struct, rename="pascal"):
@@ -145,11 +157,14 @@
 _decode_worker_row = msgspec.json.Decoder(WorkerRow).decode
 
 
-def decode_configuration(value: bytes) -> Result[Configuration, str]:
+def decode_configuration(
+    value: bytes, has_workspaces: bool = False
+) -> Result[Configuration, str]:
     """Decode the operators' configuration; the error is a text for the log.
 
-    A queue or service that cannot be decoded is left out and named in
-    ``rejected_rows``, unless none is left.
+    A queue, service or workspace that cannot be decoded is left out and named in
+    ``rejected_rows``, unless none is left. Without ``has_workspaces``, callers need no
+    API keys, and the workspaces are ignored.
     """
     decoded = try_decode(_decode_configuration_row, value)
     if decoded.is_error():
@@ -172,6 +187,13 @@
         services[ServiceName(service.ok.name)] = _service(service.ok)
     if (row.routes and not queues) or (row.services and not services):
         return Error(f"no readable queue or service: {rejected[0]}")
+    workspaces: dict[WorkspaceName, Workspace] = {}
+    if has_workspaces:
+        workspaces, rejected_workspaces = decode_workspaces(row.tenants or ())
+        rejected += rejected_workspaces
+        if not workspaces:
+            # Applied, it would lock all callers out or let all in.
+            return Error("no readable workspace")
     limits = row.limits or LimitsRow()
     return Ok(
         build_configuration(
@@ -180,6 +202,7 @@
             services,
             ConfigurationLimits(limits.max_body_bytes, limits.idle_timeout_ms / 1000),
             tuple(rejected),
+            workspaces,
         )
     )
 
@@ -200,6 +223,7 @@
         advisor=_advisor_policy(advisor)
         if advisor not in (None, AdvisorRow())
         else None,
+        allows_anonymous=bool(row.allow_anonymous),
     )
 
 
--- a/src/ebonyhub/platform/settings.py
+++ b/src/ebonyhub/platform/settings.py
@@ -12,7 +12,7 @@
 from ..decoding import DECODE_ERRORS
 from ..http_session import split_address
 from ..ids import DataCentre, EntryId
-from ..node_settings import NodeSettings
+from ..node_settings import DEFAULT_RATE_WINDOW_SECONDS, NodeSettings
 
 SETTINGS_PATH_VARIABLE = "EBONYHUB_NODE_FILE"
 # How long the state of an ended job stays readable if the file sets no time.
@@ -20,6 +20,10 @@
 # Used if the file sets no bandwidth limit for the VM's link.
 DEFAULT_LINK_MBPS = 1000.0
 MAX_ERROR_LENGTH = 300
+# Words in the file's list of contracts that switch on parts of the product.
+WORKSPACES_CONTRACT = "tenants"
+LIMITS_CONTRACT = "quota"
+SHEDDING_CONTRACT = "pressure"
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Address = Annotated[str, msgspec.Meta(max_length=262)]
@@ -59,6 +63,11 @@
 
     status_s: Positive = DEFAULT_STATUS_RETENTION_SECONDS
     contact_ms: Positive | None = msgspec.field(name="ContactMs", default=None)
+    strict_revocation: bool = msgspec.field(name="StrictRevocation", default=False)
+    revoke_ms: Positive | None = msgspec.field(name="RevokeMs", default=None)
+    rate_window_s: Annotated[float, msgspec.Meta(gt=0, le=1e6)] = msgspec.field(
+        name="QuotaWindowS", default=DEFAULT_RATE_WINDOW_SECONDS
+    )
 
 
 class LimitsRow(msgspec.Struct):
@@ -83,6 +92,7 @@
     cloud: CloudRow | None = msgspec.field(name="Cloud", default=None)
     advisor: Address | None = msgspec.field(name="PlacementAdvisor", default=None)
     heartbeat_ms: Positive | None = msgspec.field(name="HeartbeatMs", default=None)
+    contracts: tuple[str, ...] = msgspec.field(name="Contracts", default=())
 
 
 def load_node_settings(path: Path) -> Result[NodeSettings, str]:
@@ -148,6 +158,12 @@
         # In the file, "Cores" is the speed of a core and "CpuShare" the share of one.
         cores=file.limits.cpu_share * file.limits.cores,
         link_mbps=file.limits.link_mbps,
+        has_workspaces=WORKSPACES_CONTRACT in file.contracts,
+        has_limits=LIMITS_CONTRACT in file.contracts,
+        sheds_by_cost=SHEDDING_CONTRACT in file.contracts,
+        strict_revocation=file.bounds.strict_revocation,
+        revocation_seconds=_seconds(file.bounds.revoke_ms),
+        rate_window_seconds=file.bounds.rate_window_s,
     )
 
 
