--- /dev/null
+++ b/src/ebonyhub/scheduling/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Limits and shares of workspaces (pure)."""
