--- a/src/ebonyhub/scheduling/workspaces/status.py
+++ b/src/ebonyhub/scheduling/workspaces/status.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkspaceStatus:
-    """A workspace as the leader sees it; shares are fractions of a service's capacity."""
+    """A workspace as the leader sees it; a share is one of a service's capacity."""
 
     name: WorkspaceName
     weight: float
