Check the queue of a job in reads, cancels and repeats

A job was found by its id alone, so each queue's path showed and cancelled the jobs of all other queues, and a submission under a foreign id counted as accepted although its job never ran.

Calls now have a scope, a queue and a workspace, which is compared with the scope in the job's record: at the entry, in the store, and at a peer. States between entries and forwarded calls carry it (protocol version 3). Another scope's job is answered with 410, a submission under its id with 429, and nothing is written. Ids are withdrawn per scope. A record that cannot be read has no known owner: 503, or 504 for a submission that may have stored it.

Tests of the old signatures pass the scope; what they assert is the same.

--- a/src/ebonyhub/cluster/mirror.py
+++ b/src/ebonyhub/cluster/mirror.py
@@ -12,8 +12,15 @@
 
 from ..decoding import DECODE_ERRORS, describe, try_decode
 from ..events import Event
-from ..ids import INITIAL_REVISION, JobId, QueueName, Revision
-from ..jobs.model import AcceptedJob
+from ..ids import (
+    INITIAL_REVISION,
+    NO_WORKSPACE,
+    JobId,
+    QueueName,
+    Revision,
+    WorkspaceName,
+)
+from ..jobs.model import AcceptedJob, JobScope
 from ..jobs.records import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
@@ -32,8 +39,8 @@
 _decode_accepted = msgspec.msgpack.Decoder(AcceptedJob).decode
 _decode_progress = msgspec.msgpack.Decoder(ProgressRecord).decode
 
-# Job id, queue, whether the job is recurring, and its visible state.
-StateRow = tuple[JobId, QueueName, bool, int]
+# Job id, queue, whether the job is recurring, its visible state, and its workspace.
+StateRow = tuple[JobId, QueueName, bool, int, WorkspaceName]
 
 
 @dataclass(slots=True)
@@ -41,6 +48,7 @@
     """One job; ``queue`` is None until the submission record has been seen."""
 
     queue: QueueName | None = None
+    workspace: WorkspaceName = NO_WORKSPACE
     # Recurring jobs are not counted as waiting.
     recurring: bool = False
     cancelled: bool = False
@@ -72,6 +80,11 @@
         """Whether the submission record of the job has been seen."""
         return self.queue is not None
 
+    @property
+    def scope(self) -> JobScope | None:
+        """Whom the job belongs to; None until the submission record has been seen."""
+        return None if self.queue is None else JobScope(self.queue, self.workspace)
+
     @property
     def visible_state(self) -> JobState:
         """State shown to callers: a cancelled job is CANCELLED before its tasks end."""
@@ -197,7 +210,7 @@
             self._reject(item, problem)
             return None
         job = self.jobs.setdefault(job_id, MirroredJob())
-        job.queue = accepted.queue
+        job.queue, job.workspace = accepted.scope
         job.recurring = bool(accepted.spec.repeat_count)
         if self.retains_records:
             job.record = accepted
@@ -304,7 +317,8 @@
         job = self.jobs.get(job_id)
         if job is None or job.queue is None or job.progress_unreadable:
             return None
-        return (job_id, job.queue, job.recurring, int(job.visible_state))
+        state = int(job.visible_state)
+        return (job_id, job.queue, job.recurring, state, job.workspace)
 
     def apply_states(self, rows: Iterable[StateRow], full: bool, now: float) -> None:
         """Apply states sent by the leader.
@@ -314,9 +328,10 @@
         """
         self.last_states_at = now
         listed = set()
-        for job_id, queue, recurring, state in rows:
+        for job_id, queue, recurring, state, workspace in rows:
             listed.add(job_id)
-            self._apply_state(job_id, queue, recurring, JobState(state))
+            scope = JobScope(queue, workspace)
+            self._apply_state(job_id, scope, recurring, JobState(state))
         if full:
             unfinished_ids = [
                 j for j, job in self.jobs.items() if not job.visible_state.is_final
@@ -332,14 +347,15 @@
         self.changed_jobs.clear()
 
     def _apply_state(
-        self, job_id: JobId, queue: QueueName, recurring: bool, state: JobState
+        self, job_id: JobId, scope: JobScope, recurring: bool, state: JobState
     ) -> None:
         job = self.jobs.setdefault(job_id, MirroredJob())
         job.state_confirmed, job.progress_unreadable = True, False
         # States only advance, so a lower state comes from an outdated message.
         if job.is_accepted and state <= job.visible_state:
             return
-        job.queue, job.recurring, job.state = queue, recurring, state
+        job.queue, job.workspace = scope
+        job.recurring, job.state = recurring, state
         self._update_derived_state(job_id, job)
 
     def remove(self, job_id: JobId) -> None:
--- a/src/ebonyhub/cluster/peers.py
+++ b/src/ebonyhub/cluster/peers.py
@@ -25,7 +25,7 @@
 from ..ids import EntryId
 from ..rejections import InputSource, Rejections
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 HANDSHAKE_LENGTH = 4
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -52,8 +52,9 @@
     REPLY = 3
     # [kind, revision, value]: the leader key as last seen by the sender.
     LEADER = 4
-    # [kind, revision, [[job, queue, recurring, state], ...], full]: job states from the
-    # leader, which has seen all submissions and cancellations up to the revision.
+    # [kind, revision, [[job, queue, recurring, state, workspace], ...], full]: job
+    # states from the leader, which has seen all submissions and cancellations up to the
+    # revision.
     STATES = 5
     # [kind, [[service, cores, started, [waiting, ...], late, free_cpu], ...]]: the
     # leader's forecasts for the services with a large backlog.
@@ -85,7 +86,7 @@
     MessageKind.REPLY: tuple[Count, Status, Any],
     MessageKind.LEADER: tuple[Count, bytes],
     MessageKind.STATES: tuple[
-        Count, list[tuple[Name, Name, bool, JobStateNumber]], bool
+        Count, list[tuple[Name, Name, bool, JobStateNumber, Name]], bool
     ],
     MessageKind.FORECASTS: tuple[list[Any]],
 }
--- a/src/ebonyhub/entry/job_api.py
+++ b/src/ebonyhub/entry/job_api.py
@@ -12,11 +12,12 @@
 from ..events import Event, log_event
 from ..exchange import request_body_chunks
 from ..ids import JobId
-from ..jobs.model import MAX_TASKS, JobSpec, due_tasks
+from ..jobs.model import MAX_TASKS, JobScope, JobSpec, due_tasks
 from ..jobs.records import JobState
 from ..metrics import Metrics
 from ..platform.submissions import decode_submission, encode_state, encode_waiting_count
-from .job_service import JobAnswer, JobService
+from .job_answers import JobAnswer
+from .job_service import JobService
 
 JOB_ID_LENGTH = 16
 _HEX = frozenset("0123456789abcdefABCDEF")
@@ -88,17 +89,18 @@
     async def _answer_job(
         self, request: Request, queue: Queue, job_id: JobId
     ) -> Response:
+        scope = JobScope(queue.name)
         match request.method:
             case "GET":
-                answer = await self.service.read(job_id)
+                answer = await self.service.read(job_id, scope)
             case "DELETE":
-                answer = await self.service.cancel(job_id)
+                answer = await self.service.cancel(job_id, scope)
                 self._log("cancel", queue, job_id, answer)
             case "POST":
                 decoded = await self._read_submission(request)
                 if decoded.is_error():
                     return self._reject_input(decoded.error, request)
-                answer = await self.service.submit(queue, job_id, decoded.ok)
+                answer = await self.service.submit(queue, job_id, decoded.ok, scope)
                 self._log("submit", queue, job_id, answer)
             case _:
                 return self._refuse(ErrorKind.INVALID_REQUEST, "method", request)
--- a/src/ebonyhub/entry/job_service.py
+++ b/src/ebonyhub/entry/job_service.py
@@ -3,16 +3,18 @@
 A submission is accepted once its record is stored. A cancel of an unknown job withdraws
 its id first, so that no submission that is still under way is accepted afterwards. An
 entry whose store calls fail forwards the call to a peer.
+
+Each call has the scope of its caller, a queue and a workspace. A job of another scope
+is answered like one that does not exist, and its id like a withdrawn one.
 """
 
 import random
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
 from math import ceil
 from typing import Any
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Result
 
 from ..clock import Clock
 from ..cluster.metadata_store import (
@@ -27,15 +29,27 @@
 from ..cluster.mirror import JobMirror
 from ..cluster.peers import PeerFailure
 from ..configuration import Queue
-from ..decoding import DECODE_ERRORS, Name, try_convert, try_decode
 from ..errors import ErrorKind
 from ..events import Event, log_event
 from ..ids import JobId, QueueName, Revision
-from ..jobs.model import AcceptedJob, JobSpec
+from ..jobs.model import AcceptedJob, JobScope, JobSpec, Resources
 from ..jobs.records import JobState, accepted_key, cancelled_key, progress_key
-from ..jobs.validation import accepted_problem, is_job_id
 from ..metrics import Metrics
 from ..scheduling.overload import ForecastCache, retry_after_seconds
+from .forwarded_calls import decode_peer_call, stored_scope
+from .job_answers import (
+    ACCEPTED,
+    NOT_FOUND,
+    NOT_STORED,
+    NOT_VISIBLE,
+    OUTCOME_UNKNOWN,
+    TOO_MANY_WITHDRAWALS,
+    UNREADABLE,
+    JobAnswer,
+    decode_peer_answer,
+    encode_peer_answer,
+    repeat_answer,
+)
 from .withdrawals import WITHDRAWALS_KEY, Withdrawal, Withdrawals
 
 # If neither the watch nor the leader has updated the mirror for this long, reads of
@@ -50,29 +64,11 @@
 # been suspended. Must be well below the time for which an id stays withdrawn.
 MAX_SUBMISSION_SECONDS = 10.0
 
-_decode_accepted = msgspec.msgpack.Decoder(AcceptedJob).decode
+NO_LIMIT = Resources()
 
 PeerCall = Callable[[str, Any], Awaitable[Result[tuple[int, Any], PeerFailure]]]
 
 
-@dataclass(frozen=True, slots=True)
-class JobAnswer:
-    """Answer to a caller: the state of the job, or an error."""
-
-    state: JobState | None = None
-    error: ErrorKind | None = None
-    # Seconds after which a refused caller should retry; None for the error's default.
-    retry_after: int | None = None
-
-
-ACCEPTED = JobAnswer(JobState.QUEUED)
-NOT_FOUND = JobAnswer(error=ErrorKind.UNKNOWN_JOB)
-NOT_STORED = JobAnswer(error=ErrorKind.STORE_UNAVAILABLE)
-# The records of the job cannot be used; another entry would read the same ones.
-UNREADABLE = JobAnswer(error=ErrorKind.STORE_UNAVAILABLE)
-OUTCOME_UNKNOWN = JobAnswer(error=ErrorKind.STORE_OUTCOME_UNKNOWN)
-TOO_MANY_WITHDRAWALS = JobAnswer(error=ErrorKind.STORE_UNAVAILABLE)
-
 _WITHDRAWAL_ANSWERS = {
     Withdrawal.DONE: NOT_FOUND,
     Withdrawal.NOT_STORED: NOT_STORED,
@@ -112,11 +108,22 @@
 
     # Submission
 
-    async def submit(self, queue: Queue, job_id: JobId, spec: JobSpec) -> JobAnswer:
-        """Accept a job; a repeated submission is accepted without a second job."""
-        if self._is_accepted(job_id):
-            return ACCEPTED
-        withdrawn = self._withdrawn_answer(job_id)
+    async def submit(
+        self,
+        queue: Queue,
+        job_id: JobId,
+        spec: JobSpec,
+        scope: JobScope,
+        workspace_limit: Resources = NO_LIMIT,
+    ) -> JobAnswer:
+        """Accept a job; a repeated submission is accepted without a second job.
+
+        ``workspace_limit`` is the present limit of the workspace.
+        """
+        owner = self._mirrored_scope(job_id)
+        if owner is not None:
+            return repeat_answer(owner, scope)
+        withdrawn = self._withdrawn_answer(job_id, scope)
         if withdrawn is not None:
             return withdrawn
         refusal = await self._check_overload(queue, job_id, spec)
@@ -124,11 +131,11 @@
             return refusal
         accepted = AcceptedJob(
             job_id, queue.name, queue.service, queue.max_attempts,
-            int(self.clock.wall() * 1000), spec,
+            int(self.clock.wall() * 1000), spec, scope.workspace, workspace_limit,
         )  # fmt: skip
         value = msgspec.msgpack.encode(accepted)
         if not self.store.failing:
-            answer = await self.store_submission(job_id, value)
+            answer = await self.store_submission(job_id, scope, value)
             if answer is not NOT_STORED:
                 return answer
         return await self._forward("submit", [job_id, value], job_id)
@@ -157,7 +164,9 @@
         )  # fmt: skip
         return JobAnswer(error=ErrorKind.OVERLOADED, retry_after=retry_after)
 
-    async def store_submission(self, job_id: JobId, value: bytes) -> JobAnswer:
+    async def store_submission(
+        self, job_id: JobId, scope: JobScope, value: bytes
+    ) -> JobAnswer:
         """Store the submission record unless the id has been withdrawn.
 
         Retries once if the outcome is unknown, and whenever the withdrawn ids have
@@ -167,7 +176,7 @@
         key = accepted_key(job_id)
         started_at, unanswered = self.clock.monotonic(), 0
         for _ in range(MAX_SUBMISSION_ATTEMPTS):
-            withdrawn = self._withdrawn_answer(job_id)
+            withdrawn = self._withdrawn_answer(job_id, scope)
             if withdrawn is not None:
                 return withdrawn
             if self.clock.monotonic() - started_at > MAX_SUBMISSION_SECONDS:
@@ -181,7 +190,7 @@
                 return ACCEPTED
             failure = result.error
             if failure.kind is StoreFailure.CONFLICT:
-                answer = self._resolve_conflict(key, value, conditions, failure)
+                answer = self._resolve_conflict(job_id, scope, conditions, failure)
                 if answer is not None:
                     return answer
                 continue
@@ -193,16 +202,18 @@
 
     def _resolve_conflict(
         self,
-        key: str,
-        value: bytes,
+        job_id: JobId,
+        scope: JobScope,
         conditions: Mapping[str, Revision],
         failure: CommitFailure,
     ) -> JobAnswer | None:
         """Return the answer to a submission that met a conflict, None to retry it."""
-        item = failure.current.get(key)
+        item = failure.current.get(accepted_key(job_id))
         if item is not None:
-            self._publish_record(key, item.value or value, item.revision)
-            return ACCEPTED
+            self.on_records([item])
+            owner = stored_scope(item, job_id)
+            # Without a readable record it is not known whose job exists.
+            return OUTCOME_UNKNOWN if owner is None else repeat_answer(owner, scope)
         present = failure.current.get(WITHDRAWALS_KEY)
         revision = present.revision if present is not None else ABSENT
         if revision == conditions[WITHDRAWALS_KEY]:
@@ -212,9 +223,9 @@
         self.metrics.retries.labels("withdrawals_changed").inc()
         return None
 
-    def _withdrawn_answer(self, job_id: JobId) -> JobAnswer | None:
+    def _withdrawn_answer(self, job_id: JobId, scope: JobScope) -> JobAnswer | None:
         """Return the refusal of a withdrawn id, None if the id is not withdrawn."""
-        seconds = self.withdrawals.remaining_seconds(job_id)
+        seconds = self.withdrawals.remaining_seconds(job_id, scope)
         if seconds <= 0.0:
             return None
         return JobAnswer(error=ErrorKind.JOB_WITHDRAWN, retry_after=ceil(seconds))
@@ -238,28 +249,42 @@
 
     # Reads
 
-    async def read(self, job_id: JobId) -> JobAnswer:
+    async def read(self, job_id: JobId, scope: JobScope) -> JobAnswer:
         """Return the state of a job from the mirror, the store or a peer."""
-        state = self._fresh_state(job_id)
-        if state is not None:
-            return JobAnswer(state)
+        answer = self._mirrored_answer(job_id, scope)
+        if answer is not None:
+            return answer
         if not self.store.failing:
-            answer = await self.read_store(job_id)
+            answer = await self.read_store(job_id, scope)
             if answer is not NOT_STORED:
                 return answer
-        answer = await self._forward("read", [job_id], job_id)
-        if answer.state is None and self._is_accepted(job_id):
+        answer = await self._forward("read", [job_id, *scope], job_id)
+        owner = self._mirrored_scope(job_id)
+        if answer.state is None and owner is not None and owner.is_visible_to(scope):
             return JobAnswer(self.mirror.jobs[job_id].visible_state)
         return answer
 
+    def _mirrored_scope(self, job_id: JobId) -> JobScope | None:
+        """Return the scope of a job by the mirror, None if the mirror lacks the job."""
+        job = self.mirror.jobs.get(job_id)
+        return None if job is None else job.scope
+
+    def _mirrored_answer(self, job_id: JobId, scope: JobScope) -> JobAnswer | None:
+        """Return the answer by the mirror, None if the mirror may be out of date."""
+        state, owner = self._fresh_state(job_id), self._mirrored_scope(job_id)
+        if state is None or owner is None:
+            return None
+        return JobAnswer(state) if owner.is_visible_to(scope) else NOT_VISIBLE
+
     def _fresh_state(self, job_id: JobId) -> JobState | None:
         """Return the state by the mirror, None if the mirror may be out of date."""
         stale = self.clock.monotonic() - self.synced_at > MAX_STALENESS_SECONDS
         state = self.mirror.confirmed_state(job_id)
         return state if state is None or not stale or state.is_final else None
 
-    async def read_store(self, job_id: JobId) -> JobAnswer:
+    async def read_store(self, job_id: JobId, scope: JobScope) -> JobAnswer:
         """Read the state of a job from the records in the store."""
+        owner: JobScope | None = None
         for key in (accepted_key(job_id), cancelled_key(job_id), progress_key(job_id)):
             found = await self.store.get(key)
             if found.is_error():
@@ -267,13 +292,22 @@
             if found.ok is not None:
                 # If this entry leads, the job may be new to its scheduler.
                 self.on_records([found.ok])
-            elif key == accepted_key(job_id):
-                return NOT_FOUND
+            if key == accepted_key(job_id):
+                if found.ok is None:
+                    return NOT_FOUND
+                owner = stored_scope(found.ok, job_id)
+                if owner is not None and not owner.is_visible_to(scope):
+                    return NOT_VISIBLE
         job = self.mirror.jobs.get(job_id)
-        if job is None or not job.is_accepted:
+        if job is None or job.scope is None:
+            return UNREADABLE
+        if owner is not None and owner != job.scope:
+            # The mirror still holds an earlier job under the same id.
             return UNREADABLE
         if job.progress_unreadable and not job.state.is_final:
             return UNREADABLE
+        if not job.scope.is_visible_to(scope):
+            return NOT_VISIBLE
         return JobAnswer(job.visible_state)
 
     def waiting_count(self, queue: QueueName) -> int:
@@ -282,30 +316,31 @@
 
     # Cancellation
 
-    async def cancel(self, job_id: JobId) -> JobAnswer:
+    async def cancel(self, job_id: JobId, scope: JobScope) -> JobAnswer:
         """Cancel a job; has no effect on a job that has ended.
 
         If there is no such job, none is accepted by a submission that was sent before.
         """
-        state = self._fresh_state(job_id)
-        if state is not None and state.is_final:
-            return JobAnswer(state)
+        answer = self._mirrored_answer(job_id, scope)
+        if answer is not None and not _is_cancellable(answer):
+            return answer
         if not self.store.failing:
-            answer = await self._cancel_in_store(job_id)
+            answer = await self._cancel_in_store(job_id, scope)
             if answer is not NOT_STORED:
                 return answer
-        return await self._forward("cancel", [job_id], job_id)
+        return await self._forward("cancel", [job_id, *scope], job_id)
 
-    async def _cancel_in_store(self, job_id: JobId) -> JobAnswer:
-        state = self._fresh_state(job_id)
-        answer = JobAnswer(state) if state is not None else NOT_FOUND
-        if state is None:
-            answer = await self.read_store(job_id)
+    async def _cancel_in_store(self, job_id: JobId, scope: JobScope) -> JobAnswer:
+        answer = self._mirrored_answer(job_id, scope)
+        if answer is None:
+            answer = await self.read_store(job_id, scope)
         if answer is NOT_FOUND:
-            outcome = await self.withdrawals.withdraw(job_id)
+            outcome = await self.withdrawals.withdraw(job_id, scope)
             if outcome is not Withdrawal.JOB_EXISTS:
                 return _WITHDRAWAL_ANSWERS[outcome]
-        elif answer.state is None or answer.state.is_final:
+            # The job that has been accepted since may belong to another scope.
+            answer = await self.read_store(job_id, scope)
+        if not _is_cancellable(answer):
             return answer
         return await self.store_cancellation(job_id)
 
@@ -339,58 +374,24 @@
         call = decode_peer_call(method, argument)
         if call.is_error():
             raise ValueError(call.error)
-        job_id, value = call.ok
+        job_id, scope, value = call.ok
         if self.store.failing and method != "read":
             return encode_peer_answer(NOT_STORED)
         if method == "submit":
-            if self._is_accepted(job_id):
-                return encode_peer_answer(ACCEPTED)
-            return encode_peer_answer(await self.store_submission(job_id, value))
+            owner = self._mirrored_scope(job_id)
+            if owner is not None:
+                return encode_peer_answer(repeat_answer(owner, scope))
+            answer = await self.store_submission(job_id, scope, value)
+            return encode_peer_answer(answer)
         if method == "cancel":
-            return encode_peer_answer(await self._cancel_in_store(job_id))
+            return encode_peer_answer(await self._cancel_in_store(job_id, scope))
+        owner = self._mirrored_scope(job_id)
         state = self.mirror.confirmed_state(job_id)
-        if state is not None:
-            return encode_peer_answer(JobAnswer(state))
-        return encode_peer_answer(await self.read_store(job_id))
-
-    def _is_accepted(self, job_id: JobId) -> bool:
-        mirrored = self.mirror.jobs.get(job_id)
-        return mirrored is not None and mirrored.is_accepted
-
+        if state is not None and owner is not None:
+            visible = owner.is_visible_to(scope)
+            return encode_peer_answer(JobAnswer(state) if visible else NOT_VISIBLE)
+        return encode_peer_answer(await self.read_store(job_id, scope))
 
-def encode_peer_answer(answer: JobAnswer) -> tuple[int, Any]:
-    """Encode an answer as reply status (1 for an error) and payload."""
-    if answer.error is not None:
-        return 1, answer.error.value
-    return 0, int(answer.state or 0)
 
-
-def decode_peer_answer(status: int, payload: Any) -> JobAnswer:
-    """Decode a peer's reply; one that cannot be read leaves the outcome unknown."""
-    try:
-        if status == 1:
-            return JobAnswer(error=ErrorKind(payload))
-        return JobAnswer(JobState(payload))
-    except DECODE_ERRORS:
-        return OUTCOME_UNKNOWN
-
-
-def decode_peer_call(method: str, argument: Any) -> Result[tuple[JobId, bytes], str]:
-    """Return the job and the record, if any, of a call that a peer forwarded.
-
-    The record is checked, since the next leader reads it from the store.
-    """
-    arguments = argument
-    if method != "submit" and isinstance(argument, list):
-        arguments = [*argument, b""]
-    decoded = try_convert(arguments, tuple[Name, bytes])
-    if decoded.is_error():
-        return Error(decoded.error)
-    job_id, value = JobId(decoded.ok[0]), decoded.ok[1]
-    if method not in ("submit", "cancel", "read") or not is_job_id(job_id):
-        return Error(f"unknown call {method[:40]!r} or invalid job id")
-    if method != "submit":
-        return Ok((job_id, value))
-    record = try_decode(_decode_accepted, value)
-    problem = accepted_problem(record.ok, job_id) if record.is_ok() else record.error
-    return Ok((job_id, value)) if problem is None else Error(problem)
+def _is_cancellable(answer: JobAnswer) -> bool:
+    return answer.state is not None and not answer.state.is_final
--- a/src/ebonyhub/entry/withdrawals.py
+++ b/src/ebonyhub/entry/withdrawals.py
@@ -1,5 +1,7 @@
 """Job ids that were cancelled before any job was known under them.
 
+An id is withdrawn in one scope, so that it refuses no submission in another one.
+
 A submission may still be under way to the store when its job is cancelled. One key of
 the store holds the ids of such cancels, and each submission is stored on condition that
 this key has the revision that its entry knows. Writing the key therefore defeats every
@@ -14,7 +16,7 @@
 from enum import Enum
 from itertools import islice
 from math import inf
-from typing import Annotated
+from typing import Annotated, NamedTuple
 
 import msgspec
 
@@ -32,6 +34,7 @@
 from ..decoding import Count, try_decode
 from ..events import Event, log_event
 from ..ids import JobId, Revision
+from ..jobs.model import JobScope
 from ..jobs.records import accepted_key
 from ..rejections import InputSource, Rejections
 
@@ -91,8 +94,17 @@
 _decode_record = msgspec.msgpack.Decoder(WithdrawalRecord).decode
 
 
-def _digest(job_id: JobId) -> bytes:
-    return hashlib.blake2b(job_id.encode(), digest_size=DIGEST_BYTES).digest()
+class ScopedId(NamedTuple):
+    """A job id in the scope in which it is or may be withdrawn."""
+
+    job: JobId
+    scope: JobScope
+
+
+def _digest(scoped: ScopedId) -> bytes:
+    # Encoded as an array, since names may contain any separator.
+    parts = msgspec.msgpack.encode((*scoped.scope, scoped.job))
+    return hashlib.blake2b(parts, digest_size=DIGEST_BYTES).digest()
 
 
 class Withdrawals:
@@ -124,36 +136,37 @@
         self.expiry: dict[bytes, float] = {}
         # When this entry itself withdrew ids, by digest.
         self.withdrawn_at: dict[bytes, float] = {}
-        self.pending: dict[JobId, asyncio.Future[Withdrawal]] = {}
+        self.pending: dict[ScopedId, asyncio.Future[Withdrawal]] = {}
         self.storing: asyncio.Task[None] | None = None
         # When this entry removes the expired ids, unless another one has done so.
         self.cleanup_at = inf
 
-    def remaining_seconds(self, job_id: JobId) -> float:
+    def remaining_seconds(self, job_id: JobId, scope: JobScope) -> float:
         """Return how long submissions under an id are refused, 0 if they are not."""
         if not self.expiry:
             return 0.0
-        expires_at = self.expiry.get(_digest(job_id), -inf)
+        expires_at = self.expiry.get(_digest(ScopedId(job_id, scope)), -inf)
         return max(0.0, expires_at - self.clock.monotonic())
 
-    async def withdraw(self, job_id: JobId) -> Withdrawal:
-        """Make sure that no submission under an id is stored that was sent before."""
-        if self._has_just_withdrawn(job_id):
+    async def withdraw(self, job_id: JobId, scope: JobScope) -> Withdrawal:
+        """Make sure that no submission in a scope is stored that was sent before."""
+        scoped = ScopedId(job_id, scope)
+        if self._has_just_withdrawn(scoped):
             return Withdrawal.DONE
-        if job_id not in self.pending:
-            self.pending[job_id] = asyncio.get_running_loop().create_future()
-        outcome = self.pending[job_id]
+        if scoped not in self.pending:
+            self.pending[scoped] = asyncio.get_running_loop().create_future()
+        outcome = self.pending[scoped]
         if self.storing is None:
             self.storing = asyncio.create_task(self._store_pending())
         # The caller may leave; the others that wait for the same id go on.
         return await asyncio.shield(outcome)
 
-    def _has_just_withdrawn(self, job_id: JobId) -> bool:
+    def _has_just_withdrawn(self, scoped: ScopedId) -> bool:
         """Return whether this entry withdrew an id so lately that all others know it.
 
         Another entry's batch may be about to expire there, although it is new here.
         """
-        withdrawn_at = self.withdrawn_at.get(_digest(job_id), -inf)
+        withdrawn_at = self.withdrawn_at.get(_digest(scoped), -inf)
         return withdrawn_at > self.clock.monotonic() - WITHDRAWAL_SECONDS / 2
 
     def observe(self, item: Item | None) -> None:
@@ -198,8 +211,8 @@
         try:
             while self.pending:
                 batch = dict(islice(self.pending.items(), MAX_IDS_PER_COMMIT))
-                for job_id in batch:
-                    del self.pending[job_id]
+                for scoped in batch:
+                    del self.pending[scoped]
                 try:
                     await self._store_batch(batch)
                 finally:
@@ -216,13 +229,13 @@
             self.pending.clear()
 
     async def _store_batch(
-        self, batch: dict[JobId, asyncio.Future[Withdrawal]]
+        self, batch: dict[ScopedId, asyncio.Future[Withdrawal]]
     ) -> None:
         """Store the ids and resolve their futures."""
         # Commits of this call without an answer; one of them may have been applied.
         unanswered: list[WithdrawalBatch] = []
         for attempt in range(MAX_ATTEMPTS):
-            ids = [job_id for job_id, outcome in batch.items() if not outcome.done()]
+            ids = [scoped for scoped, outcome in batch.items() if not outcome.done()]
             if not ids:
                 return
             record = self._record_with(ids)
@@ -231,15 +244,15 @@
                 return
             written = record.batches[-1]
             failure = await self._commit(
-                record, {accepted_key(job_id): ABSENT for job_id in ids}
+                record, {accepted_key(scoped.job): ABSENT for scoped in ids}
             )
             if failure is None or any(b in self.first_seen for b in unanswered):
                 self._finish(ids, attempt + 1)
                 _resolve(batch.values(), Withdrawal.DONE)
                 return
             if failure.kind is StoreFailure.CONFLICT:
-                found = [j for j in ids if accepted_key(j) in failure.current]
-                _resolve([batch[job_id] for job_id in found], Withdrawal.JOB_EXISTS)
+                found = [i for i in ids if accepted_key(i.job) in failure.current]
+                _resolve([batch[scoped] for scoped in found], Withdrawal.JOB_EXISTS)
                 await self._pause_after_conflict(attempt)
                 continue
             if failure.kind is not StoreFailure.UNKNOWN:
@@ -250,16 +263,17 @@
         outcome = Withdrawal.UNKNOWN if unanswered else Withdrawal.NOT_STORED
         _resolve(batch.values(), outcome)
 
-    def _finish(self, ids: list[JobId], attempts: int) -> None:
+    def _finish(self, ids: list[ScopedId], attempts: int) -> None:
         self.cleanup_at = self._next_cleanup()
         now = self.clock.monotonic()
-        self.withdrawn_at.update((_digest(job_id), now) for job_id in ids)
+        self.withdrawn_at.update((_digest(scoped), now) for scoped in ids)
         log_event(
-            Event.JOB_IDS_WITHDRAWN, ids=",".join(ids[:MAX_LOGGED_IDS]),
+            Event.JOB_IDS_WITHDRAWN,
+            ids=",".join(scoped.job for scoped in ids[:MAX_LOGGED_IDS]),
             count=len(ids), attempts=attempts, revision=self.revision,
         )  # fmt: skip
 
-    def _record_with(self, ids: list[JobId]) -> WithdrawalRecord | None:
+    def _record_with(self, ids: list[ScopedId]) -> WithdrawalRecord | None:
         """Return the present record without expired ids and with new ones.
 
         None if it would hold too many ids.
@@ -269,7 +283,7 @@
         if count + len(ids) > MAX_IDS:
             return None
         number = self.record.next_number
-        digests = b"".join(_digest(job_id) for job_id in ids)
+        digests = b"".join(_digest(scoped) for scoped in ids)
         return WithdrawalRecord(number + 1, (*live, WithdrawalBatch(number, digests)))
 
     def _live_batches(self) -> tuple[WithdrawalBatch, ...]:
--- a/src/ebonyhub/ids.py
+++ b/src/ebonyhub/ids.py
@@ -21,7 +21,6 @@
 # Made by ``instance_id``.
 InstanceId = NewType("InstanceId", str)
 QueueName = NewType("QueueName", str)
-# Empty for jobs and calls without a workspace.
 WorkspaceName = NewType("WorkspaceName", str)
 JobId = NewType("JobId", str)
 WorkerId = NewType("WorkerId", str)
@@ -34,6 +33,9 @@
 # Number of a maintenance wave.
 WaveId = NewType("WaveId", int)
 
+# Workspace of jobs and calls that have none.
+NO_WORKSPACE = WorkspaceName("")
+
 # Lower than every revision of the store.
 INITIAL_REVISION = Revision(0)
 
--- a/tests/test_cancel_state_machine.py
+++ b/tests/test_cancel_state_machine.py
@@ -32,7 +32,7 @@
 from ebonyhub.scheduling.overload import ForecastCache
 from standins.gated_store import CallGate, GatedStore
 from standins.memory_store import StoreCore
-from tests.test_job_service import QUEUE, SPEC
+from tests.test_job_service import QUEUE, SCOPE, SPEC
 
 ENTRIES = 2
 JOBS = [JobId(f"{number:016x}") for number in range(2)]
@@ -167,9 +167,9 @@
     def request(self, entry, method, job):
         service = self.entries[entry].service
         if method == "submit":
-            coroutine = service.submit(QUEUE, job, SPEC)
+            coroutine = service.submit(QUEUE, job, SPEC, SCOPE)
         else:
-            coroutine = service.cancel(job)
+            coroutine = service.cancel(job, SCOPE)
         task = self.loop.create_task(coroutine)
         request = Request(method, job, task, self.step, self.clock.now)
         self.requests.append(request)
--- a/tests/test_decoders_fuzz.py
+++ b/tests/test_decoders_fuzz.py
@@ -243,7 +243,7 @@
         [1, [["eb/jobs/a/j", 3, b"x"]]],
         [3, 1, 0, 0],
         [4, 7, b"x"],
-        [5, 9, [["j", "q", False, 1]], True],
+        [5, 9, [["j", "q", False, 1, "w"]], True],
         [6, [["s", 10.0, 5.0, [0.0] * len(SIZE_CLASSES), 1.0, 5]]],
     ]
     stream = PeerStream.__new__(PeerStream)
--- a/tests/test_foreign_calls.py
+++ b/tests/test_foreign_calls.py
@@ -45,11 +45,11 @@
     def __init__(self):
         self.specs = []
 
-    async def submit(self, queue, job_id, spec):
+    async def submit(self, queue, job_id, spec, scope):
         self.specs.append(msgspec.msgpack.encode(spec))
         return ACCEPTED
 
-    async def read(self, job_id):
+    async def read(self, job_id, scope):
         return ACCEPTED
 
     cancel = read
--- a/tests/test_foreign_peers_and_watches.py
+++ b/tests/test_foreign_peers_and_watches.py
@@ -32,7 +32,7 @@
 from ebonyhub.entry.withdrawals import Withdrawals
 from ebonyhub.errors import ErrorKind
 from ebonyhub.ids import DataCentre, EntryId
-from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec
+from ebonyhub.jobs.model import AcceptedJob, JobScope, JobSpec, Resources, StepSpec
 from ebonyhub.jobs.records import accepted_key
 from ebonyhub.metrics import Metrics
 from ebonyhub.node_settings import NodeSettings
@@ -217,8 +217,10 @@
         [1, [[None, 3, b""]]], [1, [["k" * 5000, 3, b""]]], [1, [["k", 3, None]]],
         [1, [["k", 3, b"", 4]]], [2], [2, -1, "read", []], [2, 1, 7, []],
         [3, [], 0, 0], [3, 1, "x", 0], [4, "x", b""], [4, 2**64 - 1, b""], [4, 1, 5],
-        [5, 1, [["j", "q", False, 9]], True], [5, 1, [["j", [], False, 1]], True],
-        [5, 1, [["j", "q", False]], True], [5, 1, [[[], "q", False, 1]], True],
+        [5, 1, [["j", "q", False, 9, ""]], True], [5, 1, [["j", "q", False, 1]], True],
+        [5, 1, [["j", [], False, 1, ""]], True],
+        [5, 1, [[[], "q", False, 1, ""]], True],
+        [5, 1, [["j", "q", False, 1, 7]], True],
         [5, 2**63, [], True], [5, 1.5, [], True], [5, 1, [], "yes"], [5, 1, 7, False],
         [6, 7], [6],
     )],
@@ -301,8 +303,10 @@
 @pytest.mark.parametrize(
     ("method", "argument"),
     [
-        ("read", None), ("read", []), ("read", [7]), ("read", ["a/b"]), ("read", {}),
-        ("read", [JOB, 1]), ("nothing", [JOB]), ("cancel", [["x"]]), ("submit", [JOB]),
+        ("read", None), ("read", []), ("read", [7, "q", ""]), ("read", {}),
+        ("read", ["a/b", "q", ""]), ("read", [JOB]), ("read", [JOB, "q", 1]),
+        ("cancel", [JOB, "q"]), ("nothing", [JOB, "q", ""]), ("cancel", [["x"]]),
+        ("submit", [JOB]),
         ("submit", [JOB, "text"]), ("submit", [JOB, b"\xc1"]), ("submit", [JOB, DEEP]),
         ("submit", ["f" * 16, RECORD]), ("submit", 7),
     ],
@@ -319,14 +323,14 @@
     core = StoreCore(SystemClock().monotonic)
     service = build_service(core)
     assert await service.handle_peer_call("submit", [JOB, RECORD]) == (0, 0)
-    assert await service.handle_peer_call("read", [JOB]) == (0, 0)
+    assert await service.handle_peer_call("read", [JOB, "q", ""]) == (0, 0)
     assert core.items[accepted_key(JOB)].value == RECORD
 
 
 async def test_job_with_unreadable_records_has_no_state():
     core = StoreCore(SystemClock().monotonic)
     core.put(accepted_key(JOB), b"\xc1")
-    answer = await build_service(core).read_store(JOB)
+    answer = await build_service(core).read_store(JOB, JobScope("q"))
     assert answer.error is ErrorKind.STORE_UNAVAILABLE
 
 
--- a/tests/test_mirror_and_records.py
+++ b/tests/test_mirror_and_records.py
@@ -177,23 +177,23 @@
 )
 def test_states_from_the_leader_only_advance(received_states, state, waiting):
     mirror = JobMirror()
-    mirror.apply_states([(JOB, QUEUE, False, 0)], False, 0.0)
+    mirror.apply_states([(JOB, QUEUE, False, 0, "")], False, 0.0)
     for each in received_states:
-        mirror.apply_states([(JOB, QUEUE, False, int(each))], False, 1.0)
+        mirror.apply_states([(JOB, QUEUE, False, int(each), "")], False, 1.0)
     assert mirror.jobs[JOB].visible_state is state
     assert mirror.waiting_counts[QUEUE] == waiting
 
 
 def test_full_states_drop_unfinished_jobs_that_are_not_listed():
     mirror = JobMirror()
-    mirror.apply_states([(JOB, QUEUE, False, 1)], False, 0.0)
+    mirror.apply_states([(JOB, QUEUE, False, 1, "")], False, 0.0)
     mirror.apply_states([], True, 1.0)
     assert JOB not in mirror.jobs
 
 
 def test_finished_jobs_are_dropped_after_the_retention_time():
     mirror = JobMirror()
-    mirror.apply_states([(JOB, QUEUE, False, 2)], False, 0.0)
+    mirror.apply_states([(JOB, QUEUE, False, 2, "")], False, 0.0)
     mirror.apply_states([], False, FINISHED_JOB_RETENTION_SECONDS - 1)
     assert JOB in mirror.jobs
     mirror.apply_states([], False, FINISHED_JOB_RETENTION_SECONDS + 1)
@@ -207,14 +207,14 @@
     mirror.apply_states([], False, 0.0)
     match learned:
         case "states":
-            mirror.apply_states([(JOB, QUEUE, False, 2)], False, 0.0)
+            mirror.apply_states([(JOB, QUEUE, False, 2, "")], False, 0.0)
         case "read":
             mirror.apply(accepted_item())
             mirror.apply(progress_item(JobState.COMPLETED, 7))
         case "cancelled":
             mirror.apply(accepted_item())
             mirror.apply(Item(cancelled_key(JOB), b"\x01", Revision(3)))
-            mirror.apply_states([(JOB, QUEUE, False, 4)], False, 0.0)
+            mirror.apply_states([(JOB, QUEUE, False, 4, "")], False, 0.0)
         case "led":
             mirror.retain_records(True)
             mirror.apply(accepted_item())
@@ -228,7 +228,7 @@
 
 def test_leader_keeps_finished_jobs_until_their_records_are_removed():
     mirror = JobMirror()
-    mirror.apply_states([(JOB, QUEUE, False, 2)], False, 0.0)
+    mirror.apply_states([(JOB, QUEUE, False, 2, "")], False, 0.0)
     mirror.retain_records(True)
     assert not mirror.finished_jobs
 
@@ -238,9 +238,9 @@
     mirror = JobMirror()
     mirror.apply(accepted_item())
     assert mirror.confirmed_state(JOB) is None
-    mirror.apply_states([(JOB, QUEUE, False, 0)], False, 0.0)
+    mirror.apply_states([(JOB, QUEUE, False, 0, "")], False, 0.0)
     assert mirror.confirmed_state(JOB) is JobState.QUEUED
-    mirror.apply_states([(JOB, QUEUE, False, 2)], False, 0.0)
+    mirror.apply_states([(JOB, QUEUE, False, 2, "")], False, 0.0)
     assert mirror.confirmed_state(JOB) is JobState.COMPLETED
     mirror.remove(JOB)
     mirror.apply_listing([accepted_item()], Revision(9))
@@ -253,13 +253,13 @@
     mirror = JobMirror()
     mirror.retain_records(True)
     mirror.apply(accepted_item())
-    assert mirror.take_changes() == [(JOB, QUEUE, False, 0)]
+    assert mirror.take_changes() == [(JOB, QUEUE, False, 0, "")]
     mirror.apply(progress_item(JobState.RUNNING, 5))
     mirror.apply(progress_item(JobState.RUNNING, 6))
-    assert mirror.take_changes() == [(JOB, QUEUE, False, 1)]
+    assert mirror.take_changes() == [(JOB, QUEUE, False, 1, "")]
     mirror.apply(progress_item(JobState.RUNNING, 7))
     assert mirror.take_changes() == []
-    assert mirror.unfinished_states() == [(JOB, QUEUE, False, 1)]
+    assert mirror.unfinished_states() == [(JOB, QUEUE, False, 1, "")]
 
 
 async def test_watch_that_is_not_needed_makes_no_call():
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -39,7 +39,7 @@
         self.states.append((revision, rows, full))
 
     def initial_states_message(self):
-        return [MessageKind.STATES, 3, [["a", "q", False, 1]], True]
+        return [MessageKind.STATES, 3, [["a", "q", False, 1, "w"]], True]
 
     def on_peer_leader(self, revision, value):
         self.leaders.append((revision, value))
@@ -82,12 +82,12 @@
     assert accepted.peer_started_ms == 5
     assert accepted.peer_effective_cores == 1.5
     stream.send([MessageKind.RECORDS, [("key", 3, b"value")]])
-    server.broadcast([MessageKind.STATES, 4, [["a", "q", False, 2]], False])
+    server.broadcast([MessageKind.STATES, 4, [["a", "q", False, 2, "w"]], False])
     await wait_until(lambda: len(own_handler.states) == 2 and served[2].records)
     assert served[2].records == [("key", 3, b"value")]
     assert own_handler.states == [
-        (3, [["a", "q", False, 1]], True),
-        (4, [["a", "q", False, 2]], False),
+        (3, [["a", "q", False, 1, "w"]], True),
+        (4, [["a", "q", False, 2, "w"]], False),
     ]
     assert (await accepted.call("take_over", 1)).ok == (0, ["take_over", 1])
     running.cancel()
--- a/tests/test_withdrawn_ids.py
+++ b/tests/test_withdrawn_ids.py
@@ -22,6 +22,7 @@
     MAX_IDS_PER_COMMIT,
     WITHDRAWAL_SECONDS,
     WITHDRAWALS_KEY,
+    ScopedId,
     Withdrawal,
     Withdrawals,
 )
@@ -32,7 +33,7 @@
 from ebonyhub.scheduling.overload import ForecastCache
 from standins.memory_store import MemoryStore, StoreCore
 from tests.test_cancel_state_machine import FakeClock
-from tests.test_job_service import JOB, QUEUE, SPEC
+from tests.test_job_service import JOB, QUEUE, SCOPE, SPEC
 
 
 class RecordingStore(MemoryStore):
@@ -98,10 +99,10 @@
         return Ok(await self.peer.service.handle_peer_call(method, argument))
 
     async def submit(self, job=JOB):
-        return await self.service.submit(QUEUE, job, SPEC)
+        return await self.service.submit(QUEUE, job, SPEC, SCOPE)
 
     async def cancel(self, job=JOB):
-        return await self.service.cancel(job)
+        return await self.service.cancel(job, SCOPE)
 
 
 class World:
@@ -269,9 +270,10 @@
     entry = world.entries[0]
     known = unknown_ids(MAX_IDS)
     entry.withdrawals._apply(
-        entry.withdrawals._record_with(known), entry.withdrawals.revision
+        entry.withdrawals._record_with([ScopedId(job, SCOPE) for job in known]),
+        entry.withdrawals.revision,
     )
-    assert await entry.withdrawals.withdraw(JOB) is Withdrawal.TOO_MANY
+    assert await entry.withdrawals.withdraw(JOB, SCOPE) is Withdrawal.TOO_MANY
     answer = await entry.cancel()
     assert answer.error is ErrorKind.STORE_UNAVAILABLE
     world.clock.now += WITHDRAWAL_SECONDS + 1.0
@@ -339,8 +341,8 @@
 
 async def test_callers_that_leave_do_not_end_the_withdrawal_of_others(world):
     entry = world.entries[0]
-    leaving = asyncio.create_task(entry.withdrawals.withdraw(JOB))
-    staying = asyncio.create_task(entry.withdrawals.withdraw(JOB))
+    leaving = asyncio.create_task(entry.withdrawals.withdraw(JOB, SCOPE))
+    staying = asyncio.create_task(entry.withdrawals.withdraw(JOB, SCOPE))
     await asyncio.sleep(0)
     leaving.cancel()
     assert await staying is Withdrawal.DONE
