--- a/src/ebonyhub/entry/leadership_manager.py
+++ b/src/ebonyhub/entry/leadership_manager.py
@@ -43,11 +43,11 @@
 from ..decoding import parse_address
 from ..events import Event, log_event
 from ..ids import EntryId, Revision
-from ..jobs.records import JOB_PREFIX, PROGRESS_PREFIX
 from ..node_settings import NodeSettings
 from ..rejections import InputSource
 from ..scheduling.controller import Controller
 from .handover import SUFFICIENT_CORES, Handover
+from .record_loading import load_job_records
 from .term_backoff import TermBackoff
 
 CLUSTER_PREFIX = "eb/n/"
@@ -417,34 +417,12 @@
 
     async def _run_controller(self, term: Term) -> None:
         """Load the records and schedule until the term ends."""
-        await self.load_job_records(term)
+        await load_job_records(self.store, self.mirror, term)
         controller = None if term.ended else self.build_controller(term)
         if controller is not None:
             self.controller = controller
             await controller.run()
 
-    async def load_job_records(self, term: Term) -> None:
-        """Load all job records into the mirror; retries while the term lasts."""
-        while not term.ended:
-            job_listing = await self.store.list(JOB_PREFIX)
-            progress_listing = await self.store.list(PROGRESS_PREFIX)
-            if job_listing.is_ok() and progress_listing.is_ok():
-                self.mirror.listing_complete = (
-                    job_listing.ok.complete and progress_listing.ok.complete
-                )
-                changed = self.mirror.apply_listing(
-                    [*job_listing.ok.items, *progress_listing.ok.items],
-                    job_listing.ok.revision,
-                )
-                log_event(
-                    Event.JOB_RECORDS_LOADED,
-                    token=term.token,
-                    jobs=len(self.mirror.jobs),
-                    changed=len(changed),
-                )
-                return
-            await asyncio.sleep(ELECTION_RETRY_SECONDS)
-
     async def maintain_lease(self, term: Term) -> None:
         """Renew the lease until the term ends, or hand over to another entry.
 
