Authorize calls by the API keys of workspaces

Each call is checked after its route and before anything else about it is read: a key that is in no configuration in force gets 401 with WWW-Authenticate, a call without a key only passes on routes that allow it. The workspace of the key becomes part of the call's scope, and is stored in the job's record with its present limit. Refused calls are logged and counted without the key. Without workspaces in the configuration nothing changes.

--- a/src/ebonyhub/entry/job_api.py
+++ b/src/ebonyhub/entry/job_api.py
@@ -11,13 +11,15 @@
 from ..errors import ERROR_RESPONSES, ErrorKind, Refusal
 from ..events import Event, log_event
 from ..exchange import request_body_chunks
-from ..ids import JobId
-from ..jobs.model import MAX_TASKS, JobScope, JobSpec, due_tasks
+from ..ids import JobId, WorkspaceName
+from ..jobs.model import MAX_TASKS, JobScope, JobSpec, Resources, due_tasks
 from ..jobs.records import JobState
 from ..metrics import Metrics
 from ..platform.submissions import decode_submission, encode_state, encode_waiting_count
+from ..platform.tenants import API_KEY_HEADER, API_KEY_SCHEME, presented_key
 from .job_answers import JobAnswer
-from .job_service import JobService
+from .job_service import NO_LIMIT, JobService
+from .workspaces.authorization import authorize
 
 JOB_ID_LENGTH = 16
 _HEX = frozenset("0123456789abcdefABCDEF")
@@ -41,6 +43,7 @@
         is_stopping: Callable[[], bool],
         clock: Clock,
         metrics: Metrics,
+        is_configuration_stale: Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__(router=Router())
         self.service = service
@@ -48,6 +51,8 @@
         self.is_stopping = is_stopping
         self.clock = clock
         self.metrics = metrics
+        # Whether keys are refused, since some may have been removed unnoticed.
+        self.is_configuration_stale = is_configuration_stale
         self.in_flight = 0
 
     async def handle(self, request: Request) -> Response:
@@ -78,18 +83,37 @@
         queue = configuration.queue_for(name, path)
         if queue is None:
             return self._refuse(ErrorKind.UNKNOWN_ROUTE, path, request)
+        # Before anything else about the call is looked at.
+        authorized = self._authorize(configuration, queue, request)
+        if authorized.is_error():
+            return self._refuse(authorized.error, queue.name, request)
+        scope = JobScope(queue.name, authorized.ok)
         rest = path[len(queue.prefix) :]
         if not rest and request.method == "GET":
             body = encode_waiting_count(self.service.waiting_count(queue.name))
             return _json(200, body)
         if len(rest) != JOB_ID_LENGTH or not _HEX.issuperset(rest):
             return self._refuse(ErrorKind.UNKNOWN_JOB, rest, request)
-        return await self._answer_job(request, queue, JobId(rest))
+        workspace = configuration.workspaces.get(scope.workspace)
+        limit = workspace.limit if workspace is not None else NO_LIMIT
+        return await self._answer_job(request, queue, JobId(rest), scope, limit)
+
+    def _authorize(
+        self, configuration: Configuration, queue: Queue, request: Request
+    ) -> Result[WorkspaceName, ErrorKind]:
+        key = presented_key(request.get_headers(API_KEY_HEADER))
+        if key is not None and self.is_configuration_stale():
+            return Error(ErrorKind.CONFIGURATION_STALE)
+        return authorize(configuration, queue, key)
 
     async def _answer_job(
-        self, request: Request, queue: Queue, job_id: JobId
+        self,
+        request: Request,
+        queue: Queue,
+        job_id: JobId,
+        scope: JobScope,
+        limit: Resources,
     ) -> Response:
-        scope = JobScope(queue.name)
         match request.method:
             case "GET":
                 answer = await self.service.read(job_id, scope)
@@ -100,7 +124,9 @@
                 decoded = await self._read_submission(request)
                 if decoded.is_error():
                     return self._reject_input(decoded.error, request)
-                answer = await self.service.submit(queue, job_id, decoded.ok, scope)
+                answer = await self.service.submit(
+                    queue, job_id, decoded.ok, scope, limit
+                )
                 self._log("submit", queue, job_id, answer)
             case _:
                 return self._refuse(ErrorKind.INVALID_REQUEST, "method", request)
@@ -158,6 +184,8 @@
             method=request.method,
         )  # fmt: skip
         response = _json(answer.status, Refusal(kind, detail).body())
+        if answer.status == 401:
+            response.headers.add(b"WWW-Authenticate", API_KEY_SCHEME)
         if retry_after is not None:
             response.headers.add(b"Retry-After", str(retry_after).encode())
         return response
--- /dev/null
+++ b/src/ebonyhub/entry/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""API keys of workspaces, and the configuration that holds them on each entry."""
--- a/src/ebonyhub/errors.py
+++ b/src/ebonyhub/errors.py
@@ -38,6 +38,8 @@
     SHUTTING_DOWN = "shutting_down"
     UNKNOWN_JOB = "unknown_job"
     JOB_WITHDRAWN = "job_withdrawn"
+    UNKNOWN_KEY = "unknown_key"
+    CONFIGURATION_STALE = "configuration_stale"
     OVERLOADED = "overloaded"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_OUTCOME_UNKNOWN = "store_outcome_unknown"
@@ -79,6 +81,8 @@
     ErrorKind.OVERLOADED: ErrorResponse(503, _NOT_RUN, 2),
     ErrorKind.JOB_WITHDRAWN: ErrorResponse(429, _NOT_RUN, 30),
     ErrorKind.UNKNOWN_JOB: ErrorResponse(410, _NOT_RUN),
+    ErrorKind.UNKNOWN_KEY: ErrorResponse(401, _NOT_RUN),
+    ErrorKind.CONFIGURATION_STALE: ErrorResponse(503, _NOT_RUN, 1),
     ErrorKind.STORE_UNAVAILABLE: ErrorResponse(503, _NOT_RUN, 2),
     ErrorKind.STORE_OUTCOME_UNKNOWN: ErrorResponse(504, _UNKNOWN),
     ErrorKind.INTERNAL: ErrorResponse(500, _UNKNOWN),
--- a/src/ebonyhub/platform/tenants.py
+++ b/src/ebonyhub/platform/tenants.py
@@ -1,4 +1,4 @@
-"""Workspaces in the operators' configuration, which the platform calls tenants."""
+"""Workspaces, which the platform calls tenants: configuration and API keys of calls."""
 
 from collections.abc import Iterable
 from typing import Annotated
@@ -10,6 +10,10 @@
 from ..ids import WorkspaceName
 from ..jobs.model import Resources
 
+# Header of a call that holds the API key alone.
+API_KEY_HEADER = b"x-credential"
+# Authentication scheme of the header, named in answers with status 401.
+API_KEY_SCHEME = b"ApiKey"
 MAX_KEYS = 10_000
 Limit = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 Key = Annotated[str, msgspec.Meta(min_length=1, max_length=4096)]
@@ -58,6 +62,16 @@
     return workspaces, rejected
 
 
+def presented_key(values: list[bytes]) -> bytes | None:
+    """Return the API key of a call by the values of its header, None without one.
+
+    Several values count as one list (RFC 9110), which is no key. An empty value counts
+    as no key, since keys have at least one character.
+    """
+    key = b", ".join(values).strip(b" \t")
+    return key or None
+
+
 def _workspace(row: TenantRow) -> Workspace:
     limit = row.maximum or MaximumRow()
     return Workspace(
--- a/tests/test_foreign_calls.py
+++ b/tests/test_foreign_calls.py
@@ -45,7 +45,7 @@
     def __init__(self):
         self.specs = []
 
-    async def submit(self, queue, job_id, spec, scope):
+    async def submit(self, queue, job_id, spec, scope, workspace_limit):
         self.specs.append(msgspec.msgpack.encode(spec))
         return ACCEPTED
 
--- a/tests/test_job_scopes.py
+++ b/tests/test_job_scopes.py
@@ -36,6 +36,8 @@
     {"Name": name, "Host": "h", "PathPrefix": f"/{name}/", "Service": "s"}
     for name in ("a", "b")
 ]
+# Owner of a job, and a caller of another scope.
+SCOPES = [("a", "b"), ("a key-x", "a key-y"), ("a key-x", "b key-x")]
 WAYS = ["accepted here", "store", "states", "stale states", "peer", "peer states"]
 
 
@@ -77,7 +79,8 @@
 class World:
     """A store with a job that one entry has accepted in its scope."""
 
-    def __init__(self, owner, workspaces=False):
+    def __init__(self, owner):
+        workspaces = "key" in owner
         data = {"Version": 1, "Routes": ROUTES, "Services": [{"Name": "s"}]}
         if workspaces:
             data["Tenants"] = [{"Name": n, "ApiKeys": [f"key-{n}"]} for n in "xy"]
@@ -118,39 +121,43 @@
 
 
 @pytest.mark.parametrize("way", WAYS)
-async def test_job_is_unknown_under_the_path_of_another_queue(way):
-    """Jobs were shown and cancelled under each path."""
-    world = await World("a").accept()
+@pytest.mark.parametrize(("owner", "other"), SCOPES)
+async def test_job_is_unknown_in_another_scope(owner, other, way):
+    """Jobs were shown and cancelled under the path of each queue."""
+    world = await World(owner).accept()
     entry = world.reached(way)
     stored = dict(world.core.items)
-    unknown = (await entry.call("GET", "b", "f" * 16))[1].replace(b"f" * 16, b"")
+    unknown = (await entry.call("GET", other, "f" * 16))[1].replace(b"f" * 16, b"")
     for method in ("GET", "DELETE"):
-        status, answer = await entry.call(method, "b")
+        status, answer = await entry.call(method, other)
         assert status == 410
         assert answer.replace(JOB.encode(), b"") == unknown
     assert world.core.items == stored
-    assert (await entry.call("GET", "a"))[0] == 200
-    assert (await entry.call("DELETE", "a"))[0] == 200
+    assert (await entry.call("GET", owner))[0] == 200
+    assert (await entry.call("DELETE", owner))[0] == 200
     assert cancelled_key(JobId(JOB)) in world.core.items
 
 
 @pytest.mark.parametrize("way", WAYS)
-async def test_repeat_under_another_queue_is_refused_like_a_withdrawn_id(way):
+@pytest.mark.parametrize(("owner", "other"), SCOPES)
+async def test_repeat_in_another_scope_is_refused_like_a_withdrawn_id(
+    owner, other, way
+):
     """Such a repeat was accepted, although its job never ran."""
-    world = await World("a").accept()
+    world = await World(owner).accept()
     entry = world.reached(way)
     withdrawn = world.entry()
-    await withdrawn.call("DELETE", "b", "e" * 16)
+    await withdrawn.call("DELETE", other, "e" * 16)
     stored = dict(world.core.items)
-    expected = await withdrawn.call("POST", "b", "e" * 16)
-    status, answer = await entry.call("POST", "b")
+    expected = await withdrawn.call("POST", other, "e" * 16)
+    status, answer = await entry.call("POST", other)
     assert status == expected[0] == 429
     assert answer.replace(JOB.encode(), b"e" * 16) == expected[1]
     assert world.core.items == stored
-    assert (await entry.call("POST", "a"))[0] == 200
+    assert (await entry.call("POST", owner))[0] == 200
 
 
-async def test_job_that_ended_is_unknown_under_another_queue():
+async def test_job_that_ended_is_unknown_in_another_scope():
     """A final state is shown without a read of the store."""
     world = await World("a").accept()
     value = msgspec.msgpack.encode(ProgressRecord(2))
@@ -163,11 +170,16 @@
         assert (await entry.call(method, "b"))[0] == 410
 
 
-async def test_withdrawal_in_one_queue_refuses_no_submission_in_another():
-    world = World("a")
-    assert (await world.first.call("DELETE", "b"))[0] == 410
-    assert (await world.first.call("POST", "b"))[0] == 429
-    assert (await world.first.call("POST", "a"))[0] == 200
+@pytest.mark.parametrize(("owner", "other"), SCOPES)
+@pytest.mark.parametrize("same_entry", [True, False])
+async def test_withdrawal_in_one_scope_refuses_no_submission_in_another(
+    owner, other, same_entry
+):
+    world = World(owner)
+    entry = world.first if same_entry else world.entry()
+    assert (await world.first.call("DELETE", other))[0] == 410
+    assert (await entry.call("POST", other))[0] == 429
+    assert (await entry.call("POST", owner))[0] == 200
 
 
 async def test_cancel_while_another_queue_accepts_the_id_harms_no_job():
