Spread the configuration between entries, and refuse keys when it is stale

An entry that the store refuses kept its version of the configuration, and so a removed key, until the store answered again. The document that peers exchange has the digests of keys in place of the keys, so that no entry keeps a key. A version that is not newer is never applied.

An entry with neither the store nor its leader now asks another entry for the leader: it retried a dead leader until the store was back. Streams to any peer stay open during a fetch, which may take longer than the stream is kept.

--- a/src/ebonyhub/cluster/peers.py
+++ b/src/ebonyhub/cluster/peers.py
@@ -59,6 +59,9 @@
     # [kind, [[service, cores, started, [waiting, ...], late, free_cpu], ...]]: the
     # leader's forecasts for the services with a large backlog.
     FORECASTS = 6
+    # [kind, version, age_ms]: the sender's version of the configuration, and how long
+    # ago it last knew that this was the newest one.
+    CONFIGURATION = 7
 
 
 class PeerFailure(IntEnum):
@@ -89,6 +92,7 @@
         Count, list[tuple[Name, Name, bool, JobStateNumber, Name]], bool
     ],
     MessageKind.FORECASTS: tuple[list[Any]],
+    MessageKind.CONFIGURATION: tuple[Count, Count],
 }
 HANDSHAKE_TYPE = tuple[Count, Name, Count, Cores]
 
@@ -108,6 +112,14 @@
     def on_peer_forecasts(self, rows: list[Any]) -> None:
         """Apply the leader's backlog forecasts."""
 
+    def on_stream_started(self, stream: "PeerStream") -> None:
+        """Send what a peer needs to know at the start of a stream."""
+
+    def on_peer_configuration(
+        self, stream: "PeerStream", version: int, age_ms: int
+    ) -> None:
+        """Note the version of the configuration that a peer has."""
+
     def initial_states_message(self) -> list[Any] | None:
         """Return the states message for a newly connected entry.
 
@@ -141,6 +153,8 @@
         self.peer_started_ms = 0
         # Cores that the connecting entry could use as leader.
         self.peer_effective_cores = 0.0
+        # A fetch of a large document, for which the stream should stay open.
+        self.transfer: asyncio.Task[None] | None = None
 
     @property
     def is_open(self) -> bool:
@@ -168,6 +182,7 @@
         """Handle messages until the stream ends or nothing arrives in time."""
         pings = asyncio.create_task(self._send_pings())
         try:
+            handler.on_stream_started(self)
             while True:
                 # Messages may have arrived together with the handshake.
                 for message in self.unpacker:
@@ -227,6 +242,8 @@
             handler.on_peer_forecasts(values[0])
         elif kind == MessageKind.LEADER:
             handler.on_peer_leader(*values)
+        elif kind == MessageKind.CONFIGURATION:
+            handler.on_peer_configuration(self, *values)
 
     async def _answer_call(
         self, handler: PeerMessageHandler, sequence: int, method: str, argument: Any
@@ -239,7 +256,10 @@
             self.reject(error)
 
     async def call(
-        self, method: str, argument: Any
+        self,
+        method: str,
+        argument: Any,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
     ) -> Result[tuple[int, Any], PeerFailure]:
         """Forward a call and wait for its reply: status and payload."""
         self.last_sequence += 1
@@ -251,7 +271,7 @@
             self.pending_replies.pop(sequence, None)
             return Error(PeerFailure.NOT_SENT)
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
+            async with asyncio.timeout(timeout_seconds):
                 return Ok(await future)
         except TimeoutError:
             return Error(PeerFailure.UNKNOWN)
--- a/src/ebonyhub/entry/leadership_manager.py
+++ b/src/ebonyhub/entry/leadership_manager.py
@@ -284,12 +284,15 @@
         self.leader_stream = stream
         stream_task = asyncio.create_task(stream.run(self.peer_handler))
         change_task = asyncio.create_task(self.leader_changed.wait())
+        ends = {stream_task, change_task}
         try:
-            await asyncio.wait(
-                {stream_task, change_task},
-                timeout=max_seconds,
-                return_when=asyncio.FIRST_COMPLETED,
+            done, _ = await asyncio.wait(
+                ends, timeout=max_seconds, return_when=asyncio.FIRST_COMPLETED
             )
+            if not done and stream.transfer is not None:
+                # On a slow link, a document takes longer than a stream is kept.
+                ends.add(stream.transfer)
+                await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
         finally:
             self.leader_stream = None
             stream.close()
@@ -313,8 +316,12 @@
                 log_event(Event.LEADER_CONNECTION_REFUSED, leader=leader.record.entry)
                 if self.leader == leader:
                     await self.campaign(leader.revision)
-                return
-            await self._wait_for_change(ELECTION_RETRY_SECONDS)
+            else:
+                await self._wait_for_change(ELECTION_RETRY_SECONDS)
+            if self.store.failing and self.leader == leader:
+                # Without the store and the leader, only another peer tells of a new
+                # leader or a new configuration.
+                await self.connect_to_any_peer()
             return
         await self._run_stream(opened.ok, None)
 
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -11,7 +11,7 @@
 from ..cluster.leadership import Term
 from ..cluster.metadata_store import Batch, Item
 from ..cluster.mirror import JobMirror, StateRow
-from ..cluster.peers import MessageKind, StoredRecord
+from ..cluster.peers import MessageKind, PeerStream, StoredRecord
 from ..cluster.watches import PrefixWatch
 from ..configuration import Configuration
 from ..decoding import Count, try_convert
@@ -27,7 +27,6 @@
     CONFIG_KEY,
     OPERATOR_PREFIX,
     WAVE_PREFIX,
-    decode_configuration,
     decode_wave,
 )
 from ..platform.store import PlatformStore
@@ -46,6 +45,7 @@
 )
 from .status_api import StatusApi, StatusSources
 from .withdrawals import Withdrawals
+from .workspaces.replica import FETCH_METHOD, ConfigurationReplica
 
 # Pause between calls of the job watch; changes usually arrive sooner on peer streams.
 JOB_WATCH_PAUSE_SECONDS = 0.5
@@ -79,7 +79,11 @@
         self.store.rejections = self.rejections
         self.mirror = JobMirror(self.rejections)
         self.forecast_cache = ForecastCache()
-        self.configuration: Configuration | None = None
+        self.replica = ConfigurationReplica(
+            settings, self.clock, self.rejections,
+            lambda: self.operator_watch.synced_at, self.on_configuration,
+            self.announce_configuration,
+        )  # fmt: skip
         self.waves: dict[WaveId, Wave] = {}
         self.leadership = LeadershipManager(
             settings, self.store, self.mirror, self.clock, self.rng,
@@ -95,7 +99,7 @@
         )  # fmt: skip
         self.job_api = JobApi(
             self.service, lambda: self.configuration, lambda: self.leadership.stopping,
-            self.clock, self.metrics,
+            self.clock, self.metrics, self.replica.is_stale,
         )  # fmt: skip
         self.caller_server = build_server(
             self.job_api, _listener(settings.caller_address)
@@ -175,7 +179,7 @@
         """Apply changes of the operators' configuration and waves."""
         for item in batch.items:
             if item.key == CONFIG_KEY and item.value is not None:
-                self.apply_configuration(item.value)
+                self.replica.apply_stored(item.value)
             elif item.key.startswith(WAVE_PREFIX) and item.value is not None:
                 self.apply_wave(item.key, item.value)
 
@@ -191,29 +195,33 @@
         if self.leadership.controller is not None:
             self.leadership.controller.add_wave(decoded.ok)
 
-    def apply_configuration(self, value: bytes) -> None:
-        """Apply a configuration unless it is not newer than the current one."""
-        decoded = decode_configuration(value)
-        problems = [decoded.error] if decoded.is_error() else decoded.ok.rejected_rows
-        for problem in problems:
-            self.rejections.add(
-                InputSource.CONFIGURATION, CONFIG_KEY, hash((value, problem)), problem,
-                Event.DOCUMENT_REJECTED,
-            )  # fmt: skip
-        if decoded.is_error():
-            return
-        newest = self.configuration
-        if newest is not None and decoded.ok.version <= newest.version:
-            return
-        self.configuration = decoded.ok
-        log_event(
-            Event.DOCUMENT_APPLIED, name="configuration",
-            generation=decoded.ok.version, queues=len(decoded.ok.queues),
-        )  # fmt: skip
-        if newest is None:
-            log_event(Event.ENTRY_READY, entry=self.settings.entry)
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force, None before the first one."""
+        return self.replica.current
+
+    def on_configuration(self, configuration: Configuration) -> None:
+        """Pass a new configuration to the scheduler if this entry leads."""
         if self.leadership.controller is not None:
-            self.leadership.controller.configure(decoded.ok)
+            self.leadership.controller.configure(configuration)
+
+    def announce_configuration(self, message: list[Any]) -> None:
+        """Send an announcement of the configuration to all connected entries."""
+        self.leadership.peer_server.broadcast(message)
+        if self.leadership.leader_stream is not None:
+            self.leadership.leader_stream.send(message)
+
+    def on_stream_started(self, stream: PeerStream) -> None:
+        """Announce the configuration on a new stream, whoever opened it."""
+        announcement = self.replica.announcement()
+        if announcement is not None:
+            stream.send(announcement)
+
+    def on_peer_configuration(
+        self, stream: PeerStream, version: int, age_ms: int
+    ) -> None:
+        """Note the version of the configuration that a peer has."""
+        self.replica.on_announcement(stream, version, age_ms)
 
     def on_job_batch(self, batch: Batch, full: bool) -> None:
         """Apply a batch of the job watch to the mirror."""
@@ -289,6 +297,9 @@
             await asyncio.sleep(STATES_INTERVAL_SECONDS)
             self.broadcast_states()
             self.broadcast_forecasts()
+            announcement = self.replica.announcement()
+            if announcement is not None and self.leadership.term is not None:
+                self.announce_configuration(announcement)
 
     def broadcast_forecasts(self) -> None:
         """Send all entries the forecasts of services with a long backlog."""
@@ -330,6 +341,8 @@
             if revision.is_error():
                 raise ValueError(revision.error)
             return await self.leadership.take_over(Revision(revision.ok))
+        if method == FETCH_METHOD and self.settings.has_workspaces:
+            return self.replica.answer_fetch()
         return await self.service.handle_peer_call(method, argument)
 
     def on_peer_leader(self, revision: int, value: bytes) -> None:
--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -268,6 +268,25 @@
         "a part of a platform answer could not be read and is not used",
         "Compare its fields with docs/platform.md.",
     )
+    CONFIGURATION_FETCHED = EventSpec(
+        2601, _I, "configuration fetched from a peer", "None."
+    )
+    CONFIGURATION_FETCH_FAILED = EventSpec(
+        2602,
+        _W,
+        "configuration could not be fetched from a peer; it is tried again",
+        "If it repeats, check the link between the two entries; the peer may run "
+        "another version of the program.",
+    )
+    CONFIGURATION_STALE = EventSpec(
+        2603,
+        _W,
+        "no news of the configuration for RevokeMs; calls with keys are refused",
+        "Check this entry's connections to the store and to the leader.",
+    )
+    CONFIGURATION_CURRENT = EventSpec(
+        2604, _I, "configuration known to be the newest again", "None."
+    )
     JOB_RECORDS_REMOVED = EventSpec(
         2501, _I, "records of finished jobs removed", "None."
     )
--- a/src/ebonyhub/platform/config.py
+++ b/src/ebonyhub/platform/config.py
@@ -158,13 +158,14 @@
 
 
 def decode_configuration(
-    value: bytes, has_workspaces: bool = False
+    value: bytes, has_workspaces: bool = False, digested: bool = False
 ) -> Result[Configuration, str]:
     """Decode the operators' configuration; the error is a text for the log.
 
     A queue, service or workspace that cannot be decoded is left out and named in
     ``rejected_rows``, unless none is left. Without ``has_workspaces``, callers need no
-    API keys, and the workspaces are ignored.
+    API keys, and the workspaces are ignored. ``digested`` documents come from
+    ``digest_keys``.
     """
     decoded = try_decode(_decode_configuration_row, value)
     if decoded.is_error():
@@ -189,7 +190,7 @@
         return Error(f"no readable queue or service: {rejected[0]}")
     workspaces: dict[WorkspaceName, Workspace] = {}
     if has_workspaces:
-        workspaces, rejected_workspaces = decode_workspaces(row.tenants or ())
+        workspaces, rejected_workspaces = decode_workspaces(row.tenants or (), digested)
         rejected += rejected_workspaces
         if not workspaces:
             # Applied, it would lock all callers out or let all in.
--- a/src/ebonyhub/platform/tenants.py
+++ b/src/ebonyhub/platform/tenants.py
@@ -1,9 +1,10 @@
 """Workspaces, which the platform calls tenants: configuration and API keys of calls."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Annotated
 
 import msgspec
+from expression import Result
 
 from ..configuration import Workspace, digest_key
 from ..decoding import try_decode
@@ -16,6 +17,8 @@
 API_KEY_SCHEME = b"ApiKey"
 MAX_KEYS = 10_000
 Limit = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+# Encoded in base64.
+Digest = Annotated[bytes, msgspec.Meta(min_length=32, max_length=32)]
 Key = Annotated[str, msgspec.Meta(min_length=1, max_length=4096)]
 
 
@@ -37,24 +40,36 @@
     maximum: MaximumRow | None = None
 
 
+class DigestedTenantRow(msgspec.Struct, rename="pascal"):
+    """A workspace as entries send it to each other, with the digests of its keys."""
+
+    name: Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+    key_digests: Annotated[tuple[Digest, ...], msgspec.Meta(max_length=MAX_KEYS)]
+    priority: int
+    weight: float
+    maximum: MaximumRow
+
+
 _decode_row = msgspec.json.Decoder(TenantRow).decode
+_decode_digested_row = msgspec.json.Decoder(DigestedTenantRow).decode
 
 
 def decode_workspaces(
-    rows: Iterable[msgspec.Raw],
+    rows: Iterable[msgspec.Raw], digested: bool = False
 ) -> tuple[dict[WorkspaceName, Workspace], list[str]]:
     """Return the readable workspaces by name, and why others were left out.
 
-    The texts contain no API key.
+    The texts contain no API key. If ``digested``, the rows are those of
+    ``digest_keys``.
     """
     workspaces: dict[WorkspaceName, Workspace] = {}
     rejected: list[str] = []
     for number, raw in enumerate(rows):
-        decoded = try_decode(_decode_row, bytes(raw))
+        decoded = _decode_workspace(bytes(raw), digested)
         if decoded.is_error():
             rejected.append(f"workspace {number}: {decoded.error}")
             continue
-        workspace = _workspace(decoded.ok)
+        workspace = decoded.ok
         if workspace.name in workspaces:
             rejected.append(f"workspace {number}: the name is taken")
             continue
@@ -72,11 +87,47 @@
     return key or None
 
 
-def _workspace(row: TenantRow) -> Workspace:
+def digest_keys(
+    document: bytes, workspaces: Mapping[WorkspaceName, Workspace]
+) -> bytes:
+    """Return a configuration with the digests of the API keys in place of the keys.
+
+    ``workspaces`` are those of the document. Raises one of DECODE_ERRORS if it cannot
+    be decoded.
+    """
+    fields = msgspec.json.decode(document, type=dict[str, msgspec.Raw])
+    rows = [
+        DigestedTenantRow(
+            workspace.name, tuple(sorted(workspace.key_digests)), workspace.priority,
+            workspace.weight,
+            MaximumRow(
+                workspace.limit.cpu, workspace.limit.memory,
+                workspace.limit.accelerators,
+            ),
+        )
+        for workspace in workspaces.values()
+    ]  # fmt: skip
+    fields["Tenants"] = msgspec.Raw(msgspec.json.encode(rows))
+    return msgspec.json.encode(fields)
+
+
+def _decode_workspace(raw: bytes, digested: bool) -> Result[Workspace, str]:
+    if digested:
+        row = try_decode(_decode_digested_row, raw)
+        return row.map(lambda row: _workspace(row, row.key_digests))
+    stored = try_decode(_decode_row, raw)
+    return stored.map(
+        lambda row: _workspace(row, [digest_key(key.encode()) for key in row.api_keys])
+    )
+
+
+def _workspace(
+    row: TenantRow | DigestedTenantRow, key_digests: Iterable[bytes]
+) -> Workspace:
     limit = row.maximum or MaximumRow()
     return Workspace(
         name=WorkspaceName(row.name),
-        key_digests=frozenset(digest_key(key.encode()) for key in row.api_keys),
+        key_digests=frozenset(key_digests),
         priority=row.priority,
         weight=row.weight,
         limit=Resources(int(limit.cpu), int(limit.mem_mb), int(limit.gpu)),
--- a/tests/test_decoders_fuzz.py
+++ b/tests/test_decoders_fuzz.py
@@ -234,6 +234,9 @@
     def on_peer_leader(self, revision, value):
         int(revision)
 
+    def on_peer_configuration(self, stream, version, age_ms):
+        assert min(version, age_ms) >= 0
+
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_messages_of_peers(seed):
@@ -245,6 +248,7 @@
         [4, 7, b"x"],
         [5, 9, [["j", "q", False, 1, "w"]], True],
         [6, [["s", 10.0, 5.0, [0.0] * len(SIZE_CLASSES), 1.0, 5]]],
+        [7, 3, 400],
     ]
     stream = PeerStream.__new__(PeerStream)
     stream.pending_replies = {}
--- a/tests/test_foreign_peers_and_watches.py
+++ b/tests/test_foreign_peers_and_watches.py
@@ -222,7 +222,7 @@
         [5, 1, [[[], "q", False, 1, ""]], True],
         [5, 1, [["j", "q", False, 1, 7]], True],
         [5, 2**63, [], True], [5, 1.5, [], True], [5, 1, [], "yes"], [5, 1, 7, False],
-        [6, 7], [6],
+        [6, 7], [6], [7], [7, 1], [7, -1, 0], [7, 1, "x"], [7, 1, -1], [7, 1.5, 0],
     )],
 ]  # fmt: skip
 ODD_HANDSHAKES = [
@@ -243,6 +243,7 @@
         """Ignore the states."""
 
     on_peer_records = on_peer_leader = on_peer_forecasts = lambda self, *_: None
+    on_stream_started = on_peer_configuration = lambda self, *_: None
 
     async def on_peer_call(self, method, argument):
         return 0, argument
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -30,6 +30,7 @@
         self.records = []
         self.leaders = []
         self.states = []
+        self.configurations = []
         self.hang = False
 
     def on_peer_records(self, records):
@@ -38,6 +39,12 @@
     def on_peer_states(self, revision, rows, full):
         self.states.append((revision, rows, full))
 
+    def on_stream_started(self, stream):
+        stream.send([MessageKind.CONFIGURATION, 5, 10])
+
+    def on_peer_configuration(self, stream, version, age_ms):
+        self.configurations.append((version, age_ms))
+
     def initial_states_message(self):
         return [MessageKind.STATES, 3, [["a", "q", False, 1, "w"]], True]
 
@@ -84,6 +91,7 @@
     stream.send([MessageKind.RECORDS, [("key", 3, b"value")]])
     server.broadcast([MessageKind.STATES, 4, [["a", "q", False, 2, "w"]], False])
     await wait_until(lambda: len(own_handler.states) == 2 and served[2].records)
+    assert own_handler.configurations == served[2].configurations == [(5, 10)]
     assert served[2].records == [("key", 3, b"value")]
     assert own_handler.states == [
         (3, [["a", "q", False, 1, "w"]], True),
