--- a/src/ebonyhub/entry/leadership_manager.py
+++ b/src/ebonyhub/entry/leadership_manager.py
@@ -32,6 +32,7 @@
 )
 from ..cluster.mirror import JobMirror
 from ..cluster.peers import (
+    MessageKind,
     PeerFailure,
     PeerMessageHandler,
     PeerServer,
@@ -43,11 +44,11 @@
 from ..decoding import parse_address
 from ..events import Event, log_event
 from ..ids import EntryId, Revision
-from ..jobs.records import JOB_PREFIX, PROGRESS_PREFIX
 from ..node_settings import NodeSettings
 from ..rejections import InputSource
 from ..scheduling.controller import Controller
 from .handover import SUFFICIENT_CORES, Handover
+from .record_loading import load_job_records
 from .term_backoff import TermBackoff
 
 CLUSTER_PREFIX = "eb/n/"
@@ -195,7 +196,14 @@
         self.leader = leader
         if leader is not None and item is not None and item.value is not None:
             self.newest_leader_revision = leader.revision
-            self.peer_server.leader = (int(leader.revision), item.value)
+            known = (int(leader.revision), item.value)
+            is_new = known != self.peer_server.leader
+            self.peer_server.leader = known
+            # An entry that the store refuses may still take this one for the leader,
+            # whose process has been restarted since. Peers close a stream on which a
+            # key arrives that cannot be read.
+            if is_new and decode_leader_record(item.value).is_ok():
+                self.peer_server.broadcast([MessageKind.LEADER, *known])
         term = self.term
         if term is not None and (leader is None or leader.revision > int(term.token)):
             self.end_term("key")
@@ -284,12 +292,15 @@
         self.leader_stream = stream
         stream_task = asyncio.create_task(stream.run(self.peer_handler))
         change_task = asyncio.create_task(self.leader_changed.wait())
+        ends = {stream_task, change_task}
         try:
-            await asyncio.wait(
-                {stream_task, change_task},
-                timeout=max_seconds,
-                return_when=asyncio.FIRST_COMPLETED,
+            done, _ = await asyncio.wait(
+                ends, timeout=max_seconds, return_when=asyncio.FIRST_COMPLETED
             )
+            if not done and stream.transfer is not None:
+                # On a slow link, a document takes longer than a stream is kept.
+                ends.add(stream.transfer)
+                await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
         finally:
             self.leader_stream = None
             stream.close()
@@ -313,8 +324,12 @@
                 log_event(Event.LEADER_CONNECTION_REFUSED, leader=leader.record.entry)
                 if self.leader == leader:
                     await self.campaign(leader.revision)
-                return
-            await self._wait_for_change(ELECTION_RETRY_SECONDS)
+            else:
+                await self._wait_for_change(ELECTION_RETRY_SECONDS)
+            if self.store.failing and self.leader == leader:
+                # Without the store and the leader, only another peer tells of a new
+                # leader or a new configuration.
+                await self.connect_to_any_peer()
             return
         await self._run_stream(opened.ok, None)
 
@@ -417,34 +432,12 @@
 
     async def _run_controller(self, term: Term) -> None:
         """Load the records and schedule until the term ends."""
-        await self.load_job_records(term)
+        await load_job_records(self.store, self.mirror, term)
         controller = None if term.ended else self.build_controller(term)
         if controller is not None:
             self.controller = controller
             await controller.run()
 
-    async def load_job_records(self, term: Term) -> None:
-        """Load all job records into the mirror; retries while the term lasts."""
-        while not term.ended:
-            job_listing = await self.store.list(JOB_PREFIX)
-            progress_listing = await self.store.list(PROGRESS_PREFIX)
-            if job_listing.is_ok() and progress_listing.is_ok():
-                self.mirror.listing_complete = (
-                    job_listing.ok.complete and progress_listing.ok.complete
-                )
-                changed = self.mirror.apply_listing(
-                    [*job_listing.ok.items, *progress_listing.ok.items],
-                    job_listing.ok.revision,
-                )
-                log_event(
-                    Event.JOB_RECORDS_LOADED,
-                    token=term.token,
-                    jobs=len(self.mirror.jobs),
-                    changed=len(changed),
-                )
-                return
-            await asyncio.sleep(ELECTION_RETRY_SECONDS)
-
     async def maintain_lease(self, term: Term) -> None:
         """Renew the lease until the term ends, or hand over to another entry.
 
