--- a/src/ebonyhub/platform/config.py
+++ b/src/ebonyhub/platform/config.py
@@ -157,6 +157,21 @@
 _decode_worker_row = msgspec.json.Decoder(WorkerRow).decode
 
 
+def decode_configuration_row(value: bytes) -> Result[ConfigurationRow, str]:
+    """Decode a configuration except for its rows; the error is a text for the log."""
+    return try_decode(_decode_configuration_row, value)
+
+
+def decode_queue(raw: msgspec.Raw) -> Result[Queue, str]:
+    """Decode one route; the error is a text for the log."""
+    return try_decode(_decode_route_row, bytes(raw)).map(_queue)
+
+
+def decode_service(raw: msgspec.Raw) -> Result[Service, str]:
+    """Decode one service; the error is a text for the log."""
+    return try_decode(_decode_service_row, bytes(raw)).map(_service)
+
+
 def decode_configuration(
     value: bytes, has_workspaces: bool = False
 ) -> Result[Configuration, str]:
@@ -166,7 +181,7 @@
     ``rejected_rows``, unless none is left. Without ``has_workspaces``, callers need no
     API keys, and the workspaces are ignored.
     """
-    decoded = try_decode(_decode_configuration_row, value)
+    decoded = decode_configuration_row(value)
     if decoded.is_error():
         return Error(decoded.error)
     row = decoded.ok
@@ -174,17 +189,17 @@
     queues: dict[QueueName, Queue] = {}
     services: dict[ServiceName, Service] = {}
     for raw in row.routes:
-        route = try_decode(_decode_route_row, bytes(raw))
-        if route.is_error():
-            rejected.append(route.error)
+        queue = decode_queue(raw)
+        if queue.is_error():
+            rejected.append(queue.error)
             continue
-        queues[QueueName(route.ok.name)] = _queue(route.ok)
+        queues[queue.ok.name] = queue.ok
     for raw in row.services:
-        service = try_decode(_decode_service_row, bytes(raw))
+        service = decode_service(raw)
         if service.is_error():
             rejected.append(service.error)
             continue
-        services[ServiceName(service.ok.name)] = _service(service.ok)
+        services[service.ok.name] = service.ok
     if (row.routes and not queues) or (row.services and not services):
         return Error(f"no readable queue or service: {rejected[0]}")
     workspaces: dict[WorkspaceName, Workspace] = {}
--- a/src/ebonyhub/platform/tenants.py
+++ b/src/ebonyhub/platform/tenants.py
@@ -4,6 +4,7 @@
 from typing import Annotated
 
 import msgspec
+from expression import Result
 
 from ..configuration import Workspace, digest_key
 from ..decoding import try_decode
@@ -36,6 +37,11 @@
 _decode_row = msgspec.json.Decoder(TenantRow).decode
 
 
+def decode_workspace(raw: msgspec.Raw) -> Result[Workspace, str]:
+    """Decode one workspace; the error is a text for the log, without any API key."""
+    return try_decode(_decode_row, bytes(raw)).map(_workspace)
+
+
 def decode_workspaces(
     rows: Iterable[msgspec.Raw],
 ) -> tuple[dict[WorkspaceName, Workspace], list[str]]:
@@ -46,11 +52,11 @@
     workspaces: dict[WorkspaceName, Workspace] = {}
     rejected: list[str] = []
     for number, raw in enumerate(rows):
-        decoded = try_decode(_decode_row, bytes(raw))
+        decoded = decode_workspace(raw)
         if decoded.is_error():
             rejected.append(f"workspace {number}: {decoded.error}")
             continue
-        workspace = _workspace(decoded.ok)
+        workspace = decoded.ok
         if workspace.name in workspaces:
             rejected.append(f"workspace {number}: the name is taken")
             continue
--- a/src/ebonyhub/scheduling/explain.py
+++ b/src/ebonyhub/scheduling/explain.py
@@ -1,14 +1,23 @@
 """Explains why the tasks of a job wait, from the scheduler's current state."""
 
 from ..ids import JobId
+from ..workspace_reports import WorkspaceOverview
 from . import lifecycle
 from .placement import StepRequirements, has_capacity, meets_constraints
 from .runs import Job
 from .scheduler import Scheduler
 
 
-def explain_job(scheduler: Scheduler, job_id: JobId, now: float) -> list[str]:
-    """Return a sentence for each reason; empty if nothing waits."""
+def explain_job(
+    scheduler: Scheduler,
+    job_id: JobId,
+    now: float,
+    workspaces: WorkspaceOverview | None = None,
+) -> list[str]:
+    """Return a sentence for each reason; empty if nothing waits.
+
+    Without ``workspaces``, limits, shares and rates are not mentioned.
+    """
     job = scheduler.jobs.get(job_id)
     if job is None:
         return ["the scheduler has not seen the job yet"]
@@ -18,6 +27,8 @@
         _explain_step(scheduler, job, occurrence, step, len(waiting), now)
         for (occurrence, step), waiting in job.pending.items()
     ]
+    if workspaces is not None and job.accepted.workspace:
+        reasons += _explain_workspace(workspaces, job)
     if job.accepted.spec.repeat_count and not job.progress.occurrences:
         reasons.append(f"occurrence {job.next_due_occurrence} is not due yet")
     unstored_changes = job.version - job.stored_version
@@ -26,6 +37,17 @@
     return reasons
 
 
+def _explain_workspace(workspaces: WorkspaceOverview, job: Job) -> list[str]:
+    """Return what the job's workspace holds back, with one sentence for each step."""
+    steps = sorted({step for _, step in job.pending})
+    held = [(step, workspaces.held_back_by(job, step)) for step in steps]
+    return [
+        f"step {step} is held back by workspace {job.accepted.workspace}: {cause}"
+        for step, cause in held
+        if cause is not None
+    ]
+
+
 def _explain_step(
     scheduler: Scheduler, job: Job, occurrence: int, number: int, count: int, now: float
 ) -> str:
