--- a/src/ebonyhub/cli.py
+++ b/src/ebonyhub/cli.py
@@ -3,12 +3,11 @@
 import argparse
 import asyncio
 import gc
-import os
 import sys
-from collections.abc import Callable, Sequence
-from enum import IntEnum
+from collections.abc import Sequence
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import Any
+from urllib.parse import quote
 from uuid import uuid4
 
 import msgspec
@@ -17,100 +16,15 @@
 
 from . import __version__
 from .app import serve
+from .cli_parser import build_parser
+from .cli_support import COMMANDS, CommandError, ExitCode, call_api, command, printable
 from .entry.process import serve_on_platform
-from .http_client import Header, SmallResponse, request_once
 from .log_output import buffer_stream
 from .platform.settings import load_node_settings, settings_path
 from .resources import parse_resources
 from .settings import load_settings
 
 
-class ExitCode(IntEnum):
-    """Exit codes of the command line, which the documentation lists."""
-
-    SUCCESS = 0
-    FAILED = 1
-    USAGE = 2
-    CONFLICT = 3
-    NOT_FOUND = 4
-    UNKNOWN = 5
-    UNREACHABLE = 6
-
-
-# Other statuses than 200 and these give FAILED.
-EXIT_CODE_BY_HTTP_STATUS = {
-    404: ExitCode.NOT_FOUND,
-    409: ExitCode.CONFLICT,
-    422: ExitCode.USAGE,
-    503: ExitCode.UNREACHABLE,
-    504: ExitCode.UNKNOWN,
-}
-
-Command = Callable[[argparse.Namespace], ExitCode]
-COMMANDS: dict[str, Command] = {}
-
-
-class CommandError(Exception):
-    """Ends a command with a message on standard error and an exit code."""
-
-    def __init__(self, code: ExitCode, message: str) -> None:
-        super().__init__(message)
-        self.code = code
-
-
-def command(name: str) -> Callable[[Command], Command]:
-    """Return a decorator that registers the function of a subcommand."""
-
-    def register(function: Command) -> Command:
-        COMMANDS[name] = function
-        return function
-
-    return register
-
-
-def call_api(
-    args: argparse.Namespace,
-    method: str,
-    target: str,
-    body: Any = None,
-    headers: Sequence[Header] = (),
-) -> Any:
-    """Call the admin API and return the decoded response; raises CommandError."""
-    address, _, port = args.server.rpartition(":")
-    if not port.isdigit():
-        raise CommandError(
-            ExitCode.USAGE, f"--server {args.server}: expected ADDRESS:PORT"
-        )
-    token = os.environ.get("EBONYHUB_TOKEN", "")
-    request_headers = [(b"Authorization", f"Bearer {token}".encode()), *headers]
-    data = None if body is None else msgspec.json.encode(body)
-    result = asyncio.run(
-        request_once(address, int(port), method, target, data, request_headers, 40.0)
-    )
-    if result.is_error():
-        unknown = result.error.any_bytes_written and method != "GET"
-        code = ExitCode.UNKNOWN if unknown else ExitCode.UNREACHABLE
-        reason = f"{args.server}: {result.error.kind.value} {result.error.detail}"
-        raise CommandError(code, reason)
-    return decode_answer(result.ok)
-
-
-def decode_answer(response: SmallResponse) -> Any:
-    """Return the JSON of a successful response; raises CommandError otherwise."""
-    try:
-        data = msgspec.json.decode(response.body) if response.body else None
-    except msgspec.DecodeError as error:
-        message = f"response of the server is not valid JSON: {error}"
-        raise CommandError(ExitCode.FAILED, message) from error
-    if response.status == 200:
-        return data
-    code = EXIT_CODE_BY_HTTP_STATUS.get(response.status, ExitCode.FAILED)
-    reasons = data.get("reasons", []) if isinstance(data, dict) else []
-    error_name = data.get("error", "") if isinstance(data, dict) else ""
-    lines = reasons or [f"status {response.status}"]
-    raise CommandError(code, "\n".join(f"{error_name}: {line}" for line in lines))
-
-
 def print_resources(items: Sequence[dict[str, Any]], output: str) -> None:
     """Print resources as a table, JSON or YAML, as ``output`` says."""
     if output == "json":
@@ -206,7 +120,7 @@
 
 
 # Kinds of ``get`` that are not declared resources but state of the running cluster.
-LIVE_STATE_KINDS = frozenset({"jobs", "machines", "waves"})
+LIVE_STATE_KINDS = frozenset({"jobs", "machines", "waves", "workspaces"})
 
 
 def print_records(rows: Sequence[dict[str, Any]], output: str) -> None:
@@ -221,6 +135,29 @@
             print("  ".join(f"{value!s:<18}" for value in row.values()).rstrip())
 
 
+def print_workspaces(answer: dict[str, Any], output: str) -> None:
+    """Print workspaces; a table shows amounts as CPU/MB/accelerators, limits 0 as -."""
+    if output != "table":
+        print_records(answer["items"], output)
+    else:
+        print_records([_workspace_row(item) for item in answer["items"]], output)
+    if not answer["has_usage"]:
+        print(
+            f"use, shares and waiting jobs: ask the leader, {answer['leader']}",
+            file=sys.stderr,
+        )
+
+
+def _workspace_row(item: dict[str, Any]) -> dict[str, Any]:
+    row = {**item, "workspace": printable(item["workspace"])}
+    row["limit"] = "/".join(str(amount or "-") for amount in row["limit"].values())
+    if "used" in row:
+        row["used"] = "/".join(str(amount) for amount in row["used"].values())
+        share = row["fair_share"]
+        row["fair_share"] = "-" if share is None else f"{share:.3f}"
+    return row
+
+
 @command("explain")
 def run_explain(args: argparse.Namespace) -> ExitCode:
     """Print why a job waits, which only the leader knows."""
@@ -240,8 +177,11 @@
 def run_get(args: argparse.Namespace) -> ExitCode:
     """Print the resources of a kind, or one of them."""
     if args.kind in LIVE_STATE_KINDS:
-        items = call_api(args, "GET", f"/v1/{args.kind}")["items"]
-        print_records(items, args.output)
+        answer = call_api(args, "GET", f"/v1/{args.kind}")
+        if args.kind == "workspaces":
+            print_workspaces(answer, args.output)
+        else:
+            print_records(answer["items"], args.output)
         return ExitCode.SUCCESS
     if args.name:
         items = [call_api(args, "GET", f"/v1/resources/{args.kind}/{args.name}")]
@@ -253,14 +193,18 @@
 
 @command("describe")
 def run_describe(args: argparse.Namespace) -> ExitCode:
-    """Print a job, or a resource with its last five changes."""
+    """Print a job, a workspace, or a resource with its last five changes."""
     if args.kind == "job":
         print_records([call_api(args, "GET", f"/v1/jobs/{args.name}")], "yaml")
         return ExitCode.SUCCESS
-    item = call_api(args, "GET", f"/v1/resources/{args.kind}/{args.name}")
-    records = call_api(args, "GET", "/v1/audit")["items"]
-    label = f"{args.kind}/{args.name}"
-    item["changes"] = [r for r in records if label in r["summary"]][-5:]
+    if args.kind == "workspace":
+        # Names of workspaces may contain any character.
+        item = call_api(args, "GET", f"/v1/workspaces/{quote(args.name, safe='')}")
+    else:
+        item = call_api(args, "GET", f"/v1/resources/{args.kind}/{args.name}")
+        records = call_api(args, "GET", "/v1/audit")["items"]
+        label = f"{args.kind}/{args.name}"
+        item["changes"] = [r for r in records if label in r["summary"]][-5:]
     if args.output == "json":
         print(msgspec.json.format(msgspec.json.encode(item), indent=2).decode())
     else:
@@ -297,68 +241,6 @@
     return ExitCode.SUCCESS
 
 
-class Parser(argparse.ArgumentParser):
-    """Argument parser that exits with ExitCode.USAGE on wrong arguments."""
-
-    def error(self, message: str) -> NoReturn:
-        """Print the usage and the error, and exit."""
-        self.print_usage(sys.stderr)
-        self.exit(ExitCode.USAGE, f"{self.prog}: error: {message}\n")
-
-
-def build_parser() -> argparse.ArgumentParser:
-    """Return the parser of the command line with all subcommands."""
-    parser = Parser(
-        prog="ebonyhub",
-        description="Manage the capacity and maintenance of a fleet of VMs.",
-    )
-    commands = parser.add_subparsers(dest="command", required=True)
-    serve_parser = commands.add_parser("serve", help="run an entry process")
-    serve_parser.add_argument("--settings", required=True, metavar="FILE")
-    check_parser = commands.add_parser(
-        "check-settings", help="check settings and resource files"
-    )
-    check_parser.add_argument("files", nargs="+", metavar="FILE")
-    commands.add_parser("serve-platform", help="run an entry process on the platform")
-    commands.add_parser("version", help="print the version")
-    server_options = Parser(add_help=False)
-    default_server = os.environ.get("EBONYHUB_SERVER", "127.0.0.1:9080")
-    server_options.add_argument(
-        "--server", default=default_server, metavar="ADDRESS:PORT"
-    )
-    apply_parser = commands.add_parser(
-        "apply",
-        parents=[server_options],
-        help="create or replace the resources of a file",
-    )
-    apply_parser.add_argument("-f", "--file", required=True)
-    apply_parser.add_argument("--dry-run", action="store_true")
-    apply_parser.add_argument(
-        "--change-id",
-        help="id of the change; a repeat with the same id has no second effect",
-    )
-    for name in ("get", "describe", "delete"):
-        resource_parser = commands.add_parser(
-            name, parents=[server_options], help=f"{name} resources"
-        )
-        resource_parser.add_argument("kind")
-        resource_parser.add_argument("name", nargs="?" if name == "get" else None)
-        choices = ["table", "json", "yaml"]
-        resource_parser.add_argument("-o", "--output", choices=choices, default="table")
-    explain_parser = commands.add_parser(
-        "explain", parents=[server_options], help="print why a job waits"
-    )
-    explain_parser.add_argument("job")
-    watch_parser = commands.add_parser(
-        "watch", parents=[server_options], help="print each new generation"
-    )
-    watch_parser.add_argument("--after", type=int, default=0, metavar="GENERATION")
-    watch_parser.add_argument(
-        "--count", type=int, default=0, help="generations to print; 0: no limit"
-    )
-    return parser
-
-
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command line and return its exit code."""
     args = build_parser().parse_args(argv)
--- /dev/null
+++ b/src/ebonyhub/configuration_check/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of a configuration before it is put into force, and its differences."""
--- a/src/ebonyhub/entry/status_api.py
+++ b/src/ebonyhub/entry/status_api.py
@@ -116,6 +116,8 @@
             now = controller.clock.monotonic()
             if job.accepted is not None:
                 data["accepted_ms"] = job.accepted.accepted_ms
+                if job.accepted.workspace:
+                    data["workspace"] = job.accepted.workspace
             data["waits_because"] = explain_job(
                 controller.scheduler, job_id, now, self.sources.workspaces()
             )
--- a/src/ebonyhub/platform/tenants.py
+++ b/src/ebonyhub/platform/tenants.py
@@ -1,5 +1,6 @@
 """Workspaces in the operators' configuration, which the platform calls tenants."""
 
+import re
 from collections.abc import Iterable
 from typing import Annotated
 
@@ -12,6 +13,8 @@
 from ..jobs.model import Resources
 
 MAX_KEYS = 10_000
+# A header has no control characters, and loses the spaces at its ends.
+_UNUSABLE_KEY = re.compile(r"[\x00-\x1f\x7f]|^ | $")
 Limit = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 Key = Annotated[str, msgspec.Meta(min_length=1, max_length=4096)]
 
@@ -42,6 +45,12 @@
     return try_decode(_decode_row, bytes(raw)).map(_workspace)
 
 
+def find_unusable_keys(raw: msgspec.Raw) -> list[int]:
+    """Return the positions of a readable workspace's keys that no header can carry."""
+    keys = _decode_row(bytes(raw)).api_keys
+    return [i for i, key in enumerate(keys) if _UNUSABLE_KEY.search(key)]
+
+
 def decode_workspaces(
     rows: Iterable[msgspec.Raw],
 ) -> tuple[dict[WorkspaceName, Workspace], list[str]]:
--- a/src/ebonyhub/scheduling/workspace_events.py
+++ b/src/ebonyhub/scheduling/workspace_events.py
@@ -1,10 +1,10 @@
 """Logs when a workspace reaches or leaves its limit, its rate or its share."""
 
-from collections.abc import Iterable
 from enum import Enum
 
 from ..events import Event, log_event
 from ..ids import WorkspaceName
+from ..workspace_reports import WorkspaceOverview
 from .workspaces.status import WorkspaceStatus
 
 # Tasks seldom add up to the whole limit, so it counts as reached a little below it.
@@ -12,6 +12,8 @@
 # A workspace at its limit crosses it with each task that ends. A state is logged as
 # left once it has been absent for this time.
 LEAVE_SECONDS = 10.0
+# The leader ticks ten times a second, and an overview costs time for each workspace.
+CHECK_INTERVAL_SECONDS = 1.0
 
 
 class Restriction(Enum):
@@ -52,10 +54,17 @@
     def __init__(self) -> None:
         # When each restriction that was logged as reached was last seen.
         self.last_seen: dict[tuple[WorkspaceName, Restriction], float] = {}
+        self.next_check_at = float("-inf")
 
-    def observe(self, statuses: Iterable[WorkspaceStatus], now: float) -> None:
-        """Log what has changed since the last call; ``now`` is monotonic."""
-        for status in statuses:
+    def observe(self, workspaces: WorkspaceOverview, now: float) -> None:
+        """Log what has changed since the last check; may be called at any rate.
+
+        ``now`` is monotonic.
+        """
+        if now < self.next_check_at:
+            return
+        self.next_check_at = now + CHECK_INTERVAL_SECONDS
+        for status in workspaces.overview():
             for restriction in restrictions(status):
                 key = (status.name, restriction)
                 if key not in self.last_seen:
--- a/tests/test_workspace_reports.py
+++ b/tests/test_workspace_reports.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+from types import SimpleNamespace
 
 import pytest
 from absl import logging as absl_logging
@@ -15,6 +16,7 @@
 from ebonyhub.events import Event
 from ebonyhub.ids import WorkspaceName
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec
+from ebonyhub.jobs.records import JobState
 from ebonyhub.metrics import Metrics
 from ebonyhub.platform.config import decode_configuration
 from ebonyhub.refused_calls import (
@@ -206,6 +208,29 @@
     assert explain_job(driver.scheduler, job.job_id, driver.now, policy) == []
 
 
+async def test_description_of_a_job_names_its_workspace_and_what_holds_it_back():
+    # The page and the explanation must use the same policy.
+    driver = Driver()
+    spec = JobSpec("t", (StepSpec(1, Resources(1000, 1)),))
+    accepted = AcceptedJob(
+        JOB, QUEUE, SERVICE, 3, 7, spec, workspace=WorkspaceName("a")
+    )
+    driver.scheduler.load_job(accepted, None, False, driver.now, 0)
+    mirrored = SimpleNamespace(
+        is_accepted=True, queue=QUEUE, visible_state=JobState.QUEUED, accepted=accepted
+    )
+    controller = SimpleNamespace(clock=StoppedClock(), scheduler=driver.scheduler)
+    sources = StatusSources(
+        Metrics(CollectorRegistry()), SimpleNamespace(jobs={JOB: mirrored}),
+        lambda: controller, lambda: "leader-1",
+        workspaces=lambda: FakePolicy(held={0: "its limit"}),
+    )  # fmt: skip
+    found, data = await get(StatusApi(sources), f"/v1/jobs/{JOB}".encode())
+    assert found == 200
+    assert (data["workspace"], data["accepted_ms"]) == ("a", 7)
+    assert data["waits_because"][-1].endswith("held back by workspace a: its limit")
+
+
 # Counts of refused calls
 
 
@@ -265,13 +290,14 @@
     at_limit = status("a\nE1001", used=Resources(3800))
     below = status("a\nE1001", used=Resources(2500))
     for second in range(20):
-        changes.observe([below if second % 3 else at_limit], float(second))
+        policy = FakePolicy(below if second % 3 else at_limit)
+        changes.observe(policy, float(second))
     assert len(log_lines) == 1
     assert number(Event.WORKSPACE_LIMIT_REACHED) in log_lines[0]
     # A name from the configuration can't begin a line of its own.
     assert "\n" not in log_lines[0]
-    changes.observe([], 18 + LEAVE_SECONDS)
-    changes.observe([], 19 + LEAVE_SECONDS)
+    changes.observe(FakePolicy(), 18 + LEAVE_SECONDS)
+    changes.observe(FakePolicy(), 19 + LEAVE_SECONDS)
     assert len(log_lines) == 2
     assert number(Event.WORKSPACE_LIMIT_LEFT) in log_lines[1]
     assert not changes.last_seen
@@ -292,12 +318,27 @@
     ],
 )  # fmt: skip
 def test_event_of_each_restriction(fields, event, log_lines):
-    WorkspaceChanges().observe([status("a", **fields)], 0.0)
+    WorkspaceChanges().observe(FakePolicy(status("a", **fields)), 0.0)
     assert [line.partition(" ")[0] for line in log_lines] == (
         [number(event).strip()] if event else []
     )
 
 
+def test_overview_is_asked_once_per_interval():
+    # The leader's tick runs ten times a second.
+    asked = []
+
+    class Counting(FakePolicy):
+        def overview(self):
+            asked.append(1)
+            return ()
+
+    changes = WorkspaceChanges()
+    for tenth in range(40):
+        changes.observe(Counting(), tenth / 10)
+    assert len(asked) == 4
+
+
 # Metrics
 
 
