Leave changes of limits, rates and shares to the scheduler's notices

Cause: the policy of workspaces logs E2620 to E2625 from its own signs, which are exact; the comparison of states in scheduling/workspace_events.py logged the same changes a second time, with one event name in common. The interface of explain is that of the policy (a step's specification), and removed workspaces of which nothing is left are not listed.

--- a/src/ebonyhub/cli.py
+++ b/src/ebonyhub/cli.py
@@ -154,7 +154,7 @@
     if "used" in row:
         row["used"] = "/".join(str(amount) for amount in row["used"].values())
         share = row["fair_share"]
-        row["fair_share"] = "-" if share is None else f"{share:.3f}"
+        row["fair_share"] = "-" if share is None else f"{share:.1%}"
     return row
 
 
--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -271,35 +271,8 @@
     JOB_RECORDS_REMOVED = EventSpec(
         2501, _I, "records of finished jobs removed", "None."
     )
-    WORKSPACE_LIMIT_REACHED = EventSpec(
-        2660,
-        _I,
-        "workspace has reached its limit; its further tasks wait",
-        "Raise its limit if the work is wanted.",
-    )
-    WORKSPACE_LIMIT_LEFT = EventSpec(
-        2661, _I, "workspace is below its limit again", "None."
-    )
-    WORKSPACE_OVER_RATE = EventSpec(
-        2662,
-        _I,
-        "workspace sends more jobs per second than its weight; they are served last",
-        "Raise its weight if it is to have more of the capacity.",
-    )
-    WORKSPACE_WITHIN_RATE = EventSpec(
-        2663, _I, "workspace has no jobs beyond its rate any more", "None."
-    )
-    WORKSPACE_SHARE_APPLIES = EventSpec(
-        2664,
-        _I,
-        "capacity is short; waiting jobs of the workspace depend on its fair share",
-        "Add VMs to the pool if it lasts.",
-    )
-    WORKSPACE_SHARE_ENDED = EventSpec(
-        2665, _I, "capacity is no longer short for the workspace", "None."
-    )
     UNKNOWN_KEY_REFUSED = EventSpec(
-        2666,
+        2660,
         _W,
         "calls refused for an unknown API key",
         "Compare the time with the last change of keys (E1201); the caller may still "
--- a/src/ebonyhub/scheduling/explain.py
+++ b/src/ebonyhub/scheduling/explain.py
@@ -38,12 +38,13 @@
 
 
 def _explain_workspace(workspaces: WorkspaceOverview, job: Job) -> list[str]:
-    """Return what the job's workspace holds back, with one sentence for each step."""
-    steps = sorted({step for _, step in job.pending})
-    held = [(step, workspaces.held_back_by(job, step)) for step in steps]
+    """Return what limit, share or rate holds back, with one sentence for each step."""
+    numbers = sorted({number for _, number in job.pending})
+    steps = job.accepted.spec.steps
+    held = [(n, workspaces.held_back_by(job, steps[n])) for n in numbers]
     return [
-        f"step {step} is held back by workspace {job.accepted.workspace}: {cause}"
-        for step, cause in held
+        f"step {number} is held back: {cause}"
+        for number, cause in held
         if cause is not None
     ]
 
--- a/src/ebonyhub/workspace_reports.py
+++ b/src/ebonyhub/workspace_reports.py
@@ -11,7 +11,7 @@
 from .configuration import Configuration, Workspace
 from .configuration_view import key_fingerprints
 from .ids import WorkspaceName
-from .jobs.model import Resources
+from .jobs.model import Resources, StepSpec
 from .refused_calls import NO_WORKSPACE, RefusedCalls
 from .scheduling.runs import Job
 from .scheduling.workspaces.status import WorkspaceStatus
@@ -21,9 +21,9 @@
     """The part of the scheduler's workspace policy that operators see."""
 
     def overview(self) -> Iterable[WorkspaceStatus]:
-        """Return the state of each workspace, with those that only have jobs left."""
+        """Return the state of each workspace that is configured or was before."""
 
-    def held_back_by(self, job: Job, step: int) -> str | None:
+    def held_back_by(self, job: Job, step: StepSpec) -> str | None:
         """Return which limit, share or rate holds a step back, None if none does."""
 
 
@@ -41,16 +41,26 @@
         return dict(configuration.workspaces) if configuration else {}
 
     def statuses(self) -> dict[WorkspaceName, WorkspaceStatus] | None:
-        """Return what the leader knows; None on followers."""
+        """Return what the leader knows; None on followers.
+
+        A removed workspace is included as long as it has runs or waiting jobs.
+        """
         overview = self.overview()
         if overview is None:
             return None
-        return {status.name: status for status in overview.overview()}
+        configured = self.configured()
+        return {
+            status.name: status
+            for status in overview.overview()
+            if status.name in configured
+            or status.waiting_jobs
+            or status.used != Resources()
+        }
 
     def items(self) -> list[dict[str, Any]]:
         """Return a row for each workspace, in the order of the configuration.
 
-        Workspaces that were removed but still have jobs or runs follow.
+        Workspaces that were removed but still have runs or waiting jobs follow.
         """
         configured, statuses = self.configured(), self.statuses()
         names = dict.fromkeys([*configured, *(statuses or ())])
