--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -146,6 +146,13 @@
         "call forwarded to a peer",
         "Check this entry's connection to the store.",
     )
+    UNKNOWN_KEY_REFUSED = EventSpec(
+        2660,
+        _W,
+        "calls refused for an unknown API key",
+        "Compare the time with the last change of keys (E1201); the caller may still "
+        "use a removed key.",
+    )
     JOB_LOADED = EventSpec(2201, _I, "job loaded into the scheduler", "None.")
     JOB_ENDED = EventSpec(2202, _I, "job ended", "None.")
     RUN_ENDED = EventSpec(2203, _I, "run ended", "None.")
@@ -271,13 +278,6 @@
     JOB_RECORDS_REMOVED = EventSpec(
         2501, _I, "records of finished jobs removed", "None."
     )
-    UNKNOWN_KEY_REFUSED = EventSpec(
-        2660,
-        _W,
-        "calls refused for an unknown API key",
-        "Compare the time with the last change of keys (E1201); the caller may still "
-        "use a removed key.",
-    )
 
 
 # The absl logger takes the levels of the standard logging module.
