--- a/src/ebonyhub/entry/job_api.py
+++ b/src/ebonyhub/entry/job_api.py
@@ -11,7 +11,7 @@
 from ..errors import ERROR_RESPONSES, ErrorKind, Refusal
 from ..events import Event, log_event
 from ..exchange import request_body_chunks
-from ..ids import JobId, WorkspaceName
+from ..ids import NO_WORKSPACE, JobId, WorkspaceName
 from ..jobs.model import MAX_TASKS, JobScope, JobSpec, Resources, due_tasks
 from ..jobs.records import JobState
 from ..metrics import Metrics
@@ -44,6 +44,7 @@
         clock: Clock,
         metrics: Metrics,
         is_configuration_stale: Callable[[], bool] = lambda: False,
+        on_refused: Callable[[WorkspaceName, ErrorKind], None] = lambda *_: None,
     ) -> None:
         super().__init__(router=Router())
         self.service = service
@@ -53,6 +54,7 @@
         self.metrics = metrics
         # Whether keys are refused, since some may have been removed unnoticed.
         self.is_configuration_stale = is_configuration_stale
+        self.on_refused = on_refused
         self.in_flight = 0
 
     async def handle(self, request: Request) -> Response:
@@ -86,6 +88,7 @@
         # Before anything else about the call is looked at.
         authorized = self._authorize(configuration, queue, request)
         if authorized.is_error():
+            self.on_refused(NO_WORKSPACE, authorized.error)
             return self._refuse(authorized.error, queue.name, request)
         scope = JobScope(queue.name, authorized.ok)
         rest = path[len(queue.prefix) :]
@@ -131,6 +134,7 @@
             case _:
                 return self._refuse(ErrorKind.INVALID_REQUEST, "method", request)
         if answer.error is not None:
+            self.on_refused(scope.workspace, answer.error)
             return self._refuse(answer.error, job_id, request, answer.retry_after)
         return _json(200, encode_state(answer.state or JobState.QUEUED))
 
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -30,6 +30,7 @@
     decode_wave,
 )
 from ..platform.store import PlatformStore
+from ..refused_calls import RefusedCalls
 from ..rejections import InputSource, Rejections
 from ..scheduling.controller import Controller
 from ..scheduling.overload import ForecastCache, decode_forecasts, encode_forecasts
@@ -97,9 +98,10 @@
             self.leadership.call_peer, self.on_local_records, self.forecast_cache,
             self.rng, self.withdrawals,
         )  # fmt: skip
+        self.refused_calls = RefusedCalls(self.clock)
         self.job_api = JobApi(
             self.service, lambda: self.configuration, lambda: self.leadership.stopping,
-            self.clock, self.metrics, self.replica.is_stale,
+            self.clock, self.metrics, self.replica.is_stale, self.refused_calls.add,
         )  # fmt: skip
         self.caller_server = build_server(
             self.job_api, _listener(settings.caller_address)
@@ -132,6 +134,8 @@
             self.mirror,
             lambda: self.leadership.controller,
             self.leadership.leader_name,
+            lambda: self.configuration,
+            refused=self.refused_calls,
         )
         return build_server(StatusApi(sources), Listener(self.settings.ip, STATUS_PORT))
 
--- a/src/ebonyhub/platform/tenants.py
+++ b/src/ebonyhub/platform/tenants.py
@@ -1,5 +1,6 @@
 """Workspaces, which the platform calls tenants: configuration and API keys of calls."""
 
+import re
 from collections.abc import Iterable, Mapping
 from typing import Annotated
 
@@ -16,6 +17,8 @@
 # Authentication scheme of the header, named in answers with status 401.
 API_KEY_SCHEME = b"ApiKey"
 MAX_KEYS = 10_000
+# A header has no control characters, and loses the spaces at its ends.
+_UNUSABLE_KEY = re.compile(r"[\x00-\x1f\x7f]|^ | $")
 Limit = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 # Encoded in base64.
 Digest = Annotated[bytes, msgspec.Meta(min_length=32, max_length=32)]
@@ -54,6 +57,28 @@
 _decode_digested_row = msgspec.json.Decoder(DigestedTenantRow).decode
 
 
+def decode_workspace(
+    raw: msgspec.Raw, digested: bool = False
+) -> Result[Workspace, str]:
+    """Decode one workspace; the error is a text for the log, without any API key.
+
+    If ``digested``, the row is one of ``digest_keys``.
+    """
+    if digested:
+        row = try_decode(_decode_digested_row, bytes(raw))
+        return row.map(lambda row: _workspace(row, row.key_digests))
+    stored = try_decode(_decode_row, bytes(raw))
+    return stored.map(
+        lambda row: _workspace(row, [digest_key(key.encode()) for key in row.api_keys])
+    )
+
+
+def find_unusable_keys(raw: msgspec.Raw) -> list[int]:
+    """Return the positions of a readable workspace's keys that no header can carry."""
+    keys = _decode_row(bytes(raw)).api_keys
+    return [i for i, key in enumerate(keys) if _UNUSABLE_KEY.search(key)]
+
+
 def decode_workspaces(
     rows: Iterable[msgspec.Raw], digested: bool = False
 ) -> tuple[dict[WorkspaceName, Workspace], list[str]]:
@@ -65,7 +90,7 @@
     workspaces: dict[WorkspaceName, Workspace] = {}
     rejected: list[str] = []
     for number, raw in enumerate(rows):
-        decoded = _decode_workspace(bytes(raw), digested)
+        decoded = decode_workspace(raw, digested)
         if decoded.is_error():
             rejected.append(f"workspace {number}: {decoded.error}")
             continue
@@ -111,16 +136,6 @@
     return msgspec.json.encode(fields)
 
 
-def _decode_workspace(raw: bytes, digested: bool) -> Result[Workspace, str]:
-    if digested:
-        row = try_decode(_decode_digested_row, raw)
-        return row.map(lambda row: _workspace(row, row.key_digests))
-    stored = try_decode(_decode_row, raw)
-    return stored.map(
-        lambda row: _workspace(row, [digest_key(key.encode()) for key in row.api_keys])
-    )
-
-
 def _workspace(
     row: TenantRow | DigestedTenantRow, key_digests: Iterable[bytes]
 ) -> Workspace:
