Tell peers of a new leader on streams that are open

An entry that the store refuses could keep a stream to the restarted process of the former leader, and then heard neither of the next leader nor, by its announcements, that the configuration is the newest. The leader key was only sent at the start of a stream; each change is now sent on accepted streams.

--- a/src/ebonyhub/entry/leadership_manager.py
+++ b/src/ebonyhub/entry/leadership_manager.py
@@ -32,6 +32,7 @@
 )
 from ..cluster.mirror import JobMirror
 from ..cluster.peers import (
+    MessageKind,
     PeerFailure,
     PeerMessageHandler,
     PeerServer,
@@ -195,7 +196,14 @@
         self.leader = leader
         if leader is not None and item is not None and item.value is not None:
             self.newest_leader_revision = leader.revision
-            self.peer_server.leader = (int(leader.revision), item.value)
+            known = (int(leader.revision), item.value)
+            is_new = known != self.peer_server.leader
+            self.peer_server.leader = known
+            # An entry that the store refuses may still take this one for the leader,
+            # whose process has been restarted since. Peers close a stream on which a
+            # key arrives that cannot be read.
+            if is_new and decode_leader_record(item.value).is_ok():
+                self.peer_server.broadcast([MessageKind.LEADER, *known])
         term = self.term
         if term is not None and (leader is None or leader.revision > int(term.token)):
             self.end_term("key")
--- a/tests/test_configuration_replica.py
+++ b/tests/test_configuration_replica.py
@@ -9,10 +9,13 @@
 import random
 from dataclasses import replace
 
+import msgspec
 import pytest
 from expression import Error, Ok
 from prometheus_client import CollectorRegistry
 
+from ebonyhub.cluster.leadership import LEADER_KEY, LeaderRecord
+from ebonyhub.cluster.metadata_store import Batch, Item
 from ebonyhub.cluster.peers import MessageKind, PeerFailure, PeerServer, connect
 from ebonyhub.entry.process import PlatformEntry
 from ebonyhub.entry.workspaces import replica as replica_module
@@ -22,7 +25,7 @@
     UNUSABLE_SECONDS,
     ConfigurationReplica,
 )
-from ebonyhub.ids import DataCentre, EntryId
+from ebonyhub.ids import DataCentre, EntryId, Revision
 from ebonyhub.metrics import Metrics
 from ebonyhub.node_settings import NodeSettings
 from ebonyhub.platform.config import decode_configuration
@@ -387,6 +390,29 @@
         await entry.on_peer_call(FETCH_METHOD, [])
 
 
+async def test_peers_hear_of_a_new_leader_on_streams_that_are_open(network):
+    """A restarted leader kept an entry without the store, which knew no other one."""
+    former, cut_off = (
+        PlatformEntry(settings(network.address(1, n)), 1) for n in range(1, 3)
+    )
+    serving = asyncio.create_task(former.leadership.peer_server.run())
+    await asyncio.sleep(0.05)
+    stream = (await connect(network.address(1, 1), 7060, EntryId("e"), 0, 1.0)).ok
+    running = asyncio.create_task(stream.run(cut_off))
+    await wait_until(lambda: former.leadership.peer_server.streams)
+    unreadable = Item(LEADER_KEY, b"\xc1", Revision(8))
+    former.leadership.on_cluster_batch(Batch([unreadable], Revision(8)), True)
+    record = LeaderRecord(EntryId("new"), "127.0.0.1:7060", 5)
+    value = msgspec.msgpack.encode(record)
+    former.leadership.update_leader(Item(LEADER_KEY, value, Revision(9)))
+    await wait_until(lambda: cut_off.leadership.leader is not None)
+    assert cut_off.leadership.leader.record == record
+    assert stream.is_open
+    for task in (running, serving):
+        task.cancel()
+    await asyncio.gather(running, serving, return_exceptions=True)
+
+
 class SlowPeer:
     """Answers calls only when told to."""
 
