State machine of cancels: callers of two scopes

Guards against a cancel that harms a job of another workspace, and against a submission that is stored after a cancel in its own scope was answered 410.

--- a/tests/test_cancel_state_machine.py
+++ b/tests/test_cancel_state_machine.py
@@ -2,13 +2,16 @@
 
 Guards against a job that starts after its cancel was answered: with 410 while a write
 of the submission was still under way, or with 200. Calls of the store are lost, late
-and doubled, entries are killed, and new leaders load the records.
+and doubled, entries are killed, and new leaders load the records. With callers of two
+scopes, guards against a cancel that harms a job of the other one.
 """
 
 import asyncio
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from typing import ClassVar
 
+import msgspec
 import pytest
 from expression import Error
 from hypothesis import HealthCheck, settings
@@ -26,7 +29,8 @@
     Withdrawals,
 )
 from ebonyhub.errors import ErrorKind
-from ebonyhub.ids import JobId, Revision
+from ebonyhub.ids import JobId, Revision, WorkspaceName
+from ebonyhub.jobs.model import AcceptedJob, JobScope
 from ebonyhub.jobs.records import accepted_key, cancelled_key
 from ebonyhub.metrics import Metrics
 from ebonyhub.scheduling.overload import ForecastCache
@@ -62,6 +66,7 @@
     task: asyncio.Task
     began: int
     began_at: float
+    scope: JobScope = SCOPE
     answer: object = None
     ended: int | None = None
     ended_at: float = 0.0
@@ -75,6 +80,8 @@
 
 
 class CancelMachine(RuleBasedStateMachine):
+    scopes: ClassVar = [SCOPE]
+
     def __init__(self):
         super().__init__()
         self.loop = asyncio.new_event_loop()
@@ -125,22 +132,35 @@
         stored = accepted_key(job) in self.core.items
         if request.method == "submit" and answer.error is None:
             assert stored
+            assert self.owner(job) == request.scope
         if request.method == "cancel" and answer.error is None:
             assert stored
+            assert self.owner(job) == request.scope
             assert cancelled_key(job) in self.core.items
         if answer.error is ErrorKind.JOB_WITHDRAWN:
             assert answer.retry_after > 0
 
+    def owner(self, job):
+        """Return the scope in the submission record of a job."""
+        value = self.core.items[accepted_key(job)].value
+        return msgspec.msgpack.decode(value, type=AcceptedJob).scope
+
     def check_store(self, before):
         """Check the submissions that the last call has stored."""
         for job in JOBS:
             key = accepted_key(job)
             if cancelled_key(job) in self.core.items:
                 assert key in self.core.items
+                assert any(
+                    r.job == job and r.method == "cancel" and r.scope == self.owner(job)
+                    for r in self.requests
+                ), "a cancel of another scope has harmed the job"
             if key in before or key not in self.core.items:
                 continue
             submissions = [
-                r for r in self.requests if r.job == job and r.method == "submit"
+                r
+                for r in self.requests
+                if r.job == job and r.method == "submit" and r.scope == self.owner(job)
             ]
             assert any(
                 r.answer is None
@@ -150,6 +170,8 @@
             for cancel in self.requests:
                 if cancel.job != job or cancel.method != "cancel":
                     continue
+                if cancel.scope != self.owner(job):
+                    continue
                 if cancel.answer is None or (
                     cancel.answer.error is not ErrorKind.UNKNOWN_JOB
                 ):
@@ -164,29 +186,38 @@
         keys = {key for key in self.core.items if key != WITHDRAWALS_KEY}
         assert keys <= {f(job) for job in JOBS for f in (accepted_key, cancelled_key)}
 
-    def request(self, entry, method, job):
-        service = self.entries[entry].service
+    def request(self, entry, method, job, scope):
+        service, scope = self.entries[entry].service, self.scopes[scope]
         if method == "submit":
-            coroutine = service.submit(QUEUE, job, SPEC, SCOPE)
+            queue = replace(QUEUE, name=scope.queue)
+            coroutine = service.submit(queue, job, SPEC, scope)
         else:
-            coroutine = service.cancel(job, SCOPE)
+            coroutine = service.cancel(job, scope)
         task = self.loop.create_task(coroutine)
-        request = Request(method, job, task, self.step, self.clock.now)
+        request = Request(method, job, task, self.step, self.clock.now, scope)
         self.requests.append(request)
         self.entries[entry].requests.append(request)
         self.settle()
 
     entry_numbers = st.integers(0, ENTRIES - 1)
 
-    @rule(entry=entry_numbers, job=st.sampled_from(JOBS))
-    def submit(self, entry, job):
-        self.request(entry, "submit", job)
+    # Numbers of a scope; the machine with one scope takes the only one.
+    scope_numbers = st.sampled_from([0, -1])
 
-    @rule(entry=entry_numbers, job=st.sampled_from(JOBS), at_once=st.booleans())
-    def cancel(self, entry, job, at_once):
+    @rule(entry=entry_numbers, job=st.sampled_from(JOBS), scope=scope_numbers)
+    def submit(self, entry, job, scope):
+        self.request(entry, "submit", job, scope)
+
+    @rule(
+        entry=entry_numbers,
+        job=st.sampled_from(JOBS),
+        scope=scope_numbers,
+        at_once=st.booleans(),
+    )
+    def cancel(self, entry, job, scope, at_once):
         """Cancel a job; ``at_once`` carries out the calls that this makes."""
         earlier = list(self.gate.calls)
-        self.request(entry, "cancel", job)
+        self.request(entry, "cancel", job, scope)
         while at_once:
             sent = [
                 call
@@ -281,8 +312,16 @@
     monkeypatch.setattr(withdrawals, "MAX_CONFLICT_PAUSE_SECONDS", 0.0)
 
 
+class ScopesMachine(CancelMachine):
+    scopes: ClassVar = [
+        JobScope(QUEUE.name, WorkspaceName("v")),
+        JobScope(QUEUE.name, WorkspaceName("w")),
+    ]
+
+
 TestCancels = CancelMachine.TestCase
-TestCancels.settings = settings(
+TestCancelsInScopes = ScopesMachine.TestCase
+TestCancels.settings = TestCancelsInScopes.settings = settings(
     max_examples=EXAMPLES,
     stateful_step_count=STEPS,
     derandomize=True,
