--- a/tests/test_configuration_replica.py
+++ b/tests/test_configuration_replica.py
@@ -413,6 +413,31 @@
     await asyncio.gather(running, serving, return_exceptions=True)
 
 
+@pytest.mark.parametrize("store_failing", [True, False])
+async def test_entry_with_neither_store_nor_leader_asks_another_entry(
+    network, store_failing
+):
+    """It tried the address of a dead leader until the store was back."""
+    entry = PlatformEntry(settings(network.address(1, 1)), 1)
+    if store_failing:
+        entry.store.last_failure_at = entry.clock.monotonic() + 100.0
+    peer = PeerServer(network.address(1, 2), 7060, SlowPeer())
+    record = LeaderRecord(EntryId("new"), f"{network.address(1, 2)}:7060", 5)
+    peer.leader = (9, msgspec.msgpack.encode(record))
+    serving = asyncio.create_task(peer.run())
+    await asyncio.sleep(0.05)
+    former = LeaderRecord(EntryId("old"), f"{network.address(1, 3)}:7060", 5)
+    leadership = entry.leadership
+    leadership.entry_addresses = {EntryId("new"): record.address}
+    value = msgspec.msgpack.encode(former)
+    leadership.update_leader(Item(LEADER_KEY, value, Revision(8)))
+    leadership.leader_changed.clear()
+    await leadership.connect_to_leader(leadership.leader)
+    assert leadership.leader.record == (record if store_failing else former)
+    serving.cancel()
+    await asyncio.gather(serving, return_exceptions=True)
+
+
 class SlowPeer:
     """Answers calls only when told to."""
 
--- a/tests/test_job_scopes.py
+++ b/tests/test_job_scopes.py
@@ -199,6 +199,18 @@
     assert cancelled_key(JobId(JOB)) not in world.core.items
 
 
+@pytest.mark.parametrize("method", ["GET", "DELETE"])
+async def test_state_of_an_earlier_job_is_not_shown_to_the_owner_of_its_id(method):
+    """The mirror of an entry may hold a job whose records have been removed since."""
+    world = await World("a").accept()
+    world.core.delete(accepted_key(JobId(JOB)))
+    other = world.entry()
+    assert (await other.call("POST", "b"))[0] == 200
+    assert (await world.first.call(method, "a"))[0] == 410
+    assert (await world.first.call(method, "b"))[0] == 503
+    assert cancelled_key(JobId(JOB)) not in world.core.items
+
+
 @pytest.mark.parametrize("method", ["GET", "DELETE"])
 async def test_job_with_an_unreadable_record_has_no_known_owner(method):
     world = World("a")
