Limits, rates and shares of workspaces in the scheduler

The scheduler knew no workspaces, so one of them could fill all workers. A policy object now counts the runs of each workspace, says how many tasks its limit allows, and orders waiting jobs by rate and share. Without workspaces the order is unchanged.

--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -34,6 +34,7 @@
 from ..rejections import InputSource, Rejections
 from ..scheduling.controller import Controller
 from ..scheduling.overload import ForecastCache, decode_forecasts, encode_forecasts
+from ..scheduling.workspaces.policy import WorkspaceRules
 from ..servers import HttpServer, build_server, run_server
 from ..settings import Listener
 from ..supervisor import Supervisor, run_until_signal
@@ -147,6 +148,7 @@
             term, self.store, self.mirror, advisor, self.clock, self.rng, self.metrics,
             cloud, settings.status_retention_seconds, settings.capacity_valid_seconds,
             self.on_progress_stored, self.leadership.revision_clock,
+            WorkspaceRules(settings.has_limits, settings.rate_window_seconds),
         )  # fmt: skip
         self.job_watch.restart_from(self.mirror.complete_until)
         self.mirror.take_changes()
--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -271,6 +271,33 @@
     JOB_RECORDS_REMOVED = EventSpec(
         2501, _I, "records of finished jobs removed", "None."
     )
+    WORKSPACE_AT_LIMIT = EventSpec(
+        2620,
+        _I,
+        "tasks of a workspace wait for its limit",
+        "None; raise the limit if the workspace needs more.",
+    )
+    WORKSPACE_BELOW_LIMIT = EventSpec(
+        2621, _I, "tasks of a workspace no longer wait for its limit", "None."
+    )
+    WORKSPACE_OVER_RATE = EventSpec(
+        2622,
+        _I,
+        "workspace sends more jobs per second than its weight; the excess comes last",
+        "None; raise the weight if the workspace is entitled to more.",
+    )
+    WORKSPACE_WITHIN_RATE = EventSpec(
+        2623, _I, "workspace sends no more jobs per second than its weight", "None."
+    )
+    WORKSPACE_SHARE_EXHAUSTED = EventSpec(
+        2624,
+        _I,
+        "workspace uses its whole share of a service that is short of capacity",
+        "None; more VMs or a higher weight give it more.",
+    )
+    WORKSPACE_WITHIN_SHARE = EventSpec(
+        2625, _I, "no task of the workspace waits for its share any more", "None."
+    )
 
 
 # The absl logger takes the levels of the standard logging module.
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -33,6 +33,7 @@
 from .waiting import NOT_WAITING, WaitCause
 from .worker_directory import LEASE_EXTENSION_SECONDS, WorkerDirectory
 from .worker_link import WORKER_LEASE_SECONDS
+from .workspaces.policy import WorkspaceRules
 
 # Seconds between calls of the scheduler's time-dependent checks.
 TICK_INTERVAL_SECONDS = 0.1
@@ -67,6 +68,7 @@
         capacity_valid_seconds: float,
         on_stored: Callable[[], None],
         revision_clock: RevisionClock | None = None,
+        workspace_rules: WorkspaceRules | None = None,
     ) -> None:
         self.term = term
         self.store = store
@@ -76,7 +78,7 @@
         self.rng = rng
         self.metrics = metrics
         self.notify_stored = on_stored
-        self.scheduler = self._new_scheduler(capacity_valid_seconds)
+        self.scheduler = self._new_scheduler(capacity_valid_seconds, workspace_rules)
         self.committer = Committer(
             store, self.scheduler, term, clock, metrics, self._on_stored
         )
@@ -116,8 +118,10 @@
             self.mirror.rejections,
         )
 
-    def _new_scheduler(self, capacity_valid_seconds: float) -> Scheduler:
-        scheduler = Scheduler()
+    def _new_scheduler(
+        self, capacity_valid_seconds: float, rules: WorkspaceRules | None
+    ) -> Scheduler:
+        scheduler = Scheduler(rules)
         scheduler.on_worker_lost = self._count_lost_worker
         scheduler.on_job_given_up = self._count_job_given_up
         scheduler.max_entry_age_seconds = capacity_valid_seconds
@@ -183,9 +187,9 @@
         self.wake.set()
 
     def _abandon_job(self, job_id: JobId, mirrored: MirroredJob) -> None:
-        spec = mirrored.record.spec if mirrored.record is not None else None
-        unreadable = UnreadableJob(mirrored.cancelled, spec)
-        self.scheduler.abandon_job(job_id, unreadable)
+        self.scheduler.abandon_job(
+            job_id, UnreadableJob.of(mirrored.record, mirrored.cancelled)
+        )
 
     def _log_loaded(self, accepted: AcceptedJob) -> None:
         spec = accepted.spec
--- a/src/ebonyhub/scheduling/intake.py
+++ b/src/ebonyhub/scheduling/intake.py
@@ -11,6 +11,10 @@
 from .runs import Job, Run, RunPhase, StopReason, Worker
 from .state import SchedulerState
 
+# A job that ended longer ago has no runs that an earlier leader failed to stop: their
+# leases of 6 s have ended.
+LEFT_RUNS_MAX_AGE_MS = 30_000
+
 
 class JobIntake(SchedulerState):
     """Loads, cancels and finishes jobs."""
@@ -41,15 +45,16 @@
             arrived_at=now - min(age, 60.0),
         )
         self.jobs[accepted.job] = job
+        self.workspaces.job_accepted(job)
         if job.is_final:
+            if wall_ms - job.progress.finished_ms < LEFT_RUNS_MAX_AGE_MS:
+                self.workspaces.hold_for_unknown_runs(
+                    accepted.job, accepted.workspace, accepted.spec
+                )
             return
         job.next_due_occurrence = job.progress.next_occurrence
         self.active[accepted.job] = job
         self.services_to_plan.add(self.service_of(job))
-        if not accepted.spec.long_running:
-            meter = self.arrival_meters.setdefault(self.service_of(job), ArrivalMeter())
-            work = sum(step.core_seconds for step in accepted.spec.steps)
-            meter.add(job.arrived_at, work)
         for number, steps in job.progress.occurrences.items():
             if steps:
                 job.has_suspects |= any(
@@ -58,6 +63,10 @@
                 self._adopt_runs(job, number, now)
                 lifecycle.refresh_pending(job, number)
         lifecycle.start_due_occurrences(job, wall_ms)
+        if not accepted.spec.long_running:
+            meter = self.arrival_meters.setdefault(self.service_of(job), ArrivalMeter())
+            work = sum(step.core_seconds for step in accepted.spec.steps)
+            meter.add(job.arrived_at, work * self.workspaces.arriving_part(job))
         if cancelled:
             self.cancel(accepted.job, now, wall_ms)
 
@@ -120,6 +129,7 @@
     def close_job(self, job: Job, now: float, reason: StopReason) -> None:
         """Stop the runs of a job with a final state, and drop its scheduling state."""
         self.active.pop(job.job_id, None)
+        self.workspaces.job_closed(job.accepted)
         self.mark_dirty(job)
         for key in [k for k in self.advice if k[0] == job.job_id]:
             del self.advice[key]
--- a/src/ebonyhub/scheduling/isolation.py
+++ b/src/ebonyhub/scheduling/isolation.py
@@ -71,6 +71,11 @@
         count = len(quiet)
         waiting: list[SuspectedTasks] = []
         for tasks in suspected:
+            wanted = len(tasks.positions)
+            step = tasks.requirements.step
+            if not self.workspaces.tasks_allowed(tasks.job, step, wanted):
+                # A worker held for it would be kept from others for nothing.
+                continue
             assigned = count - len(quiet) < limit and self._assign_alone(
                 tasks, quiet, now
             )
--- a/src/ebonyhub/scheduling/order_results.py
+++ b/src/ebonyhub/scheduling/order_results.py
@@ -18,7 +18,7 @@
         """Order the planned starts whose records are stored.
 
         The decision may be seconds old by then, so the worker is checked again: it may
-        be leaving, or its capacity may have shrunk.
+        be leaving, or its capacity may have shrunk. So may the limit of the workspace.
         """
         waiting: list[Run] = []
         for run in self.planned_runs:
@@ -33,7 +33,8 @@
             if job.stored_version < run.job_version:
                 waiting.append(run)
                 continue
-            if not self.is_eligible(worker, now) or worker.is_overcommitted:
+            may_start = self.is_eligible(worker, now) and self.workspaces.may_order(run)
+            if not may_start or worker.is_overcommitted:
                 self.discard_run(run, worker)
                 continue
             run.phase = RunPhase.ORDERED
--- a/src/ebonyhub/scheduling/priority.py
+++ b/src/ebonyhub/scheduling/priority.py
@@ -15,6 +15,7 @@
 
 from ..configuration import Queue
 from .runs import Job
+from .workspaces.status import Standing
 
 # A service is oversubscribed if its waiting work would take longer than this on all its
 # cores. The objectives of the users' queues allow about this much waiting.
@@ -50,6 +51,29 @@
         return (self.rank, self.priority, self.not_started, self.value)
 
 
+def order_key(
+    urgency: Urgency, standing: Standing, lending_priority: int
+) -> tuple[bool, bool, int, int, bool, int, bool, float]:
+    """Return the sort key of a job in a deployment with workspaces.
+
+    Long-running jobs come first, then jobs within the rate of their workspace. A share
+    decides among jobs of equal rank and queue priority; what is left of it goes to the
+    workspace with the highest ``lending_priority``. If all jobs are within their
+    share, the order is that of ``Urgency.key``.
+    """
+    lent = standing is not Standing.WITHIN_SHARE
+    return (
+        urgency.rank is not Rank.LONG_RUNNING,
+        standing is Standing.OVER_RATE,
+        urgency.rank,
+        urgency.priority,
+        lent,
+        lending_priority if lent else 0,
+        urgency.not_started,
+        urgency.value,
+    )
+
+
 def remaining_critical_path_seconds(job: Job) -> float:
     """Return the estimated seconds of the critical path over the remaining steps."""
     return _remaining(job)[0]
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -12,8 +12,16 @@
 from ..configuration import Configuration, Queue
 from ..events import Event, log_event
 from ..fleet.demand import ArrivalMeter
-from ..ids import JobId, QueueName, ServiceName, TaskId, VmId, WorkerId
-from ..jobs.model import JobSpec
+from ..ids import (
+    JobId,
+    QueueName,
+    ServiceName,
+    TaskId,
+    VmId,
+    WorkerId,
+    WorkspaceName,
+)
+from ..jobs.model import AcceptedJob, JobSpec
 from . import lifecycle
 from .crashes import Crash
 from .health import FLEET_AVERAGE_WEIGHT, SlowdownAverage
@@ -21,6 +29,8 @@
 from .orders import Order, StopRun
 from .priority import Urgency, urgency
 from .runs import Job, Run, RunPhase, StopReason, Worker
+from .workspaces.policy import WorkspacePolicy, WorkspaceRules
+from .workspaces.usage import NO_WORKSPACE
 
 # Seconds without a response after which a worker gets no new tasks. Workers are polled
 # with long polls of one second.
@@ -63,12 +73,23 @@
     # Its runs are stopped then.
     cancelled: bool
     spec: JobSpec | None = None
+    # Empty also if the submission is not known.
+    workspace: WorkspaceName = NO_WORKSPACE
+
+    @classmethod
+    def of(cls, accepted: AcceptedJob | None, cancelled: bool) -> "UnreadableJob":
+        """Return what is known of a job; ``accepted`` is None without a submission."""
+        if accepted is None:
+            return cls(cancelled)
+        return cls(cancelled, accepted.spec, accepted.workspace)
 
 
 class SchedulerState:
     """Holds jobs, workers and runs, and the elementary operations on them."""
 
-    def __init__(self) -> None:
+    def __init__(self, workspace_rules: WorkspaceRules | None = None) -> None:
+        # Limits and shares of workspaces; told of each job and run.
+        self.workspaces = WorkspacePolicy(workspace_rules)
         # Includes queues removed from the configuration, since their jobs still run.
         self.queues: dict[QueueName, Queue] = {}
         self.jobs: dict[JobId, Job] = {}
@@ -124,6 +145,7 @@
     def configure(self, configuration: Configuration) -> None:
         """Apply a newer configuration."""
         self.queues.update(configuration.queues)
+        self.workspaces.configure(configuration.workspaces)
 
     def service_of(self, job: Job) -> ServiceName:
         """Return the service of the job's queue, or the stored one without a queue."""
@@ -153,7 +175,12 @@
     def abandon_job(self, job_id: JobId, unreadable: "UnreadableJob") -> None:
         """Forget a job that could not be loaded, but keep what workers run of it."""
         self.unreadable_jobs[job_id] = unreadable
-        self.active.pop(job_id, None)
+        job = self.active.pop(job_id, None)
+        if job is not None:
+            self.workspaces.job_closed(job.accepted)
+        self.workspaces.hold_for_unknown_runs(
+            job_id, unreadable.workspace, unreadable.spec
+        )
         self.remove_job(job_id)
 
     def may_stop_runs_of(self, job_id: JobId) -> bool:
@@ -186,6 +213,19 @@
             responded_at is not None and now - responded_at < RESPONSE_MAX_AGE_SECONDS
         )
 
+    def runs_are_known(self, now: float) -> bool:
+        """Return whether no worker runs anything that this leader does not know of.
+
+        The records name all runs of active jobs. Runs of ended jobs that an earlier
+        leader was about to stop are only known from the workers' reports.
+        """
+        if now > self.inherited_leases_until:
+            return True
+        return all(
+            worker.last_response_at is not None or worker.expired
+            for worker in self.workers.values()
+        )
+
     def is_eligible(self, worker: Worker, now: float) -> bool:
         """Return whether the worker may get new tasks."""
         return (
@@ -201,13 +241,24 @@
     def reserve_for_run(self, run: Run, worker: Worker) -> None:
         """Reserve capacity for a run on the worker."""
         worker.add(run)
+        workspace = self._workspace_of(run.task.job)
+        self.workspaces.run_reserved(run, worker.entry.service, workspace)
         if run.task.job in self.active:
             workers = self.workers_of_job.setdefault(run.task.job, {})
             workers[worker.worker_id] = None
 
+    def _workspace_of(self, job_id: JobId) -> WorkspaceName | None:
+        """Return the workspace of a job, None if the job is not known."""
+        job = self.jobs.get(job_id)
+        if job is not None:
+            return job.accepted.workspace
+        unreadable = self.unreadable_jobs.get(job_id)
+        return unreadable.workspace if unreadable is not None else None
+
     def release_run(self, run: Run, worker: Worker) -> None:
         """Release the capacity that a run has reserved on the worker."""
         worker.remove(run)
+        self.workspaces.run_released(run)
         self.services_to_plan.add(worker.entry.service)
 
     def discard_run(self, run: Run, worker: Worker) -> None:
--- a/src/ebonyhub/scheduling/views.py
+++ b/src/ebonyhub/scheduling/views.py
@@ -11,6 +11,7 @@
 from .priority import Rank, remaining_core_seconds
 from .runs import Job, Run, RunPhase, Worker
 from .state import SchedulerState
+from .workspaces.limits import WaitingClaims
 
 # Seconds within which the backlog of waiting tasks should be served.
 BACKLOG_DRAIN_SECONDS = 1.0
@@ -83,14 +84,22 @@
         running: dict[ServiceName, float] = {}
         waiting: dict[ServiceName, float] = {}
         spread: dict[ServiceName, int] = {}
-        for job in self.active.values():
+        claims = self.workspaces.start_demand()
+        jobs = list(self.active.values())
+        if self.workspaces.is_active:
+            # Long-running tasks start first, so they claim what limits leave first.
+            jobs.sort(key=lambda job: not job.accepted.spec.long_running)
+        for job in jobs:
             service = self.service_of(job)
-            for step in job.accepted.spec.steps:
+            allowed = _tasks_within_limit(job, claims)
+            for number, step in enumerate(job.accepted.spec.steps):
                 if step.long_running:
-                    cores = step.count * step.reserved.cpu / 1000
+                    count = step.count - _tasks_beyond_limit(job, number, allowed)
+                    cores = count * step.reserved.cpu / 1000
                     serving[service] = serving.get(service, 0.0) + cores
-                    spread[service] = max(spread.get(service, 0), _spread_vms(step))
-            cores_needed = _waiting_cores(job)
+                    vms = _spread_vms(step) if count else 0
+                    spread[service] = max(spread.get(service, 0), vms)
+            cores_needed = _waiting_cores(job, allowed)
             waiting[service] = waiting.get(service, 0.0) + cores_needed
         for worker in self.workers.values():
             cores = sum(
@@ -160,15 +169,44 @@
     return ceil(step.count / step.max_per_worker) if step.max_per_worker else 0
 
 
-def _waiting_cores(job: Job) -> float:
+def _tasks_within_limit(
+    job: Job, claims: WaitingClaims
+) -> dict[tuple[int, int], int] | None:
+    """Return how many ready tasks of each step the limit allows; None for all."""
+    workspace = job.accepted.workspace
+    if not workspace:
+        return None
+    steps = job.accepted.spec.steps
+    return {
+        key: claims.take(workspace, steps[key[1]].demand, len(positions))
+        for key, positions in job.pending.items()
+    }
+
+
+def _tasks_beyond_limit(
+    job: Job, number: int, allowed: dict[tuple[int, int], int] | None
+) -> int:
+    """Return how many ready tasks of a step have to wait for the limit."""
+    if allowed is None:
+        return 0
+    return sum(
+        len(positions) - allowed[key]
+        for key, positions in job.pending.items()
+        if key[1] == number
+    )
+
+
+def _waiting_cores(job: Job, allowed: dict[tuple[int, int], int] | None) -> float:
     """Return the cores needed to serve the job's ready tasks in BACKLOG_DRAIN_SECONDS.
 
-    A task shorter than that occupies its cores for only part of the time.
+    A task shorter than that occupies its cores for only part of the time. ``allowed``
+    is the result of ``_tasks_within_limit``.
     """
     cores = 0.0
-    for (_, number), positions in job.pending.items():
-        step = job.accepted.spec.steps[number]
+    for key, positions in job.pending.items():
+        step = job.accepted.spec.steps[key[1]]
         if not step.long_running:
             share = min(1.0, step.estimate_ms / 1000 / BACKLOG_DRAIN_SECONDS)
-            cores += len(positions) * step.reserved.cpu / 1000 * share
+            tasks = len(positions) if allowed is None else allowed[key]
+            cores += tasks * step.reserved.cpu / 1000 * share
     return cores
--- /dev/null
+++ b/src/ebonyhub/scheduling/workspaces/usage.py
@@ -0,0 +1,133 @@
+"""Resources that the runs of each workspace have reserved (pure)."""
+
+from dataclasses import dataclass
+
+from ...ids import JobId, ServiceName, TaskId, WorkerId, WorkspaceName
+from ...jobs.model import Resources
+from .limits import NOTHING
+
+# Worker, task and run number.
+RunKey = tuple[WorkerId, TaskId, int]
+
+# Of jobs that have no workspace, and of unknown jobs.
+NO_WORKSPACE = WorkspaceName("")
+
+
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """What one run has reserved."""
+
+    workspace: WorkspaceName
+    service: ServiceName
+    amount: Resources
+
+
+class UsageLedger:
+    """Sums up reservations by workspace, over all services and for each of them."""
+
+    def __init__(self) -> None:
+        self._runs: dict[RunKey, Reservation] = {}
+        self._used: dict[WorkspaceName, Resources] = {}
+        self._run_counts: dict[WorkspaceName, int] = {}
+        self._used_in: dict[ServiceName, dict[WorkspaceName, Resources]] = {}
+        # Runs of jobs that were not known when the run was added.
+        self._unknown: dict[JobId, set[RunKey]] = {}
+        # What runs of jobs may have in use that no worker has reported yet.
+        self._held: dict[JobId, tuple[WorkspaceName, Resources]] = {}
+
+    def add(
+        self,
+        key: RunKey,
+        service: ServiceName,
+        workspace: WorkspaceName | None,
+        amount: Resources,
+    ) -> None:
+        """Count a run in place of an earlier entry of it.
+
+        ``workspace`` is None if the job is not known.
+        """
+        self.remove(key)
+        if workspace is None:
+            self._unknown.setdefault(key[1].job, set()).add(key)
+            workspace = NO_WORKSPACE
+        self._runs[key] = Reservation(workspace, service, amount)
+        self._count(workspace, service, amount, 1)
+
+    def remove(self, key: RunKey) -> None:
+        """Stop counting a run; does nothing if it is not counted."""
+        reservation = self._runs.pop(key, None)
+        if reservation is None:
+            return
+        amount = NOTHING - reservation.amount
+        self._count(reservation.workspace, reservation.service, amount, -1)
+        unknown = self._unknown.get(key[1].job)
+        if unknown is not None:
+            unknown.discard(key)
+            if not unknown:
+                del self._unknown[key[1].job]
+
+    def _count(
+        self,
+        workspace: WorkspaceName,
+        service: ServiceName,
+        amount: Resources,
+        runs: int,
+    ) -> None:
+        self._used[workspace] = self._used.get(workspace, NOTHING) + amount
+        self._run_counts[workspace] = self._run_counts.get(workspace, 0) + runs
+        used_in = self._used_in.setdefault(service, {})
+        used_in[workspace] = used_in.get(workspace, NOTHING) + amount
+
+    def attribute(self, job: JobId, workspace: WorkspaceName) -> None:
+        """Count the runs of a job, which was not known before, for its workspace."""
+        for key in self._unknown.pop(job, ()):
+            reservation = self._runs[key]
+            self.add(key, reservation.service, workspace, reservation.amount)
+
+    def hold(self, job: JobId, workspace: WorkspaceName, amount: Resources) -> None:
+        """Count what a job's unknown runs may use, until ``release_held``."""
+        self.remove_held(job)
+        self._held[job] = (workspace, amount)
+        self._used[workspace] = self._used.get(workspace, NOTHING) + amount
+
+    def remove_held(self, job: JobId) -> None:
+        """Stop counting what is held for one job."""
+        held = self._held.pop(job, None)
+        if held is not None:
+            workspace, amount = held
+            self._used[workspace] = self._used[workspace] - amount
+
+    def release_held(self) -> None:
+        """Stop counting what is held: all runs that exist are known."""
+        for job in list(self._held):
+            self.remove_held(job)
+
+    @property
+    def holds_any(self) -> bool:
+        """Return whether anything is held."""
+        return bool(self._held)
+
+    def used(self, workspace: WorkspaceName) -> Resources:
+        """Return what a workspace uses over all services, including what is held."""
+        return self._used.get(workspace, NOTHING)
+
+    def run_count(self, workspace: WorkspaceName) -> int:
+        """Return the number of runs of a workspace."""
+        return self._run_counts.get(workspace, 0)
+
+    def used_in(self, service: ServiceName, workspace: WorkspaceName) -> Resources:
+        """Return what a workspace uses on the workers of a service."""
+        return self._used_in.get(service, {}).get(workspace, NOTHING)
+
+    def users_of(self, service: ServiceName) -> dict[WorkspaceName, Resources]:
+        """Return what each workspace uses on the workers of a service."""
+        return self._used_in.get(service, {})
+
+    def workspace_of(self, key: RunKey) -> WorkspaceName:
+        """Return the workspace for which a run counts."""
+        reservation = self._runs.get(key)
+        return reservation.workspace if reservation else NO_WORKSPACE
+
+    def workspaces(self) -> list[WorkspaceName]:
+        """Return the workspaces that have runs."""
+        return [name for name, count in self._run_counts.items() if name and count]
