Keep workers for waiting tasks that come first; no VM minimum for work over the rate

Workers are now kept for waiting tasks of better standing, and work over the rate gets only VMs that no pool needs.

--- a/src/ebonyhub/fleet/demand.py
+++ b/src/ebonyhub/fleet/demand.py
@@ -31,6 +31,9 @@
     previous_arriving_cores: float = 0.0
     # VMs that a long-running step requires by its limit of tasks per worker.
     min_vms: int = 0
+    # Held or required by jobs beyond the rate of their workspace: worth VMs that no
+    # other pool needs.
+    over_rate_cores: float = 0.0
 
     @property
     def cores(self) -> float:
--- a/src/ebonyhub/fleet/sizing.py
+++ b/src/ebonyhub/fleet/sizing.py
@@ -87,7 +87,13 @@
             required = ceil(demand.cores * HEADROOM_FACTOR / cores_per_vm(pool))
             recent_peak = state.record_target(now, required)
             self._update_surge(state, recent_peak, list(active.values()))
-            desired = max(recent_peak, self._reserve_size(state))
+            with_over_rate = ceil(
+                (demand.cores + demand.over_rate_cores)
+                * HEADROOM_FACTOR
+                / cores_per_vm(pool)
+            )
+            reserve = self._reserve_size(state)
+            desired = max(recent_peak, reserve, with_over_rate)
             minimum = max(required, min(MIN_POOL_VMS, self.even_share), demand.min_vms)
             targets[pool] = PoolTarget(minimum, max(desired, minimum))
         return targets
--- a/src/ebonyhub/scheduling/intake.py
+++ b/src/ebonyhub/scheduling/intake.py
@@ -1,7 +1,6 @@
 """Loads jobs from their stored records, cancels them and ends them."""
 
 from ..events import Event, log_event
-from ..fleet.demand import ArrivalMeter
 from ..ids import JobId, ServiceName, TaskId, VmId
 from ..jobs.model import AcceptedJob, Resources
 from ..jobs.records import JobState, ProgressRecord
@@ -64,9 +63,9 @@
                 lifecycle.refresh_pending(job, number)
         lifecycle.start_due_occurrences(job, wall_ms)
         if not accepted.spec.long_running:
-            meter = self.arrival_meters.setdefault(self.service_of(job), ArrivalMeter())
             work = sum(step.core_seconds for step in accepted.spec.steps)
-            meter.add(job.arrived_at, work * self.workspaces.arriving_part(job))
+            part = self.workspaces.arriving_part(job)
+            self.uncounted_arrivals.append((job, work * part))
         if cancelled:
             self.cancel(accepted.job, now, wall_ms)
 
--- a/src/ebonyhub/scheduling/planning.py
+++ b/src/ebonyhub/scheduling/planning.py
@@ -1,12 +1,11 @@
 """Chooses workers for ready tasks."""
 
-from collections.abc import Container, Iterator, Mapping
-from heapq import heapify, heappop, heappush
+from collections.abc import Container, Iterable, Mapping
 
 from ..events import log_event
 from ..ids import ServiceName
 from . import lifecycle
-from .isolation import IsolatedStarts
+from .kept_workers import OpenWorkers
 from .placement import (
     StepRequirements,
     best_fit_order,
@@ -15,17 +14,14 @@
     has_capacity,
     meets_constraints,
 )
-from .priority import is_oversubscribed, order_key
+from .priority import is_oversubscribed
 from .runs import Job, Worker
+from .share_order import ShareOrder
 from .waiting import Waiting, waiting_of
-from .workspaces.assessment import ServiceLoad
 from .workspaces.status import Standing
 
-# Sort key of a job in the order of waiting jobs, see ``order_key``.
-Key = tuple[bool, bool, int, int, bool, int, bool, float]
 
-
-class Planning(IsolatedStarts):
+class Planning(ShareOrder):
     """Assigns ready tasks to workers, the most urgent jobs first."""
 
     def plan_changed(self, now: float) -> None:
@@ -71,99 +67,42 @@
         service = workers[0].entry.service
         eligible_cores = sum(worker.entry.capacity.cpu for worker in workers) / 1000
         cores = max(eligible_cores, self.pool_cores.get(service, 0.0))
-        oversubscribed = False
-        if self.workspaces.is_active:
-            self._assess(service, jobs, workers, cores, now)
+        has_workspaces = self.workspaces.is_active
+        if has_workspaces:
+            self.assess_service(service, jobs, workers, cores, now)
+            oversubscribed = False
         else:
             oversubscribed = is_oversubscribed(jobs, cores)
         workers = self.plan_suspects(service, jobs, workers, now)
-        max_free_millicores = max_free_cpu(workers)
-        candidates = [job for job in jobs if job.min_pending_cpu <= max_free_millicores]
+        everywhere = OpenWorkers(workers)
+        max_free = everywhere.max_free(len(self.planned_runs))
+        candidates = [job for job in jobs if job.min_pending_cpu <= max_free]
         smallest = min((job.min_pending_cpu for job in candidates), default=0)
-        for job in self._in_order(service, candidates, oversubscribed, now):
-            if smallest > max_free_millicores:
+        ordered: Iterable[tuple[Job, OpenWorkers]]
+        if has_workspaces:
+            ordered = self.in_order_of_shares(
+                service, jobs, candidates, everywhere, now
+            )
+        else:
+            in_order = self._in_order(candidates, oversubscribed, now)
+            ordered = ((job, everywhere) for job in in_order)
+        for job, allowed in ordered:
+            starts = len(self.planned_runs)
+            if smallest > everywhere.max_free(starts):
                 break
-            if job.min_pending_cpu <= max_free_millicores:
-                planned_before = len(self.planned_runs)
-                self._plan_job(job, workers, now)
-                if len(self.planned_runs) > planned_before:
-                    max_free_millicores = max_free_cpu(workers)
-
-    def _assess(
-        self,
-        service: ServiceName,
-        jobs: list[Job],
-        workers: list[Worker],
-        cores: float,
-        now: float,
-    ) -> None:
-        """Let the workspaces' shares of the service be computed when they are due."""
-        if self.workspaces.is_assessed(service, now):
-            return
-        available = {worker.worker_id for worker in workers}
-        unavailable = [
-            worker
-            for worker in self.workers.values()
-            if worker.runs
-            and worker.entry.service == service
-            and worker.worker_id not in available
-        ]
-        load = ServiceLoad(service, jobs, workers, unavailable, cores)
-        self.workspaces.assess(load, now)
+            if job.min_pending_cpu <= allowed.max_free(starts):
+                self._plan_job(job, allowed.workers, now)
 
     def _in_order(
-        self,
-        service: ServiceName,
-        candidates: list[Job],
-        oversubscribed: bool,
-        now: float,
-    ) -> Iterator[Job]:
-        """Yield the candidates among the service's jobs, the most urgent first."""
-        if self.workspaces.is_active:
-            yield from self._in_order_of_shares(service, candidates, now)
-            return
+        self, candidates: list[Job], oversubscribed: bool, now: float
+    ) -> list[Job]:
+        """Return the candidates, the most urgent first."""
         candidates.sort(
             key=lambda job: (
                 self.urgency(job, self.queues.get(job.queue), now, oversubscribed).key
             )
         )
-        yield from candidates
-
-    def _in_order_of_shares(
-        self, service: ServiceName, candidates: list[Job], now: float
-    ) -> Iterator[Job]:
-        """Yield the jobs that limits let start, in the order of ``order_key``.
-
-        The starts of the pass use up shares, so a job whose workspace has none left
-        takes its new place in the order, also if some of its tasks were started.
-        """
-        policy = self.workspaces
-        waiting: list[tuple[Key, int, Standing, Job]] = []
-        for number, job in enumerate(candidates):
-            if policy.may_start(job):
-                standing = policy.standing(job, service)
-                key = self._order_key(service, job, standing, now)
-                waiting.append((key, number, standing, job))
-        heapify(waiting)
-        while waiting:
-            _, number, standing, job = heappop(waiting)
-            if not policy.may_start(job):
-                continue
-            if policy.standing(job, service) is standing:
-                yield job
-                if not job.pending or policy.standing(job, service) is standing:
-                    continue
-            standing = policy.standing(job, service)
-            key = self._order_key(service, job, standing, now)
-            heappush(waiting, (key, number, standing, job))
-
-    def _order_key(
-        self, service: ServiceName, job: Job, standing: Standing, now: float
-    ) -> Key:
-        policy = self.workspaces
-        oversubscribed = policy.is_oversubscribed(service, standing)
-        urgency = self.urgency(job, self.queues.get(job.queue), now, oversubscribed)
-        return order_key(urgency, standing, policy.lending_priority(job))
+        return candidates
 
     def _plan_job(self, job: Job, workers: list[Worker], now: float) -> None:
         service = self.service_of(job)
@@ -246,8 +185,3 @@
             )
             for service, service_jobs in jobs.items()
         }
-
-
-def max_free_cpu(workers: list[Worker]) -> int:
-    """Return the most free CPU of one worker in thousandths of a core, -1 for none."""
-    return max((worker.free.cpu for worker in workers), default=-1)
--- /dev/null
+++ b/src/ebonyhub/scheduling/share_order.py
@@ -0,0 +1,142 @@
+"""Order of waiting jobs where there are workspaces, and the workers they may use."""
+
+from collections.abc import Iterator
+from heapq import heapify, heappop, heappush
+
+from ..ids import ServiceName, WorkerId
+from .isolation import IsolatedStarts
+from .kept_workers import (
+    KeptWorkers,
+    OpenWorkers,
+    Precedence,
+    WaitingTasks,
+    choose_kept_workers,
+)
+from .priority import Rank, Urgency, order_key
+from .runs import Job, Worker
+from .workspaces.assessment import ServiceLoad
+from .workspaces.status import Standing
+
+# Sort key of a job, see ``order_key``.
+Key = tuple[bool, bool, int, int, bool, int, bool, float]
+
+
+class ShareOrder(IsolatedStarts):
+    """Yields waiting jobs by rate, rank and share."""
+
+    def assess_service(
+        self,
+        service: ServiceName,
+        jobs: list[Job],
+        workers: list[Worker],
+        cores: float,
+        now: float,
+    ) -> None:
+        """Let the workspaces' shares of the service be computed when they are due."""
+        if self.workspaces.is_assessed(service, now):
+            return
+        available = {worker.worker_id for worker in workers}
+        unavailable = [
+            worker
+            for worker in self.workers.values()
+            if worker.runs
+            and worker.entry.service == service
+            and worker.worker_id not in available
+        ]
+        load = ServiceLoad(service, jobs, workers, unavailable, cores)
+        self.workspaces.assess(load, now)
+
+    def in_order_of_shares(
+        self,
+        service: ServiceName,
+        jobs: list[Job],
+        candidates: list[Job],
+        workers: OpenWorkers,
+        now: float,
+    ) -> Iterator[tuple[Job, OpenWorkers]]:
+        """Yield the candidates that limits let start, each with its workers.
+
+        The starts of the pass use up shares, so a job whose workspace has none left
+        takes its new place in the order, also if some of its tasks were started.
+        """
+        policy = self.workspaces
+        waiting: list[tuple[Key, int, Standing, Job]] = []
+        for number, job in enumerate(candidates):
+            if policy.may_start(job):
+                standing = policy.standing(job, service)
+                key = self._order_key(service, job, standing, now)
+                waiting.append((key, number, standing, job))
+        heapify(waiting)
+        open_workers: dict[frozenset[WorkerId], OpenWorkers] = {frozenset(): workers}
+        while waiting:
+            key, number, standing, job = heappop(waiting)
+            if not policy.may_start(job):
+                continue
+            if policy.standing(job, service) is standing:
+                kept: frozenset[WorkerId] = frozenset()
+                if standing is not Standing.WITHIN_SHARE:
+                    choice = self._kept_workers(service, jobs, workers.workers, now)
+                    kept = choice.kept_from(standing, Rank(key[2]))
+                if kept not in open_workers:
+                    free = [w for w in workers.workers if w.worker_id not in kept]
+                    open_workers[kept] = OpenWorkers(free)
+                yield job, open_workers[kept]
+                if not job.pending or policy.standing(job, service) is standing:
+                    continue
+            standing = policy.standing(job, service)
+            key = self._order_key(service, job, standing, now)
+            heappush(waiting, (key, number, standing, job))
+
+    def _order_key(
+        self, service: ServiceName, job: Job, standing: Standing, now: float
+    ) -> Key:
+        urgency = self._urgency(service, job, standing, now)
+        return order_key(urgency, standing, self.workspaces.lending_priority(job))
+
+    def _urgency(
+        self, service: ServiceName, job: Job, standing: Standing, now: float
+    ) -> Urgency:
+        oversubscribed = self.workspaces.is_oversubscribed(service, standing)
+        return self.urgency(job, self.queues.get(job.queue), now, oversubscribed)
+
+    def _kept_workers(
+        self, service: ServiceName, jobs: list[Job], workers: list[Worker], now: float
+    ) -> KeptWorkers:
+        """Return the workers that are kept for jobs that come before others."""
+        kept = self.kept_workers.get(service)
+        if kept is None or not kept.is_recent(now):
+            waiting = self._waiting_tasks(service, jobs, workers, now)
+            kept = choose_kept_workers(waiting, workers, now)
+            self.kept_workers[service] = kept
+        return kept
+
+    def _waiting_tasks(
+        self, service: ServiceName, jobs: list[Job], workers: list[Worker], now: float
+    ) -> dict[Precedence, list[WaitingTasks]]:
+        """Return the ready tasks of jobs within their rates that limits let start.
+
+        Ends early once they need all workers.
+        """
+        policy = self.workspaces
+        waiting: dict[Precedence, list[WaitingTasks]] = {}
+        needed, most = 0, sum(worker.entry.capacity.cpu for worker in workers)
+        for job in jobs:
+            standing = policy.standing(job, service)
+            if standing is Standing.OVER_RATE or not job.pending:
+                continue
+            urgency = self._urgency(service, job, standing, now)
+            precedence = Precedence.of(standing, urgency.rank)
+            for (occurrence, number), positions in job.pending.items():
+                step = job.accepted.spec.steps[number]
+                count = policy.tasks_allowed(job, step, len(positions))
+                requirements = self.requirements_of(
+                    job, occurrence, number, workers, now
+                )
+                if count and requirements is not None:
+                    tasks = WaitingTasks(requirements, count)
+                    waiting.setdefault(precedence, []).append(tasks)
+                    if precedence is Precedence.WITHIN_SHARE_IN_TIME:
+                        needed += count * step.reserved.cpu
+            if needed > most:
+                break
+        return waiting
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -25,6 +25,7 @@
 from . import lifecycle
 from .crashes import Crash
 from .health import FLEET_AVERAGE_WEIGHT, SlowdownAverage
+from .kept_workers import KeptWorkers
 from .losses import LossCause
 from .orders import Order, StopRun
 from .priority import Urgency, urgency
@@ -116,6 +117,9 @@
         # Run time relative to the estimate, averaged over all workers.
         self.fleet_slowdown = SlowdownAverage(FLEET_AVERAGE_WEIGHT)
         self.arrival_meters: dict[ServiceName, ArrivalMeter] = {}
+        # Loaded jobs with the core-seconds that are yet to be added to the meters. Not
+        # before all jobs are loaded is it known which of them are within their rates.
+        self.uncounted_arrivals: list[tuple[Job, float]] = []
         # Workers on which an active job has had runs, as an ordered set, so that ending
         # a job need not search all workers.
         self.workers_of_job: dict[JobId, dict[WorkerId, None]] = {}
@@ -139,6 +143,8 @@
         self.crashes: deque[Crash] = deque(maxlen=MAX_CRASHES)
         # Workers on which no task starts until a suspected task can start there alone.
         self.held_workers: dict[ServiceName, set[WorkerId]] = {}
+        # Workers kept for waiting tasks that come before those of other workspaces.
+        self.kept_workers: dict[ServiceName, KeptWorkers] = {}
         # VMs about to be moved or put into maintenance; their workers get no new tasks.
         self.cordoned_vms: set[VmId] = set()
 
--- a/src/ebonyhub/scheduling/views.py
+++ b/src/ebonyhub/scheduling/views.py
@@ -3,9 +3,9 @@
 from collections.abc import Mapping
 from math import ceil
 
-from ..fleet.demand import Demand
+from ..fleet.demand import ArrivalMeter, Demand
 from ..fleet.model import FleetLoad, VmLoad
-from ..ids import PoolName, ServiceName, VmId, WorkerId
+from ..ids import JobId, PoolName, ServiceName, VmId, WorkerId
 from ..jobs.model import Resources, StepSpec
 from .overload import BacklogJob, Forecast, build_forecast
 from .priority import Rank, remaining_core_seconds
@@ -83,7 +83,9 @@
         serving: dict[ServiceName, float] = {}
         running: dict[ServiceName, float] = {}
         waiting: dict[ServiceName, float] = {}
+        over_rate: dict[ServiceName, float] = {}
         spread: dict[ServiceName, int] = {}
+        self._count_arrivals()
         claims = self.workspaces.start_demand()
         jobs = list(self.active.values())
         if self.workspaces.is_active:
@@ -91,7 +93,8 @@
             jobs.sort(key=lambda job: not job.accepted.spec.long_running)
         for job in jobs:
             service = self.service_of(job)
-            allowed = _tasks_within_limit(job, claims)
+            has_workspace = bool(job.accepted.workspace)
+            allowed = _tasks_within_limit(job, claims) if has_workspace else None
             for number, step in enumerate(job.accepted.spec.steps):
                 if step.long_running:
                     count = step.count - _tasks_beyond_limit(job, number, allowed)
@@ -100,17 +103,20 @@
                     vms = _spread_vms(step) if count else 0
                     spread[service] = max(spread.get(service, 0), vms)
             cores_needed = _waiting_cores(job, allowed)
-            waiting[service] = waiting.get(service, 0.0) + cores_needed
+            by_service = over_rate if self._is_over_rate(job.job_id) else waiting
+            by_service[service] = by_service.get(service, 0.0) + cores_needed
         for worker in self.workers.values():
-            cores = sum(
-                run.reserved.cpu / 1000
-                for run in worker.runs.values()
-                if not run.step.long_running
-            )
             service = worker.entry.service
+            runs = [run for run in worker.runs.values() if not run.step.long_running]
+            if self.workspaces.is_active:
+                beyond = [run for run in runs if self._is_over_rate(run.task.job)]
+                runs = [run for run in runs if not self._is_over_rate(run.task.job)]
+                cores = sum(run.reserved.cpu / 1000 for run in beyond)
+                over_rate[service] = over_rate.get(service, 0.0) + cores
+            cores = sum(run.reserved.cpu / 1000 for run in runs)
             running[service] = running.get(service, 0.0) + cores
         demands_by_pool: dict[PoolName, Demand] = {}
-        for service in {*serving, *running, *waiting, *self.arrival_meters}:
+        for service in {*serving, *running, *waiting, *over_rate, *self.arrival_meters}:
             meter = self.arrival_meters.get(service)
             arriving, arrived_before = meter.rates(now) if meter else (0.0, 0.0)
             demands_by_pool[PoolName(service)] = Demand(
@@ -120,9 +126,23 @@
                 arriving,
                 arrived_before,
                 spread.get(service, 0),
+                over_rate.get(service, 0.0),
             )
         return demands_by_pool
 
+    def _count_arrivals(self) -> None:
+        """Add the work that has arrived within the rates to the meters."""
+        arrivals, self.uncounted_arrivals = self.uncounted_arrivals, []
+        for job, work in arrivals:
+            service = self.service_of(job)
+            meter = self.arrival_meters.setdefault(service, ArrivalMeter())
+            if not self._is_over_rate(job.job_id):
+                meter.add(job.arrived_at, work)
+
+    def _is_over_rate(self, job_id: JobId) -> bool:
+        """Return whether the job is beyond the rate of its workspace."""
+        return self.workspaces.is_active and self.workspaces.rates.is_over(job_id)
+
 
 def _add_load(load: VmLoad, worker: Worker, now: float) -> VmLoad:
     """Return ``load`` plus the runs of one more worker of the VM."""
@@ -169,16 +189,11 @@
     return ceil(step.count / step.max_per_worker) if step.max_per_worker else 0
 
 
-def _tasks_within_limit(
-    job: Job, claims: WaitingClaims
-) -> dict[tuple[int, int], int] | None:
-    """Return how many ready tasks of each step the limit allows; None for all."""
-    workspace = job.accepted.workspace
-    if not workspace:
-        return None
+def _tasks_within_limit(job: Job, claims: WaitingClaims) -> dict[tuple[int, int], int]:
+    """Return how many ready tasks of each step the workspace's limit allows."""
     steps = job.accepted.spec.steps
     return {
-        key: claims.take(workspace, steps[key[1]].demand, len(positions))
+        key: claims.take(job.accepted.workspace, steps[key[1]].demand, len(positions))
         for key, positions in job.pending.items()
     }
 
@@ -200,7 +215,7 @@
     """Return the cores needed to serve the job's ready tasks in BACKLOG_DRAIN_SECONDS.
 
     A task shorter than that occupies its cores for only part of the time. ``allowed``
-    is the result of ``_tasks_within_limit``.
+    is the result of ``_tasks_within_limit``, or None for all tasks.
     """
     cores = 0.0
     for key, positions in job.pending.items():
--- a/standins/replayed_fleet.py
+++ b/standins/replayed_fleet.py
@@ -28,12 +28,14 @@
     ServiceName,
     VmId,
     WorkerId,
+    WorkspaceName,
 )
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec
 from ebonyhub.scheduling.model import OrderFailure, RunOutcome, StartOrder
 from ebonyhub.scheduling.orders import FetchReport, StartRun, StopRun, ThrottleRun
 from ebonyhub.scheduling.overload import usefulness_overrun_seconds
 from ebonyhub.scheduling.scheduler import Scheduler
+from ebonyhub.scheduling.workspaces.usage import NO_WORKSPACE
 from standins.fake_worker import FakeWorker
 
 STEP_SECONDS = 0.02
@@ -70,6 +72,7 @@
     at: float
     queue: QueueName
     steps: tuple[RecordedStep, ...]
+    workspace: WorkspaceName = NO_WORKSPACE
 
     @property
     def critical_path_seconds(self) -> float:
@@ -342,8 +345,9 @@
         job_id = JobId(f"{number:016x}")
         self.recorded[job_id] = job
         accepted = AcceptedJob(
-            job_id, job.queue, queue.service, 3, int(self.now * 1000), spec
-        )
+            job_id, job.queue, queue.service, 3, int(self.now * 1000), spec,
+            job.workspace,
+        )  # fmt: skip
         self.open_jobs[job_id] = (outcome, self.now)
         self.scheduler.load_job(accepted, None, False, self.now, int(self.now * 1000))
 
