--- a/src/ebonyhub/scheduling/kept_workers.py
+++ b/src/ebonyhub/scheduling/kept_workers.py
@@ -13,13 +13,12 @@
 from .placement import StepRequirements, meets_constraints
 from .priority import Rank
 from .runs import Worker
+from .workspaces.assessment import valid_seconds
 from .workspaces.status import Standing
 
 # Capacity of the kept workers relative to what the waiting tasks need. The runs that
 # occupy them end one after the other, so with more workers the tasks start sooner.
 KEPT_FACTOR = 3.0
-# Seconds for which a choice of workers is used.
-KEPT_SECONDS = 0.1
 
 
 class Precedence(IntEnum):
@@ -68,12 +67,14 @@
 class KeptWorkers:
     """The workers of a service that are kept for each class and those before it."""
 
-    chosen_at: float = float("-inf")
+    chosen_at: float
+    # Number of jobs that were looked at for the choice.
+    waiting_jobs: int
     by_class: dict[Precedence, frozenset[WorkerId]] = field(default_factory=dict)
 
     def is_recent(self, now: float) -> bool:
         """Return whether the choice may still be used."""
-        return 0.0 <= now - self.chosen_at < KEPT_SECONDS
+        return 0.0 <= now - self.chosen_at < valid_seconds(self.waiting_jobs)
 
     def kept_from(self, standing: Standing, rank: Rank) -> frozenset[WorkerId]:
         """Return the workers on which a job must not start."""
@@ -96,9 +97,12 @@
 
 
 def choose_kept_workers(
-    waiting: dict[Precedence, list[WaitingTasks]], workers: Sequence[Worker], now: float
-) -> KeptWorkers:
-    """Choose workers for the waiting tasks, those with the most free capacity first."""
+    waiting: dict[Precedence, list[WaitingTasks]], workers: Sequence[Worker]
+) -> dict[Precedence, frozenset[WorkerId]]:
+    """Choose workers for the waiting tasks, those with the most free capacity first.
+
+    The workers of a class include those of the classes before it.
+    """
     ranked = sorted(workers, key=lambda worker: -worker.free.cpu)
     unused = {w.worker_id: _capacity_without_long_runs(w) for w in workers}
     kept: set[WorkerId] = set()
@@ -109,7 +113,7 @@
                 break
             _keep_for(tasks, ranked, unused, kept)
         by_class[precedence] = frozenset(kept)
-    return KeptWorkers(now, by_class)
+    return by_class
 
 
 def _keep_for(
--- a/src/ebonyhub/scheduling/share_order.py
+++ b/src/ebonyhub/scheduling/share_order.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from heapq import heapify, heappop, heappush
 
-from ..ids import ServiceName, WorkerId
+from ..ids import ServiceName, WorkerId, WorkspaceName
 from .isolation import IsolatedStarts
 from .kept_workers import (
     KeptWorkers,
@@ -15,6 +15,7 @@
 from .priority import Rank, Urgency, order_key
 from .runs import Job, Worker
 from .workspaces.assessment import ServiceLoad
+from .workspaces.limits import Room
 from .workspaces.status import Standing
 
 # Sort key of a job, see ``order_key``.
@@ -60,17 +61,12 @@
         takes its new place in the order, also if some of its tasks were started.
         """
         policy = self.workspaces
-        waiting: list[tuple[Key, int, Standing, Job]] = []
-        for number, job in enumerate(candidates):
-            if policy.may_start(job):
-                standing = policy.standing(job, service)
-                key = self._order_key(service, job, standing, now)
-                waiting.append((key, number, standing, job))
+        waiting = self._candidate_keys(service, candidates, now)
         heapify(waiting)
         open_workers: dict[frozenset[WorkerId], OpenWorkers] = {frozenset(): workers}
         while waiting:
             key, number, standing, job = heappop(waiting)
-            if not policy.may_start(job):
+            if not policy.may_start(job, policy.room_of(job.accepted.workspace)):
                 continue
             if policy.standing(job, service) is standing:
                 kept: frozenset[WorkerId] = frozenset()
@@ -87,11 +83,37 @@
             key = self._order_key(service, job, standing, now)
             heappush(waiting, (key, number, standing, job))
 
+    def _candidate_keys(
+        self, service: ServiceName, candidates: list[Job], now: float
+    ) -> list[tuple[Key, int, Standing, Job]]:
+        """Return the candidates that limits let start, with their sort keys."""
+        policy, is_over = self.workspaces, self.workspaces.rates.is_over
+        known: dict[WorkspaceName, tuple[Room | None, Standing]] = {}
+        waiting: list[tuple[Key, int, Standing, Job]] = []
+        for number, job in enumerate(candidates):
+            name = job.accepted.workspace
+            if name not in known:
+                room = policy.room_of(name)
+                known[name] = (room, policy.share_standing(name, service))
+            room, standing = known[name]
+            if not policy.may_start(job, room):
+                continue
+            if is_over(job.job_id):
+                standing = Standing.OVER_RATE
+            key = self._order_key(service, job, standing, now)
+            waiting.append((key, number, standing, job))
+        return waiting
+
     def _order_key(
         self, service: ServiceName, job: Job, standing: Standing, now: float
     ) -> Key:
         urgency = self._urgency(service, job, standing, now)
-        return order_key(urgency, standing, self.workspaces.lending_priority(job))
+        return order_key(urgency, standing, self._lending_priority(job, standing))
+
+    def _lending_priority(self, job: Job, standing: Standing) -> int:
+        if standing is Standing.WITHIN_SHARE:
+            return 0
+        return self.workspaces.lending_priority(job.accepted.workspace)
 
     def _urgency(
         self, service: ServiceName, job: Job, standing: Standing, now: float
@@ -106,7 +128,7 @@
         kept = self.kept_workers.get(service)
         if kept is None or not kept.is_recent(now):
             waiting = self._waiting_tasks(service, jobs, workers, now)
-            kept = choose_kept_workers(waiting, workers, now)
+            kept = KeptWorkers(now, len(jobs), choose_kept_workers(waiting, workers))
             self.kept_workers[service] = kept
         return kept
 
@@ -120,10 +142,11 @@
         policy = self.workspaces
         waiting: dict[Precedence, list[WaitingTasks]] = {}
         needed, most = 0, sum(worker.entry.capacity.cpu for worker in workers)
+        is_over = policy.rates.is_over
         for job in jobs:
-            standing = policy.standing(job, service)
-            if standing is Standing.OVER_RATE or not job.pending:
+            if is_over(job.job_id) or not job.pending:
                 continue
+            standing = policy.share_standing(job.accepted.workspace, service)
             urgency = self._urgency(service, job, standing, now)
             precedence = Precedence.of(standing, urgency.rank)
             for (occurrence, number), positions in job.pending.items():
--- a/src/ebonyhub/scheduling/views.py
+++ b/src/ebonyhub/scheduling/views.py
@@ -11,7 +11,7 @@
 from .priority import Rank, remaining_core_seconds
 from .runs import Job, Run, RunPhase, Worker
 from .state import SchedulerState
-from .workspaces.limits import WaitingClaims
+from .workspaces.limits import Room
 
 # Seconds within which the backlog of waiting tasks should be served.
 BACKLOG_DRAIN_SECONDS = 1.0
@@ -93,8 +93,8 @@
             jobs.sort(key=lambda job: not job.accepted.spec.long_running)
         for job in jobs:
             service = self.service_of(job)
-            has_workspace = bool(job.accepted.workspace)
-            allowed = _tasks_within_limit(job, claims) if has_workspace else None
+            room = claims.room(job.accepted.workspace)
+            allowed = None if room is None else _tasks_within_limit(job, room)
             for number, step in enumerate(job.accepted.spec.steps):
                 if step.long_running:
                     count = step.count - _tasks_beyond_limit(job, number, allowed)
@@ -189,11 +189,11 @@
     return ceil(step.count / step.max_per_worker) if step.max_per_worker else 0
 
 
-def _tasks_within_limit(job: Job, claims: WaitingClaims) -> dict[tuple[int, int], int]:
+def _tasks_within_limit(job: Job, room: Room) -> dict[tuple[int, int], int]:
     """Return how many ready tasks of each step the workspace's limit allows."""
     steps = job.accepted.spec.steps
     return {
-        key: claims.take(job.accepted.workspace, steps[key[1]].demand, len(positions))
+        key: room.take(steps[key[1]].demand, len(positions))
         for key, positions in job.pending.items()
     }
 
--- a/src/ebonyhub/scheduling/workspaces/assessment.py
+++ b/src/ebonyhub/scheduling/workspaces/assessment.py
@@ -8,10 +8,20 @@
 from ...jobs.model import Resources
 from ..priority import MAX_BACKLOG_SECONDS, remaining_core_seconds
 from ..runs import Job, Worker
-from .limits import NOTHING, WaitingClaims
+from .limits import NOTHING, Room, WaitingClaims
 from .shares import Claim, fair_level
 from .usage import NO_WORKSPACE, UsageLedger
 
+# Seconds for which an assessment is used, and how much longer for each waiting job: a
+# job costs about 3 us to count, which may take a twentieth of the time at most.
+VALID_SECONDS = 0.1
+VALID_SECONDS_PER_JOB = 6e-5
+
+
+def valid_seconds(waiting_jobs: int) -> float:
+    """Return for how long a count over so many waiting jobs is used."""
+    return max(VALID_SECONDS, waiting_jobs * VALID_SECONDS_PER_JOB)
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceLoad:
@@ -35,6 +45,7 @@
     # Whether the work of all jobs, and that of jobs within their rates, takes too long.
     oversubscribed: bool
     oversubscribed_within_rate: bool
+    waiting_jobs: int = 0
     capacity: Resources = NOTHING
     # Share of the capacity for each unit of weight; infinite without a shortage.
     level: float = inf
@@ -66,9 +77,13 @@
 ) -> Assessment:
     """Return the shortage of a service; tasks beyond a limit are left out."""
     work = work_within_rate = 0.0
-    waiting: dict[WorkspaceName, Resources] = {}
+    sums: dict[WorkspaceName, _WaitingSum] = {}
     for job in load.jobs:
-        part = _count_waiting(job, claims, waiting)
+        name = job.accepted.workspace
+        waiting_sum = sums.get(name)
+        if waiting_sum is None:
+            waiting_sum = sums[name] = _WaitingSum(claims.room(name))
+        part = waiting_sum.add(job)
         if not part:
             continue
         job_work = remaining_core_seconds(job) * part
@@ -77,7 +92,8 @@
             work_within_rate += job_work
     most = load.cores * MAX_BACKLOG_SECONDS
     if work <= most:
-        return Assessment(now, False, False)
+        return Assessment(now, False, False, len(load.jobs))
+    waiting = {name: waiting_sum.total for name, waiting_sum in sums.items()}
     used_elsewhere = _use_on(load.unavailable, ledger)
     capacity = sum((w.entry.capacity for w in load.workers), start=NOTHING)
     unclaimed = Assessment(now, True, False, used_elsewhere=used_elsewhere)
@@ -94,31 +110,40 @@
         unclaimed.used(ledger, load.service, NO_WORKSPACE),
     )
     return Assessment(
-        now, True, work_within_rate > most, capacity, level, used_elsewhere
-    )
-
-
-def _count_waiting(
-    job: Job, claims: WaitingClaims, waiting: dict[WorkspaceName, Resources]
-) -> float:
-    """Add a job's ready tasks to ``waiting``; return the part that may start."""
-    workspace = job.accepted.workspace
-    if not workspace:
-        return 1.0
-    ready = allowed = 0
-    total = waiting.get(workspace, NOTHING)
-    for (_, number), positions in job.pending.items():
-        demand = job.accepted.spec.steps[number].demand
-        count = claims.take(workspace, demand, len(positions))
-        ready += len(positions)
-        allowed += count
-        total = Resources(
-            total.cpu + count * demand.cpu,
-            total.memory + count * demand.memory,
-            total.accelerators + count * demand.accelerators,
-        )
-    waiting[workspace] = total
-    return allowed / ready if ready else 0.0
+        now, True, work_within_rate > most, len(load.jobs), capacity, level,
+        used_elsewhere,
+    )  # fmt: skip
+
+
+class _WaitingSum:
+    """Sum of the ready tasks of a workspace that its limit lets start."""
+
+    __slots__ = ("_accelerators", "_cpu", "_memory", "_room")
+
+    def __init__(self, room: Room | None) -> None:
+        self._room = room
+        self._cpu = self._memory = self._accelerators = 0
+
+    @property
+    def total(self) -> Resources:
+        """Return what the tasks need."""
+        return Resources(self._cpu, self._memory, self._accelerators)
+
+    def add(self, job: Job) -> float:
+        """Add a job's ready tasks; return the part of them that may start."""
+        steps = job.accepted.spec.steps
+        ready = allowed = 0
+        for (_, number), positions in job.pending.items():
+            demand = steps[number].demand
+            count = len(positions)
+            ready += count
+            if self._room is not None:
+                count = self._room.take(demand, count)
+            allowed += count
+            self._cpu += count * demand.cpu
+            self._memory += count * demand.memory
+            self._accelerators += count * demand.accelerators
+        return allowed / ready if ready else 0.0
 
 
 def _use_on(
--- a/src/ebonyhub/scheduling/workspaces/limits.py
+++ b/src/ebonyhub/scheduling/workspaces/limits.py
@@ -1,6 +1,7 @@
 """How many tasks a workspace may still start under its limit (pure)."""
 
 from collections.abc import Callable
+from math import inf
 
 from ...ids import WorkspaceName
 from ...jobs.model import Resources
@@ -47,36 +48,77 @@
     return max(0, allowed)
 
 
+class Room:
+    """What a limit leaves of each resource; may be taken by waiting tasks."""
+
+    __slots__ = ("_limit", "_unused", "accelerators", "cpu", "memory")
+
+    def __init__(self, used: Resources, limit: Resources) -> None:
+        self._limit = limit
+        self._unused = used == NOTHING
+        self.cpu = limit.cpu - used.cpu if limit.cpu else inf
+        self.memory = limit.memory - used.memory if limit.memory else inf
+        self.accelerators = (
+            limit.accelerators - used.accelerators if limit.accelerators else inf
+        )
+        if min(self.cpu, self.memory, self.accelerators) < 0:
+            # Nothing starts while any resource is over its limit.
+            self.cpu = self.memory = self.accelerators = -1
+
+    @property
+    def largest_cpu(self) -> float:
+        """Return the most CPU that one task may need."""
+        return inf if self._unused else self.cpu
+
+    def holds(self, demand: Resources) -> bool:
+        """Return whether one task may start."""
+        if (
+            demand.cpu <= self.cpu
+            and demand.memory <= self.memory
+            and demand.accelerators <= self.accelerators
+        ):
+            return True
+        return self._unused and exceeds_alone(demand, self._limit)
+
+    def take(self, demand: Resources, wanted: int) -> int:
+        """Return how many of the waiting tasks fit, and take the room that they need.
+
+        The result is that of ``tasks_allowed`` beside the tasks that were taken before.
+        """
+        if not self.holds(demand):
+            return 0
+        if self._unused and exceeds_alone(demand, self._limit):
+            count = min(wanted, 1)
+        else:
+            count = wanted
+            if demand.cpu and self.cpu < inf:
+                count = min(count, int(self.cpu) // demand.cpu)
+            if demand.memory and self.memory < inf:
+                count = min(count, int(self.memory) // demand.memory)
+            if demand.accelerators and self.accelerators < inf:
+                count = min(count, int(self.accelerators) // demand.accelerators)
+        if count and demand != NOTHING:
+            self._unused = False
+            self.cpu -= count * demand.cpu
+            self.memory -= count * demand.memory
+            self.accelerators -= count * demand.accelerators
+            if min(self.cpu, self.memory, self.accelerators) < 0:
+                self.cpu = self.memory = self.accelerators = -1
+        return count
+
+
 class WaitingClaims:
     """Counts the waiting tasks that fit under the limits, beside those in use.
 
-    ``used`` and ``limit_of`` tell what a workspace uses and its limit.
+    ``room_of`` returns the room of a workspace, None if it has no limit.
     """
 
-    def __init__(
-        self,
-        used: Callable[[WorkspaceName], Resources],
-        limit_of: Callable[[WorkspaceName], Resources],
-    ) -> None:
-        self._used = used
-        self._limit_of = limit_of
-        # Use and claims of each workspace that has a limit.
-        self._claimed: dict[WorkspaceName, Resources] = {}
-
-    def take(self, workspace: WorkspaceName, demand: Resources, wanted: int) -> int:
-        """Return how many of the waiting tasks fit, and count them as claimed."""
-        if not workspace:
-            return wanted
-        limit = self._limit_of(workspace)
-        if limit == NOTHING:
-            return wanted
-        claimed = self._claimed.get(workspace)
-        if claimed is None:
-            claimed = self._used(workspace)
-        allowed = tasks_allowed(claimed, limit, demand, wanted)
-        self._claimed[workspace] = Resources(
-            claimed.cpu + allowed * demand.cpu,
-            claimed.memory + allowed * demand.memory,
-            claimed.accelerators + allowed * demand.accelerators,
-        )
-        return allowed
+    def __init__(self, room_of: Callable[[WorkspaceName], Room | None]) -> None:
+        self._room_of = room_of
+        self._rooms: dict[WorkspaceName, Room | None] = {}
+
+    def room(self, workspace: WorkspaceName) -> Room | None:
+        """Return what is left of a workspace's limit; None without a limit."""
+        if workspace not in self._rooms:
+            self._rooms[workspace] = self._room_of(workspace)
+        return self._rooms[workspace]
--- a/src/ebonyhub/scheduling/workspaces/policy.py
+++ b/src/ebonyhub/scheduling/workspaces/policy.py
@@ -15,9 +15,10 @@
 from ...jobs.model import AcceptedJob, JobSpec, Resources, StepSpec
 from ...node_settings import DEFAULT_RATE_WINDOW_SECONDS
 from ..runs import Job, Run
-from .assessment import Assessment, ServiceLoad, assess
+from .assessment import Assessment, ServiceLoad, assess, valid_seconds
 from .limits import (
     NOTHING,
+    Room,
     WaitingClaims,
     exceeds_alone,
     is_within,
@@ -29,8 +30,6 @@
 from .status import Standing, WorkspaceStatus
 from .usage import UsageLedger
 
-# Seconds for which the shares of a service are used before they are computed again.
-SHARES_VALID_SECONDS = 0.1
 # Seconds between two looks for changes to be logged.
 NOTICE_INTERVAL_SECONDS = 1.0
 
@@ -163,24 +162,24 @@
                 return 0
         return allowed
 
-    def may_start(self, job: Job) -> bool:
-        """Return whether the limit allows any ready task of the job to start."""
-        name = job.accepted.workspace
+    def room_of(self, name: WorkspaceName) -> Room | None:
+        """Return what a workspace's limit leaves; None if it has no limit."""
         if not name or not self.rules.enforced:
-            return True
+            return None
         limit = self.limit_of(name)
-        if limit == NOTHING:
+        return None if limit == NOTHING else Room(self.ledger.used(name), limit)
+
+    def may_start(self, job: Job, room: Room | None) -> bool:
+        """Return whether there is room for any ready task of the job."""
+        if room is None:
             return True
-        used_cpu = self.ledger.used(name).cpu
-        if limit.cpu and used_cpu > 0 and job.min_pending_cpu > limit.cpu - used_cpu:
-            self._at_limit.add(name)
-            return False
-        steps = job.accepted.spec.steps
-        for (_, number), positions in job.pending.items():
-            step = steps[number]
-            if self.tasks_allowed(job, step, len(positions) if step.gang else 1):
-                return True
-        return not job.pending
+        if job.min_pending_cpu <= room.largest_cpu:
+            steps = job.accepted.spec.steps
+            for _, number in job.pending:
+                if room.holds(steps[number].demand):
+                    return True
+        self._at_limit.add(job.accepted.workspace)
+        return False
 
     def may_order(self, run: Run) -> bool:
         """Return whether a planned run may still be ordered.
@@ -198,8 +197,7 @@
 
     def waiting_claims(self) -> WaitingClaims:
         """Return a new count of the waiting tasks that fit under the limits."""
-        limit_of = self.limit_of if self.rules.enforced else _no_limit
-        return WaitingClaims(self.ledger.used, limit_of)
+        return WaitingClaims(self.room_of)
 
     def start_demand(self) -> WaitingClaims:
         """Return a count for all waiting tasks; jobs that arrive later add to it."""
@@ -211,11 +209,14 @@
         if not self.is_active or not job.accepted.workspace or not job.pending:
             return 1.0
         claims = self._waiting_claims or self.start_demand()
+        room = claims.room(job.accepted.workspace)
+        if room is None:
+            return 1.0
         ready = allowed = 0
         for (_, number), positions in job.pending.items():
             demand = job.accepted.spec.steps[number].demand
             ready += len(positions)
-            allowed += claims.take(job.accepted.workspace, demand, len(positions))
+            allowed += room.take(demand, len(positions))
         return allowed / ready
 
     # Shares and rates
@@ -225,7 +226,8 @@
         assessment = self._assessments.get(service)
         if assessment is None:
             return False
-        return 0.0 <= now - assessment.assessed_at < SHARES_VALID_SECONDS
+        seconds = valid_seconds(assessment.waiting_jobs)
+        return 0.0 <= now - assessment.assessed_at < seconds
 
     def assess(self, load: ServiceLoad, now: float) -> None:
         """Find out whether a service is short of capacity, and its shares if so."""
@@ -257,11 +259,15 @@
             return Standing.WITHIN_SHARE
         if self.rates.is_over(job.job_id):
             return Standing.OVER_RATE
-        assessment = self._assessments.get(service or job.service)
-        if assessment is None or assessment.level == inf:
+        return self.share_standing(name, service or job.service)
+
+    def share_standing(self, name: WorkspaceName, service: ServiceName) -> Standing:
+        """Return how the jobs of a workspace stand that are within its rate."""
+        assessment = self._assessments.get(service)
+        if not name or assessment is None or assessment.level == inf:
             return Standing.WITHIN_SHARE
         share = assessment.share(self.workspace(name).weight)
-        used = assessment.used(self.ledger, service or job.service, name)
+        used = assessment.used(self.ledger, service, name)
         if is_below(used, share, assessment.capacity):
             return Standing.WITHIN_SHARE
         self._lent.add(name)
@@ -284,9 +290,9 @@
         tasks = tasks_below_share(used, share, step.demand, capacity, wanted)
         return wanted if tasks and step.gang else tasks
 
-    def lending_priority(self, job: Job) -> int:
-        """Return the priority with which the job gets capacity that others lend."""
-        return self.workspace(job.accepted.workspace).priority
+    def lending_priority(self, name: WorkspaceName) -> int:
+        """Return the priority with which a workspace gets what others lend."""
+        return self.workspace(name).priority
 
     # Views
 
@@ -356,10 +362,6 @@
         return self._notices.update(signs, now)
 
 
-def _no_limit(_: WorkspaceName) -> Resources:
-    return NOTHING
-
-
 def _sum_of_tasks(steps: Sequence[StepSpec]) -> Resources:
     """Return what all tasks of a job need together."""
     return Resources(
