--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -34,6 +34,7 @@
 from ..rejections import InputSource, Rejections
 from ..scheduling.controller import Controller
 from ..scheduling.overload import ForecastCache, decode_forecasts, encode_forecasts
+from ..scheduling.workspaces.policy import WorkspacePolicy, WorkspaceRules
 from ..servers import HttpServer, build_server, run_server
 from ..settings import Listener
 from ..supervisor import Supervisor, run_until_signal
@@ -135,10 +136,16 @@
             lambda: self.leadership.controller,
             self.leadership.leader_name,
             lambda: self.configuration,
-            refused=self.refused_calls,
+            self.workspace_policy,
+            self.refused_calls,
         )
         return build_server(StatusApi(sources), Listener(self.settings.ip, STATUS_PORT))
 
+    def workspace_policy(self) -> WorkspacePolicy | None:
+        """Return what the leader knows of workspaces, None if this entry follows."""
+        controller = self.leadership.controller
+        return None if controller is None else controller.scheduler.workspaces
+
     def build_controller(self, term: Term) -> Controller | None:
         """Return a controller for a term, or None while there is no configuration."""
         if self.configuration is None:
@@ -155,6 +162,7 @@
             term, self.store, self.mirror, advisor, self.clock, self.rng, self.metrics,
             cloud, settings.status_retention_seconds, settings.capacity_valid_seconds,
             self.on_progress_stored, self.leadership.revision_clock,
+            WorkspaceRules(settings.has_limits, settings.rate_window_seconds),
         )  # fmt: skip
         self.job_watch.restart_from(self.mirror.complete_until)
         self.mirror.take_changes()
--- a/src/ebonyhub/scheduling/intake.py
+++ b/src/ebonyhub/scheduling/intake.py
@@ -1,7 +1,6 @@
 """Loads jobs from their stored records, cancels them and ends them."""
 
 from ..events import Event, log_event
-from ..fleet.demand import ArrivalMeter
 from ..ids import JobId, ServiceName, TaskId, VmId
 from ..jobs.model import AcceptedJob, Resources
 from ..jobs.records import JobState, ProgressRecord
@@ -11,6 +10,10 @@
 from .runs import Job, Run, RunPhase, StopReason, Worker
 from .state import SchedulerState
 
+# A job that ended longer ago has no runs that an earlier leader failed to stop: their
+# leases of 6 s have ended.
+LEFT_RUNS_MAX_AGE_MS = 30_000
+
 
 class JobIntake(SchedulerState):
     """Loads, cancels and finishes jobs."""
@@ -41,15 +44,13 @@
             arrived_at=now - min(age, 60.0),
         )
         self.jobs[accepted.job] = job
+        self.workspaces.job_accepted(job)
         if job.is_final:
+            self._hold_for_left_runs(job, wall_ms)
             return
         job.next_due_occurrence = job.progress.next_occurrence
         self.active[accepted.job] = job
         self.services_to_plan.add(self.service_of(job))
-        if not accepted.spec.long_running:
-            meter = self.arrival_meters.setdefault(self.service_of(job), ArrivalMeter())
-            work = sum(step.core_seconds for step in accepted.spec.steps)
-            meter.add(job.arrived_at, work)
         for number, steps in job.progress.occurrences.items():
             if steps:
                 job.has_suspects |= any(
@@ -58,9 +59,29 @@
                 self._adopt_runs(job, number, now)
                 lifecycle.refresh_pending(job, number)
         lifecycle.start_due_occurrences(job, wall_ms)
+        if not accepted.spec.long_running:
+            work = sum(step.core_seconds for step in accepted.spec.steps)
+            part = self.workspaces.arriving_part(job)
+            self.uncounted_arrivals.append((job, work * part))
         if cancelled:
             self.cancel(accepted.job, now, wall_ms)
 
+    def _hold_for_left_runs(self, job: Job, wall_ms: int) -> None:
+        """Count what a job that ended lately may still run for its workspace.
+
+        The runs of a cancelled or failed job may still be stopping. Those of a
+        completed one have ended, but for a copy of a task that was taken for lost. With
+        all their tasks counted, no workspace could start anything after a change of
+        leader until the last worker has reported.
+        """
+        age_ms = wall_ms - job.progress.finished_ms
+        completed = job.progress.state is JobState.COMPLETED
+        if not completed and age_ms < LEFT_RUNS_MAX_AGE_MS:
+            accepted = job.accepted
+            self.workspaces.hold_for_unknown_runs(
+                accepted.job, accepted.workspace, accepted.spec
+            )
+
     def _adopt_runs(self, job: Job, occurrence: int, now: float) -> None:
         """Track the recorded runs until their workers report on them."""
         for step_number, step_progress in enumerate(
@@ -120,6 +141,7 @@
     def close_job(self, job: Job, now: float, reason: StopReason) -> None:
         """Stop the runs of a job with a final state, and drop its scheduling state."""
         self.active.pop(job.job_id, None)
+        self.workspaces.job_closed(job.accepted)
         self.mark_dirty(job)
         for key in [k for k in self.advice if k[0] == job.job_id]:
             del self.advice[key]
--- a/src/ebonyhub/scheduling/planning.py
+++ b/src/ebonyhub/scheduling/planning.py
@@ -1,10 +1,11 @@
 """Chooses workers for ready tasks."""
 
-from collections.abc import Container, Mapping
+from collections.abc import Container, Iterable, Mapping
 
+from ..events import log_event
 from ..ids import ServiceName
 from . import lifecycle
-from .isolation import IsolatedStarts
+from .kept_workers import OpenWorkers
 from .placement import (
     StepRequirements,
     best_fit_order,
@@ -15,10 +16,12 @@
 )
 from .priority import is_oversubscribed
 from .runs import Job, Worker
+from .share_order import ShareOrder
 from .waiting import Waiting, waiting_of
+from .workspaces.status import Standing
 
 
-class Planning(IsolatedStarts):
+class Planning(ShareOrder):
     """Assigns ready tasks to workers, the most urgent jobs first."""
 
     def plan_changed(self, now: float) -> None:
@@ -34,6 +37,8 @@
 
     def plan(self, now: float, services: Container[ServiceName] | None = None) -> None:
         """Assign ready tasks to workers in ``services``, in all if it is None."""
+        if self.workspaces.ledger.holds_any and self.runs_are_known(now):
+            self.workspaces.ledger.release_held()
         by_service: dict[ServiceName, list[Job]] = {}
         for job in self.active.values():
             if not job.pending:
@@ -50,6 +55,8 @@
             if not workers:
                 continue
             self._plan_service(jobs, workers, now)
+        for event, name in self.workspaces.take_changes(now):
+            log_event(event, workspace=name)
 
     def _plan_service(self, jobs: list[Job], workers: list[Worker], now: float) -> None:
         """Assign the ready tasks of one service.
@@ -60,29 +67,59 @@
         service = workers[0].entry.service
         eligible_cores = sum(worker.entry.capacity.cpu for worker in workers) / 1000
         cores = max(eligible_cores, self.pool_cores.get(service, 0.0))
-        oversubscribed = is_oversubscribed(jobs, cores)
+        has_workspaces = self.workspaces.is_active
+        if has_workspaces:
+            self.assess_service(service, jobs, workers, cores, now)
+            oversubscribed = False
+        else:
+            oversubscribed = is_oversubscribed(jobs, cores)
         workers = self.plan_suspects(service, jobs, workers, now)
-        max_free_millicores = max_free_cpu(workers)
-        candidates = [job for job in jobs if job.min_pending_cpu <= max_free_millicores]
+        everywhere = OpenWorkers(workers)
+        max_free = everywhere.max_free(len(self.planned_runs))
+        candidates = [job for job in jobs if job.min_pending_cpu <= max_free]
+        smallest = min((job.min_pending_cpu for job in candidates), default=0)
+        ordered: Iterable[tuple[Job, OpenWorkers]]
+        if has_workspaces:
+            ordered = self.in_order_of_shares(
+                service, jobs, candidates, everywhere, now
+            )
+        else:
+            in_order = self._in_order(candidates, oversubscribed, now)
+            ordered = ((job, everywhere) for job in in_order)
+        for job, allowed in ordered:
+            starts = len(self.planned_runs)
+            if smallest > everywhere.max_free(starts):
+                break
+            if job.min_pending_cpu <= allowed.max_free(starts):
+                self._plan_job(job, allowed.workers, now)
+
+    def _in_order(
+        self, candidates: list[Job], oversubscribed: bool, now: float
+    ) -> list[Job]:
+        """Return the candidates, the most urgent first."""
         candidates.sort(
             key=lambda job: (
                 self.urgency(job, self.queues.get(job.queue), now, oversubscribed).key
             )
         )
-        for job in candidates:
-            if job.min_pending_cpu <= max_free_millicores:
-                planned_before = len(self.planned_runs)
-                self._plan_job(job, workers, now)
-                if len(self.planned_runs) > planned_before:
-                    max_free_millicores = max_free_cpu(workers)
+        return candidates
 
     def _plan_job(self, job: Job, workers: list[Worker], now: float) -> None:
+        service = self.service_of(job)
+        standing = self.workspaces.standing(job, service)
         for (occurrence, number), waiting in list(job.pending.items()):
+            step = job.accepted.spec.steps[number]
+            allowed_tasks = self.workspaces.tasks_allowed(job, step, len(waiting))
+            if allowed_tasks and standing is Standing.WITHIN_SHARE:
+                allowed_tasks = self.workspaces.tasks_within_share(
+                    job, service, step, allowed_tasks
+                )
+            if not allowed_tasks:
+                continue
             requirements = self.requirements_of(job, occurrence, number, workers, now)
             if requirements is None:
                 continue
             suspects = lifecycle.suspects_among(job, occurrence, number, waiting)
-            step = requirements.step
             if step.gang and suspects:
                 continue
             allowed = [
@@ -93,7 +130,7 @@
                 if chosen is not None:
                     self.assign_gang(job, requirements, chosen, now)
                 continue
-            positions = sorted(waiting - suspects)
+            positions = sorted(waiting - suspects)[:allowed_tasks]
             self._plan_tasks(job, requirements, allowed, positions, now)
 
     def _plan_tasks(
@@ -148,8 +185,3 @@
             )
             for service, service_jobs in jobs.items()
         }
-
-
-def max_free_cpu(workers: list[Worker]) -> int:
-    """Return the most free CPU of one worker in thousandths of a core, -1 for none."""
-    return max((worker.free.cpu for worker in workers), default=-1)
--- a/standins/replayed_fleet.py
+++ b/standins/replayed_fleet.py
@@ -20,6 +20,7 @@
 from ebonyhub.fleet.model import Vm, VmState
 from ebonyhub.fleet.planner import FleetPlanner
 from ebonyhub.ids import (
+    NO_WORKSPACE,
     JobId,
     LeaderToken,
     PoolName,
@@ -28,6 +29,7 @@
     ServiceName,
     VmId,
     WorkerId,
+    WorkspaceName,
 )
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec
 from ebonyhub.scheduling.model import OrderFailure, RunOutcome, StartOrder
@@ -70,6 +72,7 @@
     at: float
     queue: QueueName
     steps: tuple[RecordedStep, ...]
+    workspace: WorkspaceName = NO_WORKSPACE
 
     @property
     def critical_path_seconds(self) -> float:
@@ -342,8 +345,9 @@
         job_id = JobId(f"{number:016x}")
         self.recorded[job_id] = job
         accepted = AcceptedJob(
-            job_id, job.queue, queue.service, 3, int(self.now * 1000), spec
-        )
+            job_id, job.queue, queue.service, 3, int(self.now * 1000), spec,
+            job.workspace,
+        )  # fmt: skip
         self.open_jobs[job_id] = (outcome, self.now)
         self.scheduler.load_job(accepted, None, False, self.now, int(self.now * 1000))
 
