--- a/tests/test_workspace_limits.py
+++ b/tests/test_workspace_limits.py
@@ -537,6 +537,16 @@
     assert shares == {A: pytest.approx(0.75), B: pytest.approx(0.25)}
 
 
+def test_one_large_job_does_not_take_more_than_its_share():
+    """A job is planned in one go, so its tasks have to be divided at the share."""
+    driver = WorkspaceDriver(limited(0), limited(0, B))
+    driver.submit(spec(40))
+    driver.submit(spec(41), B)
+    driver.scheduler.plan(driver.now)
+    used = [driver.policy.ledger.used(name).cpu for name in (A, B)]
+    assert used == [8000, 8000]
+
+
 def test_lent_capacity_returns_to_its_owner():
     driver = WorkspaceDriver(limited(0), limited(0, B))
     borrowed = driver.submit(spec(40))
--- a/tests/test_workspace_machine.py
+++ b/tests/test_workspace_machine.py
@@ -136,10 +136,16 @@
         for worker in self.scheduler.workers.values():
             self.scheduler.acknowledge_stored_ends(worker)
 
-    @rule(fates=st.lists(st.sampled_from(("ok", "ok", "lost", "late", "refused"))))
-    def plan(self, fates):
+    @rule(
+        fates=st.lists(st.sampled_from(("ok", "ok", "lost", "late", "refused"))),
+        lowered=st.none() | st.tuples(st.sampled_from(NAMES), st.integers(1, 3)),
+    )
+    def plan(self, fates, lowered):
         self.scheduler.plan(self.driver.now)
         self.check_nobody_below_share_waits_beside_room()
+        if lowered is not None:
+            # The limit falls while the records of the starts are being stored.
+            self.change_limit(*lowered)
         self.store()
         self.send_orders(fates)
 
