--- a/src/ebonyhub/scheduling/intake.py
+++ b/src/ebonyhub/scheduling/intake.py
@@ -1,6 +1,7 @@
 """Loads jobs from their stored records, cancels them and ends them."""
 
 from ..events import Event, log_event
+from ..fleet.demand import ArrivalMeter
 from ..ids import JobId, ServiceName, TaskId, VmId
 from ..jobs.model import AcceptedJob, Resources
 from ..jobs.records import JobState, ProgressRecord
@@ -8,7 +9,7 @@
 from .crashes import probation_seconds
 from .model import WorkerEntry
 from .runs import Job, Run, RunPhase, StopReason, Worker
-from .state import SchedulerState
+from .state import Arrival, SchedulerState
 
 # A job that ended longer ago has no runs that an earlier leader failed to stop: their
 # leases of 6 s have ended.
@@ -63,12 +64,22 @@
                 lifecycle.refresh_pending(job, number)
         lifecycle.start_due_occurrences(job, wall_ms)
         if not accepted.spec.long_running:
-            work = sum(step.core_seconds for step in accepted.spec.steps)
-            part = self.workspaces.arriving_part(job)
-            self.uncounted_arrivals.append((job, work * part))
+            self._note_arrival(job)
         if cancelled:
             self.cancel(accepted.job, now, wall_ms)
 
+    def _note_arrival(self, job: Job) -> None:
+        """Count the job's work as arriving, except what is beyond a limit."""
+        service = self.service_of(job)
+        work = sum(step.core_seconds for step in job.accepted.spec.steps)
+        meter = self.arrival_meters.setdefault(service, ArrivalMeter())
+        if not job.accepted.workspace:
+            meter.add(job.arrived_at, work)
+            return
+        work *= self.workspaces.arriving_part(job)
+        arrival = Arrival(job.job_id, service, job.arrived_at, work)
+        self.uncounted_arrivals.append(arrival)
+
     def _adopt_runs(self, job: Job, occurrence: int, now: float) -> None:
         """Track the recorded runs until their workers report on them."""
         for step_number, step_progress in enumerate(
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -45,6 +45,9 @@
 # Crashes whose evidence can still be withdrawn.
 MAX_CRASHES = 64
 
+# Arrivals that are kept until demand is next computed, several times a second.
+MAX_UNCOUNTED_ARRIVALS = 10_000
+
 # Job, occurrence and step number.
 StepKey = tuple[JobId, int, int]
 
@@ -67,6 +70,16 @@
         return not any(worker.worker_id in self.tickets for worker in workers)
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A job that has arrived, with its work in core-seconds."""
+
+    job: JobId
+    service: ServiceName
+    at: float
+    work: float
+
+
 @dataclass(frozen=True, slots=True)
 class UnreadableJob:
     """A job whose progress is not known; ``spec`` is None if its submission is not."""
@@ -117,9 +130,9 @@
         # Run time relative to the estimate, averaged over all workers.
         self.fleet_slowdown = SlowdownAverage(FLEET_AVERAGE_WEIGHT)
         self.arrival_meters: dict[ServiceName, ArrivalMeter] = {}
-        # Loaded jobs with the core-seconds that are yet to be added to the meters. Not
-        # before all jobs are loaded is it known which of them are within their rates.
-        self.uncounted_arrivals: list[tuple[Job, float]] = []
+        # Arrivals of workspaces that are yet to be added to the meters. Which jobs are
+        # within their rates is known only after all jobs are loaded.
+        self.uncounted_arrivals: deque[Arrival] = deque(maxlen=MAX_UNCOUNTED_ARRIVALS)
         # Workers on which an active job has had runs, as an ordered set, so that ending
         # a job need not search all workers.
         self.workers_of_job: dict[JobId, dict[WorkerId, None]] = {}
--- a/src/ebonyhub/scheduling/views.py
+++ b/src/ebonyhub/scheduling/views.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from math import ceil
 
-from ..fleet.demand import ArrivalMeter, Demand
+from ..fleet.demand import Demand
 from ..fleet.model import FleetLoad, VmLoad
 from ..ids import JobId, PoolName, ServiceName, VmId, WorkerId
 from ..jobs.model import Resources, StepSpec
@@ -132,12 +132,10 @@
 
     def _count_arrivals(self) -> None:
         """Add the work that has arrived within the rates to the meters."""
-        arrivals, self.uncounted_arrivals = self.uncounted_arrivals, []
-        for job, work in arrivals:
-            service = self.service_of(job)
-            meter = self.arrival_meters.setdefault(service, ArrivalMeter())
-            if not self._is_over_rate(job.job_id):
-                meter.add(job.arrived_at, work)
+        while self.uncounted_arrivals:
+            arrival = self.uncounted_arrivals.popleft()
+            if not self._is_over_rate(arrival.job):
+                self.arrival_meters[arrival.service].add(arrival.at, arrival.work)
 
     def _is_over_rate(self, job_id: JobId) -> bool:
         """Return whether the job is beyond the rate of its workspace."""
--- a/src/ebonyhub/scheduling/workspaces/policy.py
+++ b/src/ebonyhub/scheduling/workspaces/policy.py
@@ -86,7 +86,7 @@
         if stored is None or accepted.accepted_ms >= stored[0]:
             limits = Workspace(name, limit=accepted.workspace_limit)
             self._stored[name] = (accepted.accepted_ms, limits)
-        self.rates.add(accepted)
+        self.rates.add(accepted, job.is_final)
         self.ledger.attribute(accepted.job, name)
         if not job.is_final:
             self._jobs.setdefault(name, {})[accepted.job] = job
--- a/src/ebonyhub/scheduling/workspaces/rates.py
+++ b/src/ebonyhub/scheduling/workspaces/rates.py
@@ -49,13 +49,14 @@
         self._weight_of = weight_of
         self._buckets: dict[WorkspaceName, TokenBucket] = {}
         self._over_rate: set[JobId] = set()
-        self._uncharged: list[AcceptedJob] = []
+        # Each with whether it has ended.
+        self._uncharged: list[tuple[AcceptedJob, bool]] = []
         # Workspaces that sent jobs over the rate since they were last asked for.
         self._exceeded: set[WorkspaceName] = set()
 
-    def add(self, accepted: AcceptedJob) -> None:
+    def add(self, accepted: AcceptedJob, ended: bool = False) -> None:
         """Count an accepted job; also one that has ended, since it took a token."""
-        self._uncharged.append(accepted)
+        self._uncharged.append((accepted, ended))
 
     def is_over(self, job: JobId) -> bool:
         """Return whether the job was accepted beyond its workspace's rate."""
@@ -78,9 +79,9 @@
 
     def _charge(self) -> None:
         jobs, self._uncharged = self._uncharged, []
-        jobs.sort(key=lambda accepted: accepted.accepted_ms)
-        for accepted in jobs:
-            if not self._take(accepted):
+        jobs.sort(key=lambda pair: pair[0].accepted_ms)
+        for accepted, ended in jobs:
+            if not self._take(accepted) and not ended:
                 self._over_rate.add(accepted.job)
                 self._exceeded.add(accepted.workspace)
 
