Stand-in platform: second queue, workspaces, contracts, refused clients

Change: PlatformOptions gives a platform a second queue, workspaces with keys, weights and limits, Contracts and Bounds; JobPlatform.write_configuration writes the next version with the workspaces of that moment; JobCluster.call can carry a key; the store can refuse single clients. The documents moved to platform_documents.py. All of it is optional.

--- a/standins/job_cluster.py
+++ b/standins/job_cluster.py
@@ -15,8 +15,11 @@
     request_once,
     send_and_receive,
 )
-from standins.job_platform import JobPlatform, node_settings_text
+from standins.job_platform import JobPlatform
+from standins.job_platform import node_settings_text as node_settings_text
 from standins.network import LoopbackNetwork, claim_network
+from standins.platform_documents import HOST_NAME, PlatformOptions
+from standins.platform_documents import PREFIX as PREFIX
 
 ROOT = Path(__file__).parent.parent
 CALLER_PORT = 8624
@@ -25,18 +28,26 @@
 FIRST_WORKER_PORT = 8700
 PEER_PORTS = (7060, 7075)
 CALL_TIMEOUT_SECONDS = 3.0
-HOST = b"plans.example"
-PREFIX = "/plans/"
+HOST = HOST_NAME.encode()
+KEY_HEADER = b"X-Credential"
+
+
+def key_headers(key: str | None) -> list[tuple[bytes, bytes]]:
+    """Return the header that carries an API key, none without a key."""
+    return [] if key is None else [(KEY_HEADER, key.encode())]
 
 
 class JobCluster:
     """Entry processes and the stand-in platform that they use."""
 
-    def __init__(self, entries: int, workers: int) -> None:
+    def __init__(
+        self, entries: int, workers: int, options: PlatformOptions | None = None
+    ) -> None:
+        self.options = options or PlatformOptions()
         self.network: LoopbackNetwork = claim_network()
         self.platform_ip = self.network.address(0, 1)
         ports = list(range(FIRST_WORKER_PORT, FIRST_WORKER_PORT + workers))
-        self.platform = JobPlatform(self.platform_ip, STORE_PORT, ports)
+        self.platform = JobPlatform(self.platform_ip, STORE_PORT, ports, self.options)
         self.directory = tempfile.TemporaryDirectory()
         self.names = [f"entry-{number}" for number in range(1, entries + 1)]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -52,7 +63,9 @@
         path = Path(self.directory.name) / f"{name}.yaml"
         direct_address = f"{self.platform_ip}:{STORE_PORT}"
         store = self.store_addresses.get(name, direct_address)
-        path.write_text(node_settings_text(name, self.ip(name), store, PEER_PORTS))
+        path.write_text(
+            node_settings_text(name, self.ip(name), store, PEER_PORTS, self.options)
+        )
         log = (Path(self.directory.name) / f"{name}.log").open("ab")
         self.processes[name] = subprocess.Popen(
             [sys.executable, "deploy/entry.py"],
@@ -86,6 +99,7 @@
         job: str,
         body: object = None,
         prefix: str = PREFIX,
+        key: str | None = None,
     ) -> SmallResponse | None:
         """Call one entry about a job; None if it does not answer in time."""
         encoded = b"" if body is None else json.dumps(body).encode()
@@ -94,6 +108,7 @@
             (b"Content-Type", b"application/json"),
             (b"Content-Length", str(len(encoded)).encode()),
             (b"Connection", b"close"),
+            *key_headers(key),
         ]
         head = RequestHead(method.encode(), f"{prefix}{job}".encode(), headers)
         try:
--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -23,8 +23,12 @@
 from ebonyhub.settings import Listener
 from standins.fake_worker import FakeWorker
 from standins.memory_store import StoreCore
+from standins.platform_documents import PlatformOptions
+from standins.platform_documents import demo_configuration as demo_configuration
+from standins.platform_documents import node_settings_text as node_settings_text
 from standins.run_log import RunLog
 
+CONFIGURATION_KEY = "op/config"
 # Interval at which a worker's runs and lease are checked.
 WORKER_STEP_SECONDS = 0.02
 # Run time of a task whose text is not a number.
@@ -98,6 +102,8 @@
     def __init__(self, core: StoreCore, listener: Listener) -> None:
         self.core = core
         self.down = False
+        # Addresses of the clients whose calls are refused.
+        self.refused_clients: set[str] = set()
         # Delay before each call is handled.
         self.answer_delay_seconds = 0.0
         # Whether commits take effect but their answers are lost.
@@ -120,7 +126,7 @@
 
     def _with_faults(self, handler: Handler) -> Handler:
         async def with_faults(request: Request) -> Any:
-            if self.down:
+            if self._refuses(request):
                 return reply(503, {})
             if self.answer_delay_seconds:
                 await asyncio.sleep(self.answer_delay_seconds)
@@ -129,6 +135,9 @@
 
         return with_faults
 
+    def _refuses(self, request: Request) -> bool:
+        return self.down or request.client_ip in self.refused_clients
+
     def get(self, request: Request) -> Response:
         """Answer with the item of one key."""
         item = self.core.items.get(request.query["Key"][0])
@@ -148,6 +157,8 @@
         after = int(request.query["After"][0])
         deadline = time.monotonic() + int(request.query["WaitMs"][0]) / 1000
         while True:
+            if request.client_ip in self.refused_clients:
+                return reply(503, {})
             changes = self.core.changes_after(prefix, after)
             if changes.is_error():
                 return reply(410, {})
@@ -373,9 +384,19 @@
 
 
 class JobPlatform:
-    """The store and the workers on loopback, with a configuration of one queue."""
+    """The store and the workers on loopback, with the operators' configuration."""
 
-    def __init__(self, address: str, store_port: int, worker_ports: list[int]) -> None:
+    def __init__(
+        self,
+        address: str,
+        store_port: int,
+        worker_ports: list[int],
+        options: PlatformOptions | None = None,
+    ) -> None:
+        self.options = options or PlatformOptions()
+        # By name; a change is in force once a configuration has been written.
+        self.workspaces = {row.name: row for row in self.options.workspaces}
+        self.configuration_version = 0
         self.core = StoreCore(time.monotonic)
         self.store = StoreServer(self.core, Listener(address, store_port))
         self.workers = [
@@ -400,7 +421,17 @@
         for worker in self.workers:
             worker.register()
             self.clock_tasks.append(asyncio.create_task(worker.advance_clock()))
-        self.core.put("op/config", json.dumps(demo_configuration()).encode())
+        self.write_configuration()
+
+    def write_configuration(self, *extra_routes: dict[str, Any]) -> None:
+        """Write the next version, with the workspaces of now and more routes."""
+        self.configuration_version += 1
+        document = demo_configuration(
+            self.options.has_second_queue, self.workspaces.values()
+        )
+        document["Version"] = self.configuration_version
+        document["Routes"] += extra_routes
+        self.core.put(CONFIGURATION_KEY, json.dumps(document).encode())
 
     async def stop(self) -> None:
         """Stop the servers and free their ports."""
@@ -411,37 +442,3 @@
         await asyncio.wait(
             [*self.tasks, *self.clock_tasks], timeout=STOP_TIMEOUT_SECONDS
         )
-
-
-def demo_configuration() -> dict[str, Any]:
-    """Return a configuration with one queue, in the platform's wire format."""
-    route = {
-        "Name": "r-plans",
-        "Host": "plans.example",
-        "PathPrefix": "/plans/",
-        "Kind": "unsafe",
-        "TimeoutMs": 3000,
-        "TargetLatencyMs": 600,
-        "Priority": 0,
-        "Service": "plans",
-        "MaxAttempts": 3,
-        "Stretch": 2.0,
-    }
-    service = {"Name": "plans", "MaxConnections": 64, "Standby": False}
-    return {"Version": 1, "Routes": [route], "Services": [service], "Limits": {}}
-
-
-def node_settings_text(name: str, ip: str, store: str, ports: tuple[int, int]) -> str:
-    """Return the text of an entry's settings file in the platform's format."""
-    return json.dumps(
-        {
-            "Node": name,
-            "Ip": ip,
-            "Zone": "a",
-            "Listen": {"Front": f"{ip}:8624", "Ready": f"{ip}:8622"},
-            "InternalPortRange": list(ports),
-            "Limits": {"CpuShare": 0.5, "Cores": 2, "MemoryMb": 300},
-            "Bounds": {"status_s": 120},
-            "platform": {"Address": store},
-        }
-    )
