Oracle: limits of workspaces over all workers, at every start

Cause: the oracle knew no workspaces, so a workspace above its limit went unnoticed. Change: WorkspaceLimits keeps what each workspace runs and its limits by time. A start is a violation if it exceeds the limit and its workspace runs something else; a lowered limit counts after the 3 s in which two configurations may be in force. The emulator's jobs can belong to workspaces, and its leader learns of a new limit after a delay.

--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -12,27 +12,27 @@
 
 import msgspec
 
-from ebonyhub.configuration import (
-    Configuration,
-    ConfigurationLimits,
-    Queue,
-    Service,
-    build_configuration,
-)
+from ebonyhub.configuration import Configuration
 from ebonyhub.ids import (
     JobId,
     LeaderToken,
-    QueueName,
     RackId,
-    ServiceName,
     TaskId,
     WorkerId,
+    WorkspaceName,
 )
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources
 from ebonyhub.jobs.records import JobState, ProgressRecord
 from ebonyhub.scheduling.model import OrderFailure, StartOrder, WorkerEntry
 from ebonyhub.scheduling.orders import FetchReport, StartRun, StopRun
 from ebonyhub.scheduling.scheduler import Scheduler
+from standins.emulated_configuration import MAX_ATTEMPTS as MAX_ATTEMPTS
+from standins.emulated_configuration import QUEUE as QUEUE
+from standins.emulated_configuration import SERVICE as SERVICE
+from standins.emulated_configuration import EmulatedConfiguration
+from standins.emulated_configuration import (
+    one_queue_configuration as one_queue_configuration,
+)
 from standins.fake_worker import FakeWorker
 from standins.oracle import Oracle
 
@@ -40,29 +40,8 @@
 WORKER_LEASE_SECONDS = 6.0
 POLL_INTERVAL_SECONDS = 0.5
 START_DEADLINE_MS = 1800
+NO_WORKSPACE = WorkspaceName("")
 LEASE_EXTENSION_SECONDS = 5.0
-QUEUE = QueueName("queue")
-SERVICE = ServiceName("service")
-MAX_ATTEMPTS = 3
-
-
-def one_queue_configuration() -> Configuration:
-    """Return a configuration whose only queue and service are QUEUE and SERVICE."""
-    queue = Queue(
-        name=QUEUE,
-        host="h",
-        prefix="/p/",
-        service=SERVICE,
-        priority=0,
-        max_attempts=MAX_ATTEMPTS,
-        stretch=2.0,
-        target_seconds=0.5,
-        timeout_seconds=3.0,
-    )
-    service = Service(SERVICE, False, False, 64)
-    return build_configuration(
-        1, {QUEUE: queue}, {SERVICE: service}, ConfigurationLimits()
-    )
 
 
 @dataclass(slots=True)
@@ -94,6 +73,7 @@
         """Create workers and the first leader."""
         self.rng = random.Random(self.seed)
         self.oracle = Oracle(lambda: self.now, MAX_ATTEMPTS)
+        self.configuration = EmulatedConfiguration()
         self.accepted: dict[JobId, AcceptedJob] = {}
         self.cancelled: set[JobId] = set()
         self.records: dict[JobId, tuple[int, bytes]] = {}
@@ -139,7 +119,7 @@
         self.token = LeaderToken(self.revision)
         scheduler = Scheduler()
         scheduler.records_loaded = True
-        scheduler.configure(one_queue_configuration())
+        scheduler.configure(self.configuration.known)
         scheduler.inherited_leases_until = (
             self.now + LEASE_EXTENSION_SECONDS + WORKER_LEASE_SECONDS * 1.03 + 0.5
         )
@@ -181,15 +161,33 @@
         """Set the error of the leader's wall clock."""
         self.clock_error = seconds
 
+    # Operators
+
+    def set_limit(
+        self, workspace: WorkspaceName, limit: Resources, delay: float = 0.0
+    ) -> None:
+        """Change a workspace's limit; the entries learn of it after a delay."""
+        configuration = self.configuration.set_limit(workspace, limit)
+        self.oracle.workspace_limits.set_limit(workspace, limit)
+        if delay:
+            self.run_later(delay, lambda: self._announce(configuration))
+        else:
+            self._announce(configuration)
+
+    def _announce(self, configuration: Configuration) -> None:
+        if self.configuration.announce(configuration) and self.scheduler is not None:
+            self.scheduler.configure(configuration)
+
     # Callers
 
-    def submit(self, spec: JobSpec) -> JobId:
+    def submit(self, spec: JobSpec, workspace: WorkspaceName = NO_WORKSPACE) -> JobId:
         """Accept a job and pass it to the leader, if there is one."""
         job = JobId(f"{len(self.accepted):016x}")
+        limit = self.configuration.limit_of(workspace)
         self.accepted[job] = AcceptedJob(
-            job, QUEUE, SERVICE, MAX_ATTEMPTS, self._wall_ms(), spec
+            job, QUEUE, SERVICE, MAX_ATTEMPTS, self._wall_ms(), spec, workspace, limit
         )
-        self.oracle.record_submission(job, spec)
+        self.oracle.record_submission(job, spec, workspace)
         if self.scheduler is not None:
             self._load(job)
         return job
--- a/standins/oracle.py
+++ b/standins/oracle.py
@@ -5,10 +5,11 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from ebonyhub.ids import JobId, TaskId
+from ebonyhub.ids import JobId, TaskId, WorkspaceName
 from ebonyhub.jobs.model import JobSpec, Resources
 from ebonyhub.scheduling.model import RunOutcome
 from standins.fake_worker import FakeWorker
+from standins.workspace_limits import WorkspaceLimits
 
 # Time in which a cancelled job's tasks have ended on reachable workers.
 CANCEL_TIMEOUT_SECONDS = 3.5
@@ -74,10 +75,21 @@
     unacknowledged_failures: dict[EndKey, TaskId] = field(default_factory=dict)
     # When a job was first shown as completed.
     shown_completed_times: dict[JobId, float] = field(default_factory=dict)
+    # Workspaces of the jobs that have one.
+    workspaces: dict[JobId, WorkspaceName] = field(default_factory=dict)
+    workspace_limits: WorkspaceLimits = field(init=False)
 
-    def record_submission(self, job: JobId, spec: JobSpec) -> None:
-        """Record the spec of a submitted job."""
+    def __post_init__(self) -> None:
+        """Create the limits of workspaces, of which none is set yet."""
+        self.workspace_limits = WorkspaceLimits(self.clock)
+
+    def record_submission(
+        self, job: JobId, spec: JobSpec, workspace: WorkspaceName | None = None
+    ) -> None:
+        """Record the spec and the workspace of a submitted job."""
         self.specs[job] = spec
+        if workspace:
+            self.workspaces[job] = workspace
 
     def record_cancellation(self, job: JobId) -> None:
         """Record when the cancellation of a job was acknowledged to its caller."""
@@ -129,6 +141,8 @@
             raise GuaranteeViolation(f"UNASKED: {task} was never submitted")
         history = self.tasks.setdefault(task, TaskHistory())
         history.starts += 1
+        # Counted first, since a run that breaks another guarantee runs as well.
+        excess = self._count_start(worker, task)
         if history.running:
             raise GuaranteeViolation(
                 f"TWICE: {task} run {number} beside {history.running}"
@@ -146,6 +160,8 @@
         self._check_due_time(task)
         self._check_capacity(worker)
         self._check_max_per_worker(worker, task)
+        if excess is not None:
+            raise GuaranteeViolation(f"QUOTA: {task} run {number}: {excess}")
         cancelled_at = self.cancellation_times.get(task.job)
         if (
             cancelled_at is not None
@@ -156,6 +172,14 @@
             )
         history.running[worker.worker] = number
 
+    def _count_start(self, worker: FakeWorker, task: TaskId) -> str | None:
+        """Count a run for its workspace; return how it exceeds the limit, if so."""
+        workspace = self.workspaces.get(task.job)
+        if workspace is None:
+            return None
+        demand = self._step(task).demand
+        return self.workspace_limits.start(workspace, worker.worker, task, demand)
+
     def _check_shown_completed(self, task: TaskId, number: int) -> None:
         shown_at = self.shown_completed_times.get(task.job)
         if shown_at is None or self.clock() <= shown_at + SHOWN_COMPLETED_SECONDS:
@@ -239,6 +263,9 @@
         """Record an end; a completion counts once the leader has acknowledged it."""
         history = self.tasks[task]
         history.running.pop(worker.worker, None)
+        workspace = self.workspaces.get(task.job)
+        if workspace is not None:
+            self.workspace_limits.end(workspace, worker.worker, task)
         if outcome is RunOutcome.DONE:
             history.completed_on[worker.worker] = number
             self._await_acknowledgement(worker, task, number)
