Scheduler fuzz: seeds whose workspaces have limits

Cause: no test played limits under take-overs, lost answers, late orders and changed limits. Change: 40 seeds whose jobs belong to three workspaces; limits are lowered, raised and removed while the leader learns of it up to 1 s later. One workspace has a limit below single tasks. Workspaces and limits are drawn apart, so jobs and faults are as without them.

--- a/tests/test_scheduler_fuzz.py
+++ b/tests/test_scheduler_fuzz.py
@@ -2,19 +2,38 @@
 
 Guards against tasks that run twice, before the steps they depend on, beyond a worker's
 capacity or after cancellation, while answers are lost, orders and commits are late,
-workers are cut off or restarted, and leadership changes.
+workers are cut off or restarted, and leadership changes. In some seeds, also against
+workspaces that run more than their limits.
 """
 
 import random
+from dataclasses import dataclass
 
 import pytest
 
+from ebonyhub.ids import JobId, WorkspaceName
 from ebonyhub.jobs.model import JobSpec, Resources, StepSpec
 from ebonyhub.jobs.records import JobState
 from standins.emulator import Emulator, Faults
 
 SEEDS = range(60)
 RECOVERY_SECONDS = 30.0
+# Seeds whose jobs belong to workspaces with limits, and the time after which all of
+# their jobs have ended within the limits.
+LIMIT_SEEDS = range(1000, 1040)
+LIMITED_RECOVERY_SECONDS = 90.0
+LIMITS = {
+    WorkspaceName("a"): Resources(8000, 0, 0),
+    WorkspaceName("b"): Resources(5000, 6000, 0),
+    # Less than some single tasks need, which then run alone.
+    WorkspaceName("c"): Resources(2000, 0, 0),
+}
+# Workspace of the long-running job, all tasks of which fit into the limit.
+LASTING_WORKSPACE = WorkspaceName("a")
+LOWERED_CPU = (1000, 2500, 4000)
+# Longest time until the entries know a new limit, so that orders of the time before
+# have ended or are too late within the platform's 3 s.
+MAX_ANNOUNCEMENT_SECONDS = 1.0
 # Seconds by which the leader's wall clock jumps.
 CLOCK_JUMP = 2.4
 
@@ -93,8 +112,40 @@
         emulator.elect_leader()
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_guarantees_hold_under_faults(seed: int):
+@dataclass
+class LimitChanges:
+    """Gives jobs a workspace, and lowers and raises the limits of workspaces.
+
+    Draws from a generator of its own, so that the jobs and faults of a seed stay.
+    """
+
+    emulator: Emulator
+    rng: random.Random
+
+    def set_all(self) -> None:
+        """Set every limit to its first value."""
+        for workspace, limit in LIMITS.items():
+            self.emulator.set_limit(workspace, limit)
+
+    def submit(self, spec: JobSpec) -> JobId:
+        workspace = self.rng.choice(list(LIMITS))
+        if spec.long_running:
+            workspace = LASTING_WORKSPACE
+        return self.emulator.submit(spec, workspace)
+
+    def change(self) -> None:
+        """Lower a limit, raise it to its first value, or remove it."""
+        if self.rng.random() < 0.6:
+            return
+        workspace = self.rng.choice(list(LIMITS))
+        lowered = Resources(self.rng.choice(LOWERED_CPU), 0, 0)
+        limit = self.rng.choice([lowered, lowered, LIMITS[workspace], Resources()])
+        delay = self.rng.uniform(0.0, MAX_ANNOUNCEMENT_SECONDS)
+        self.emulator.set_limit(workspace, limit, delay)
+
+
+def play_faults(seed: int, with_limits: bool) -> Emulator:
+    """Submit jobs under the faults of a seed, end all faults, wait and check."""
     rng = random.Random(seed)
     faults = Faults(
         lost_answer_rate=rng.choice([0.0, 0.1]),
@@ -105,19 +156,33 @@
     emulator = Emulator(seed, faults=faults)
     emulator.oracle.failure_rate = rng.choice([0.0, 0.05])
     emulator.oracle.early_start_tolerance_seconds += CLOCK_JUMP
-    jobs = [emulator.submit(long_running_spec(rng))]
+    limits = LimitChanges(emulator, random.Random(f"{seed}/limits"))
+    submit = limits.submit if with_limits else emulator.submit
+    if with_limits:
+        limits.set_all()
+    jobs = [submit(long_running_spec(rng))]
     for _ in range(60):
         emulator.run(rng.uniform(0.05, 1.5))
         if rng.random() < 0.7:
             scheduled = rng.random() < 0.2
             spec = scheduled_spec(rng, emulator.now) if scheduled else random_spec(rng)
-            jobs.append(emulator.submit(spec))
+            jobs.append(submit(spec))
+        if with_limits:
+            limits.change()
         if rng.random() < 0.4:
             disturb(emulator, rng)
         if emulator.scheduler is None and rng.random() < 0.5:
             emulator.elect_leader()
     heal(emulator)
-    emulator.run(RECOVERY_SECONDS)
+    if with_limits:
+        limits.set_all()
+    emulator.run(LIMITED_RECOVERY_SECONDS if with_limits else RECOVERY_SECONDS)
+    check_states(emulator, jobs)
+    return emulator
+
+
+def check_states(emulator: Emulator, jobs: list[JobId]) -> None:
+    """Check that every job has ended, and that long-running ones run."""
     for job in jobs:
         state = emulator.state(job)
         if job in emulator.cancelled:
@@ -133,6 +198,17 @@
             assert state in (JobState.COMPLETED, JobState.FAILED)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_guarantees_hold_under_faults(seed: int):
+    play_faults(seed, with_limits=False)
+
+
+@pytest.mark.parametrize("seed", LIMIT_SEEDS)
+def test_guarantees_hold_with_limits_of_workspaces(seed: int):
+    """No workspace runs more than its limit, and every job ends within the limits."""
+    play_faults(seed, with_limits=True)
+
+
 def test_job_whose_tasks_always_fail_is_failed():
     emulator = Emulator(1)
     job = emulator.submit(JobSpec("t", (StepSpec(2, Resources(500, 100), 300),)))
