Soak: keys that come and go, two queues, scopes and limits of workspaces

Cause: the soak's callers had one queue and no keys, so it could not see a removed key that is admitted, a job that another scope sees or cancels, or a workspace above its limit. Change: a run plays one queue, two queues, or workspaces (--play; drawn from the seed without it). Jobs get a scope; keys and limits change while the store refuses single entries; callers use valid, removed, added and unknown keys and none, and call for jobs of other scopes. The checks of the answers are pure (key_checks.py, impairments.py). Scopes, keys and changes have generators of their own. Configurations are written by JobPlatform only.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,14 +5,22 @@
 import random
 from dataclasses import dataclass, field
 from enum import Enum
+from time import monotonic
 from typing import Any
 
-from ebonyhub.http_client import RequestHead, open_connection, send_and_receive
+from ebonyhub.http_client import (
+    RequestHead,
+    SmallResponse,
+    open_connection,
+    send_and_receive,
+)
 from ebonyhub.ids import JobId
 from ebonyhub.platform.submissions import decode_submission
-from standins.job_cluster import CALLER_PORT, HOST, PREFIX, JobCluster
+from standins.job_cluster import CALLER_PORT, HOST, JobCluster, key_headers
 from standins.oracle import GuaranteeViolation, Oracle
 
+from .key_checks import KeyedCall, KeyMonitor
+from .scopes import CallerScope, ScopePlan
 from .workload import DrawnJob, JobKind, draw_job, draw_lasting_job
 
 # Range of the seconds between two submissions, for this number of workers.
@@ -28,6 +36,8 @@
 # Time in which a process that has closed its connections exits.
 EXIT_TIMEOUT_SECONDS = 1.5
 LONG_RUNNING_JOBS = 2
+# Answers after which the submission never runs.
+NOT_RUN_STATUSES = (401, 429, 503)
 # Share of callers that leave after an attempt without an answer, and cancel the job.
 LEAVING_SHARE = 0.4
 
@@ -62,6 +72,30 @@
     answered_calls: int = 0
     # Draws who leaves; apart from ``rng``, which draws the jobs.
     leaving_rng: random.Random = field(default_factory=lambda: random.Random(1))
+    plan: ScopePlan = field(default_factory=ScopePlan)
+    # Checks the answers to calls with keys; None if no keys are played.
+    key_monitor: KeyMonitor | None = None
+
+    async def call(
+        self,
+        entry: str,
+        method: str,
+        job: str,
+        body: object = None,
+        scope: CallerScope | None = None,
+    ) -> SmallResponse | None:
+        """Call one entry in the scope of the job, or in another one."""
+        scope = scope or self.plan.of(job)
+        process, sent_at = self.cluster.processes[entry], monotonic()
+        answer = await self.cluster.call(
+            entry, method, job, body, scope.prefix, scope.key
+        )
+        if answer is not None and self.key_monitor is not None:
+            pid = process.pid if self.cluster.processes[entry] is process else None
+            self.key_monitor.observe(
+                KeyedCall(entry, pid, scope.key, answer.status, sent_at, monotonic())
+            )
+        return answer
 
     async def submit_jobs(self) -> None:
         """Submit long-running jobs, then all kinds until the task is cancelled."""
@@ -74,22 +108,43 @@
                 pause = self.rng.uniform(*JOB_INTERVAL_SECONDS)
                 await asyncio.sleep(pause / scale)
 
+    def _register(self, drawn: DrawnJob, scope: CallerScope) -> None:
+        """Record a job that will be submitted in a scope."""
+        spec = decode_submission(json.dumps(drawn.body).encode())
+        self.oracle.record_submission(JobId(drawn.job), spec.ok, scope.workspace)
+        self.jobs[drawn.job] = drawn
+        self.plan.job_scopes[drawn.job] = scope
+        self.reported_outcomes[drawn.job] = ReportedOutcome.REFUSED
+
+    async def submit_once(
+        self, drawn: DrawnJob, entry: str, scope: CallerScope, owner: CallerScope
+    ) -> ReportedOutcome:
+        """Submit a job by one call; later calls for it use the owner's key."""
+        job = drawn.job
+        if job not in self.jobs:
+            self._register(drawn, owner)
+        previous = self.reported_outcomes[job]
+        self.reported_outcomes[job] = ReportedOutcome.UNKNOWN
+        answer = await self.call(entry, "POST", job, drawn.body, scope)
+        if answer is not None and answer.status == 200:
+            self.reported_outcomes[job] = ReportedOutcome.ACCEPTED
+        elif answer is not None and answer.status in NOT_RUN_STATUSES:
+            self.reported_outcomes[job] = previous
+        return self.reported_outcomes[job]
+
     async def _run_job(self, drawn: DrawnJob) -> None:
         job, body = drawn.job, drawn.body
-        spec = decode_submission(json.dumps(body).encode())
-        self.oracle.record_submission(JobId(job), spec.ok)
-        self.jobs[job] = drawn
-        self.reported_outcomes[job] = ReportedOutcome.REFUSED
+        self._register(drawn, self.plan.assign(drawn))
         while self.reported_outcomes[job] is not ReportedOutcome.ACCEPTED:
             entry = self.rng.choice(self.cluster.names)
             previous, self.reported_outcomes[job] = (
                 self.reported_outcomes[job],
                 ReportedOutcome.UNKNOWN,
             )
-            answer = await self.cluster.call(entry, "POST", job, body)
+            answer = await self.call(entry, "POST", job, body)
             if answer is not None and answer.status == 200:
                 self.reported_outcomes[job] = ReportedOutcome.ACCEPTED
-            elif answer is not None and answer.status in (429, 503):
+            elif answer is not None and answer.status in NOT_RUN_STATUSES:
                 self.reported_outcomes[job] = previous
                 if drawn.abandons:
                     return
@@ -106,7 +161,7 @@
         outcome = ReportedOutcome.UNKNOWN
         while outcome is ReportedOutcome.UNKNOWN:
             entry = self.rng.choice(self.cluster.names)
-            answer = await self.cluster.call(entry, "DELETE", job)
+            answer = await self.call(entry, "DELETE", job)
             if answer is not None and answer.status == 200:
                 outcome = ReportedOutcome.CANCELLED
                 state = json.loads(answer.body).get("State")
@@ -121,7 +176,7 @@
         self.reported_outcomes[job] = outcome
         if outcome is ReportedOutcome.WITHDRAWN:
             entry = self.rng.choice(self.cluster.names)
-            copy = await self.cluster.call(entry, "POST", job, body)
+            copy = await self.call(entry, "POST", job, body)
             if copy is not None and copy.status == 200:
                 self.problems.append(f"{entry} accepted {job} after its cancellation")
 
@@ -129,7 +184,7 @@
         while True:
             self.reported_outcomes[job] = ReportedOutcome.CANCEL_SENT
             entry = self.rng.choice(self.cluster.names)
-            answer = await self.cluster.call(entry, "DELETE", job)
+            answer = await self.call(entry, "DELETE", job)
             if answer is not None and answer.status == 200:
                 state = json.loads(answer.body).get("State")
                 if state in ("completed", "failed"):
@@ -157,7 +212,7 @@
                 continue
             job = self.rng.choice(accepted)
             entry = self.rng.choice(self.cluster.names)
-            answer = await self.cluster.call(entry, "GET", job)
+            answer = await self.call(entry, "GET", job)
             if answer is not None and answer.status == 200:
                 self._check_state(entry, job, json.loads(answer.body).get("State"))
 
@@ -186,7 +241,9 @@
         A stopping entry still answers requests on open connections. New connections go
         to ready entries only, as behind the platform's balancer.
         """
-        head = RequestHead(b"GET", PREFIX.encode(), [(b"Host", HOST)])
+        scope = self.plan.scopes()[0]
+        headers = [(b"Host", HOST), *key_headers(scope.key)]
+        head = RequestHead(b"GET", scope.prefix.encode(), headers)
         clock = asyncio.get_running_loop().time
         while True:
             heard_at = clock()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -153,7 +153,7 @@
         if outcome in (ReportedOutcome.REFUSED, ReportedOutcome.UNKNOWN):
             continue
         entry = cluster.names[number % len(cluster.names)]
-        answer = await cluster.call(entry, "GET", job)
+        answer = await callers.call(entry, "GET", job)
         expected_status = 410 if outcome is ReportedOutcome.WITHDRAWN else 200
         if answer is None or answer.status != expected_status:
             status = answer.status if answer else "nothing"
@@ -182,7 +182,7 @@
     wrong: list[str] = []
     for number, job in enumerate(callers.finished_jobs):
         entry = cluster.names[number % len(cluster.names)]
-        answer = await cluster.call(entry, "GET", job)
+        answer = await callers.call(entry, "GET", job)
         if answer is None or answer.status != 200:
             status = answer.status if answer else "nothing"
             wrong.append(f"{entry} answers {status} for the finished job {job}")
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -1,21 +1,20 @@
 """Injects faults into processes, links, the store and the workers."""
 
 import asyncio
-import json
 import signal
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from standins.job_cluster import JobCluster
 from standins.job_platform import WorkerServer, demo_configuration
 
 from .foreign_writer import ForeignWriter
+from .impairments import Impairments, recorded_in
 from .proxy import LinkMode, Proxy
 from .schedule import FOREIGN_FAULT_PARAMETERS, Fault, FaultKind
 from .timeline import Timeline
 
 SLOW_STORE_SECONDS = 0.25
-CONFIGURATION_KEY = "op/config"
 # Longer than the entries wait for the store, so that their calls fail and take effect
 # later.
 LATE_WRITE_SECONDS = 1.5
@@ -34,7 +33,12 @@
     worker_links: dict[str, Proxy]
     foreign_writer: ForeignWriter
     timeline: Timeline
-    configuration_version: int = 1
+    impairments: Impairments = field(default_factory=Impairments)
+
+    @property
+    def configuration_version(self) -> int:
+        """Return the newest version of the configuration."""
+        return self.cluster.platform.configuration_version
 
     async def inject_fault(self, fault: Fault) -> None:
         """Start a fault, wait for its duration, and end it."""
@@ -55,11 +59,13 @@
             case FaultKind.STOP:
                 await self._restart([entry], signal.SIGTERM, fault.seconds)
             case FaultKind.PAUSE:
-                await self._pause(entry, fault.seconds)
+                with recorded_in(self.impairments.halt(entry)):
+                    await self._pause(entry, fault.seconds)
             case FaultKind.RELOAD:
                 self.cluster.processes[entry].send_signal(signal.SIGHUP)
             case FaultKind.STORE_LINK:
-                await self._impair_link(self.store_links[entry], fault)
+                with recorded_in(self.impairments.refusal(entry)):
+                    await self._impair_link(self.store_links[entry], fault)
             case FaultKind.WORKER_LINK:
                 link = self.worker_links[worker.fake.worker]
                 worker.fake.partitioned = True
@@ -75,6 +81,9 @@
                 await self._drain_worker(worker, fault.seconds)
             case FaultKind.CONFIGURE:
                 self.write_configuration()
+            case FaultKind.STORE_DOWN:
+                with recorded_in(self.impairments.store_outages):
+                    await self._impair_store(fault)
             case _:
                 await self._impair_store(fault)
 
@@ -165,19 +174,29 @@
             case FaultKind.STORE_WRITES_LATE:
                 store.commit_delay_seconds = 0.0
 
+    async def refuse_entry(self, name: str, seconds: float) -> None:
+        """Let the store refuse the calls of one entry for a time."""
+        refused = self.cluster.platform.store.refused_clients
+        client = self.store_links[name].source
+        self.timeline.write(f"the store refuses {name} for {seconds:.2f} s")
+        with recorded_in(self.impairments.refusal(name)):
+            refused.add(client)
+            try:
+                await asyncio.sleep(seconds)
+            finally:
+                refused.discard(client)
+
     def write_configuration(self) -> str:
         """Write the next configuration version, with a queue that only it has.
 
-        Return the prefix of that queue.
+        Return the prefix of that queue, which needs no key.
         """
-        self.configuration_version += 1
-        configuration = demo_configuration()
-        configuration["Version"] = self.configuration_version
-        prefix = versioned_prefix(self.configuration_version)
-        route = {**configuration["Routes"][0], "Name": f"r{self.configuration_version}"}
-        configuration["Routes"].append({**route, "PathPrefix": prefix})
-        value = json.dumps(configuration).encode()
-        self.cluster.platform.core.put(CONFIGURATION_KEY, value)
+        version = self.configuration_version + 1
+        prefix = versioned_prefix(version)
+        route = demo_configuration()["Routes"][0] | {
+            "Name": f"r{version}", "PathPrefix": prefix, "AllowAnonymous": True,
+        }  # fmt: skip
+        self.cluster.platform.write_configuration(route)
         return prefix
 
     def clear_faults(self) -> None:
@@ -188,6 +207,7 @@
         store = self.cluster.platform.store
         store.down, store.answer_delay_seconds, store.loses_answers = False, 0.0, False
         store.commit_delay_seconds = 0.0
+        store.refused_clients.clear()
         for link in [*self.store_links.values(), *self.worker_links.values()]:
             link.set_mode(LinkMode.PASS)
         for worker in self.cluster.platform.workers:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -63,9 +63,12 @@
         self.mode = LinkMode.PASS
         self.links: set[Link] = set()
         self.server: asyncio.Server | None = None
+        # Address from which the target sees the connections.
+        self.source = ""
 
     async def start(self, host: str, port: int) -> None:
-        """Start listening on an address."""
+        """Start listening on an address, from which the target is reached as well."""
+        self.source = host
         self.server = await asyncio.start_server(self._serve, host, port)
 
     async def stop(self) -> None:
@@ -100,7 +103,9 @@
             writer.transport.abort()
             return
         try:
-            target_reader, target_writer = await asyncio.open_connection(*self.target)
+            target_reader, target_writer = await asyncio.open_connection(
+                *self.target, local_addr=(self.source, 0)
+            )
         except OSError:
             writer.transport.abort()
             return
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,9 +18,13 @@
 from .checks import GuaranteeMonitor, get_status, unexpected_runs, wait_for_recovery
 from .finished_jobs import store_finished_jobs
 from .foreign_writer import ForeignWriter
+from .impairments import CONFIG_APPLY_SECONDS, MAX_STRETCH_SECONDS
 from .injector import Injector
+from .key_calls import KeyCalls
+from .key_checks import KeyMonitor
 from .proxy import Proxy
 from .schedule import draw_faults
+from .scopes import Play, draw_play, plan_scopes
 from .stored_progress import StoredProgressCheck
 from .timeline import Timeline
 
@@ -41,6 +45,8 @@
     jobs: int
     starts: int
     problems: tuple[str, ...]
+    # Which answers there were to valid, removed and unknown keys.
+    key_answers: frozenset[tuple[str, int]]
 
 
 async def start_proxies(
@@ -96,6 +102,7 @@
     callers: Callers
     monitor: GuaranteeMonitor
     injector: Injector
+    key_calls: KeyCalls
     links: tuple[Proxy, ...]
 
     def start_tasks(self) -> list[asyncio.Task[None]]:
@@ -113,15 +120,36 @@
                 for name in self.cluster.names
                 for interval in CALL_INTERVALS_SECONDS
             ),
+            *map(asyncio.create_task, self.key_calls.calls()),
         ]
 
+    def start_load(self) -> list[asyncio.Task[None]]:
+        """Start the submissions and changes, which end with the faults."""
+        tasks = [asyncio.create_task(self.callers.submit_jobs())]
+        if self.key_calls.plan.play is Play.WORKSPACES:
+            tasks.append(asyncio.create_task(self.key_calls.change_configurations()))
+        return tasks
+
+    async def end_load(self, tasks: list[asyncio.Task[None]]) -> None:
+        """End all faults, then what start_load has started."""
+        self.injector.clear_faults()
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        if self.key_calls.plan.play is Play.WORKSPACES:
+            self.key_calls.set_limits()
+            self.injector.write_configuration()
+
     async def final_problems(self) -> list[str]:
         """Wait for the recovery; return all violations of the run."""
         problems = await wait_for_recovery(self.callers, self.cluster)
         problems += await check_configuration(self.injector, self.cluster)
+        problems += await self.key_calls.final_problems()
+        problems += self.key_calls.check_logs()
         problems += unexpected_runs(self.callers, self.oracle, self.cluster)
         problems += self.monitor.stored_progress.check_all_acknowledged()
         problems += self.monitor.stored_progress.problems
+        problems += self.key_calls.problems + self.key_calls.monitor.problems
         return self.monitor.problems + self.callers.problems + problems
 
     async def close(self) -> None:
@@ -134,11 +162,13 @@
         self.cluster.close()
 
 
-async def prepare_run(seed: int, entries: int, workers: int) -> SoakRun:
+async def prepare_run(seed: int, entries: int, workers: int, play: Play) -> SoakRun:
     """Start the platform and the links of a run; its entries are not started yet."""
-    cluster = JobCluster(entries, workers)
+    plan = plan_scopes(seed, play)
+    cluster = JobCluster(entries, workers, plan.options)
     oracle = Oracle(time.time, MAX_ATTEMPTS)
-    callers = Callers(cluster, oracle, random.Random(seed))
+    oracle.workspace_limits.change_seconds = CONFIG_APPLY_SECONDS + MAX_STRETCH_SECONDS
+    callers = Callers(cluster, oracle, random.Random(seed), plan=plan)
     timeline = Timeline(Path(cluster.directory.name) / "soak.log")
     stored_progress = StoredProgressCheck(cluster.platform.core, oracle)
     monitor = GuaranteeMonitor(cluster, oracle, stored_progress, timeline)
@@ -151,36 +181,45 @@
     injector = Injector(
         cluster, store_links, worker_links, ForeignWriter(cluster), timeline
     )
+    key_monitor = KeyMonitor(injector.impairments)
+    if play is Play.WORKSPACES:
+        callers.key_monitor = key_monitor
+    key_calls = KeyCalls(cluster, callers, injector, oracle, plan, key_monitor, seed)
     links = (*store_links.values(), *worker_links.values())
-    return SoakRun(cluster, oracle, callers, monitor, injector, links)
+    return SoakRun(cluster, oracle, callers, monitor, injector, key_calls, links)
 
 
-async def run_seed(seed: int, seconds: float, entries: int, workers: int) -> SeedReport:
+async def run_seed(
+    seed: int,
+    seconds: float,
+    entries: int,
+    workers: int,
+    play: Play = Play.ONE_QUEUE,
+) -> SeedReport:
     """Run one seed on a cluster of its own; SIGTERM ends it and its processes."""
     run_task = asyncio.current_task()
     assert run_task is not None
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, run_task.cancel)
-    run = await prepare_run(seed, entries, workers)
+    run = await prepare_run(seed, entries, workers, play)
     tasks: list[asyncio.Task[None]] = []
     try:
         for name in run.cluster.names:
             run.cluster.start_entry(name)
         await wait_until_ready(run.cluster)
         tasks = run.start_tasks()
-        submission_task = asyncio.create_task(run.callers.submit_jobs())
+        load_tasks = run.start_load()
         fault_count = await inject(run.injector, seed, seconds)
-        run.injector.clear_faults()
-        submission_task.cancel()
-        await asyncio.wait([submission_task])
+        await run.end_load(load_tasks)
         problems = await run.final_problems()
-        watched = [submission_task, *tasks, *run.cluster.platform.clock_tasks]
+        watched = [*load_tasks, *tasks, *run.cluster.platform.clock_tasks]
         problems += failures_of_tasks(watched)
         starts = sum(history.starts for history in run.oracle.tasks.values())
         if problems:
             run.injector.timeline.flush()
             save_logs(run.cluster, seed, problems)
         jobs = len(run.callers.reported_outcomes)
-        return SeedReport(seed, fault_count, jobs, starts, tuple(problems))
+        answers = frozenset(run.key_calls.monitor.seen)
+        return SeedReport(seed, fault_count, jobs, starts, tuple(problems), answers)
     finally:
         for task in tasks:
             task.cancel()
@@ -219,20 +258,27 @@
     parser.add_argument("--seconds", type=float, default=15.0, help="of faults")
     parser.add_argument("--entries", type=int, default=4)
     parser.add_argument("--workers", type=int, default=4)
+    parser.add_argument(
+        "--play", type=Play, choices=list(Play), metavar="PLAY",
+        help="one-queue, queues or workspaces; drawn from the seed if not given",
+    )  # fmt: skip
     arguments = parser.parse_args()
     failed_seeds = 0
     for seed in arguments.seeds:
+        play = arguments.play or draw_play(seed)
+        run = run_seed(
+            seed, arguments.seconds, arguments.entries, arguments.workers, play
+        )
         try:
-            report = asyncio.run(
-                run_seed(seed, arguments.seconds, arguments.entries, arguments.workers)
-            )
+            report = asyncio.run(run)
         except asyncio.CancelledError:
             print(f"seed {seed}: stopped", flush=True)
             return 1
         failed_seeds += bool(report.problems)
         verdict = "failed" if report.problems else "passed"
         print(
-            f"seed {seed}: {verdict}, {report.faults} faults, {report.jobs} jobs, "
+            f"seed {seed} ({play.value}): {verdict}, {report.faults} faults, "
+            f"{report.jobs} jobs, "
             f"{report.starts} starts", flush=True,
         )  # fmt: skip
         for problem in report.problems[:MAX_PRINTED_PROBLEMS]:
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -90,6 +90,12 @@
     return DrawnJob(job, JobKind.LONG_RUNNING, body, None, False)
 
 
+def draw_steps_job(rng: random.Random) -> DrawnJob:
+    """Return a job that runs once, at once, and that its caller does not cancel."""
+    body = _draw_body(rng, JobKind.STEPS)
+    return DrawnJob(f"{rng.getrandbits(64):016x}", JobKind.STEPS, body, None, False)
+
+
 def _draw_body(rng: random.Random, kind: JobKind) -> dict[str, Any]:
     match kind:
         case JobKind.STEPS:
--- a/standins/workspace_limits.py
+++ b/standins/workspace_limits.py
@@ -60,7 +60,8 @@
             return None
         if any(not exceeds(limit, used, demand) for limit in limits):
             return None
-        return f"workspace {workspace} runs {used}, its limits are {limits}"
+        counted = ", ".join(dict.fromkeys(map(str, limits)))
+        return f"workspace {workspace} runs {used} of {counted}"
 
     def end(self, workspace: WorkspaceName, worker: str, task: TaskId) -> None:
         """Record the end of a run."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,6 +25,7 @@
 from soak.proxy import LinkMode, Proxy
 from soak.run import parse_seeds, run_seed
 from soak.schedule import Fault, FaultKind, ForeignChange, draw_faults
+from soak.scopes import Play
 from standins.memory_store import StoreCore
 from standins.network import claim_network
 
@@ -51,6 +52,11 @@
     12,
 ]
 SHORT_SECONDS = 6.0
+# Seeds of runs with two queues, and with workspaces whose keys and limits change.
+QUEUE_SEEDS = [1]
+WORKSPACE_SEEDS = [2, 3]
+# Longer, so that some keys are removed for more than the time to apply it.
+WORKSPACE_SECONDS = 10.0
 
 
 class Echo:
@@ -230,3 +236,16 @@
     assert report.faults > 0
     assert report.starts > 0
     assert report.problems == ()
+
+
+@pytest.mark.parametrize("seed", QUEUE_SEEDS)
+async def test_queues_are_separate_in_a_short_soak(seed):
+    report = await run_seed(seed, SHORT_SECONDS, 3, 3, Play.QUEUES)
+    assert report.problems == ()
+
+
+@pytest.mark.parametrize("seed", WORKSPACE_SEEDS)
+async def test_keys_scopes_and_limits_hold_in_a_short_soak(seed):
+    report = await run_seed(seed, WORKSPACE_SECONDS, 3, 3, Play.WORKSPACES)
+    assert report.problems == ()
+    assert {("valid", 200), ("removed", 401), ("unknown", 401)} <= report.key_answers
