--- a/soak/key_calls.py
+++ b/soak/key_calls.py
@@ -55,6 +55,8 @@
     problems: list[str] = field(default_factory=list)
     # Workspace of each key that a configuration had.
     workspaces_of_keys: dict[str, WorkspaceName] = field(default_factory=dict)
+    # Whether new jobs may still be submitted; later ones would end after the checks.
+    submits: bool = True
 
     def __post_init__(self) -> None:
         """Record the first keys, a key that is never added, and calls without one."""
@@ -156,7 +158,7 @@
                 [s for s in scopes if s.workspace == workspace] or scopes
             )
             scope = replace(owner, key=key)
-            if rng.random() < SUBMISSION_SHARE:
+            if rng.random() < SUBMISSION_SHARE and self.submits:
                 drawn = draw_steps_job(rng)
                 await self.callers.submit_once(drawn, entry, scope, owner)
             else:
--- a/soak/run.py
+++ b/soak/run.py
@@ -133,6 +133,7 @@
     async def end_load(self, tasks: list[asyncio.Task[None]]) -> None:
         """End all faults, then what start_load has started."""
         self.injector.clear_faults()
+        self.key_calls.submits = False
         for task in tasks:
             task.cancel()
         await asyncio.wait(tasks)
