Emulator: schedulers enforce limits

Cause: the oracle of limits found starts above a limit, since the emulator built schedulers that enforce none.

--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -26,6 +26,7 @@
 from ebonyhub.scheduling.model import OrderFailure, StartOrder, WorkerEntry
 from ebonyhub.scheduling.orders import FetchReport, StartRun, StopRun
 from ebonyhub.scheduling.scheduler import Scheduler
+from ebonyhub.scheduling.workspaces.policy import WorkspaceRules
 from standins.emulated_configuration import MAX_ATTEMPTS as MAX_ATTEMPTS
 from standins.emulated_configuration import QUEUE as QUEUE
 from standins.emulated_configuration import SERVICE as SERVICE
@@ -117,7 +118,7 @@
         """Elect a new leader, which loads the stored records."""
         self.revision += 1
         self.token = LeaderToken(self.revision)
-        scheduler = Scheduler()
+        scheduler = Scheduler(WorkspaceRules(enforced=True))
         scheduler.records_loaded = True
         scheduler.configure(self.configuration.known)
         scheduler.inherited_leases_until = (
