--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -281,7 +281,7 @@
     CONFIGURATION_STALE = EventSpec(
         2603,
         _W,
-        "no news of the configuration for RevokeMs; calls with keys are refused",
+        "no news of the configuration for too long; calls with keys are refused",
         "Check this entry's connections to the store and to the leader.",
     )
     CONFIGURATION_CURRENT = EventSpec(
--- a/src/ebonyhub/platform/tenants.py
+++ b/src/ebonyhub/platform/tenants.py
@@ -17,6 +17,9 @@
 API_KEY_SCHEME = b"ApiKey"
 MAX_KEYS = 10_000
 Limit = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+Priority = Annotated[int, msgspec.Meta(ge=-1_000_000, le=1_000_000)]
+Weight = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 # Encoded in base64.
 Digest = Annotated[bytes, msgspec.Meta(min_length=32, max_length=32)]
 Key = Annotated[str, msgspec.Meta(min_length=1, max_length=4096)]
@@ -33,20 +36,20 @@
 class TenantRow(msgspec.Struct, rename="pascal"):
     """A workspace with its API keys."""
 
-    name: Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+    name: Text
     api_keys: Annotated[tuple[Key, ...], msgspec.Meta(max_length=MAX_KEYS)] = ()
-    priority: Annotated[int, msgspec.Meta(ge=-1_000_000, le=1_000_000)] = 0
-    weight: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 1.0
+    priority: Priority = 0
+    weight: Weight = 1.0
     maximum: MaximumRow | None = None
 
 
 class DigestedTenantRow(msgspec.Struct, rename="pascal"):
     """A workspace as entries send it to each other, with the digests of its keys."""
 
-    name: Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+    name: Text
     key_digests: Annotated[tuple[Digest, ...], msgspec.Meta(max_length=MAX_KEYS)]
-    priority: int
-    weight: float
+    priority: Priority
+    weight: Weight
     maximum: MaximumRow
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+from absl import logging
 from hypothesis import HealthCheck, settings
 
 # derandomize derives the examples from the test itself, so that every run has the same
@@ -16,6 +17,17 @@
 )
 settings.load_profile("fixed")
 
+
+@pytest.fixture
+def log_lines(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """Collect the log lines of a test instead of writing them."""
+    lines: list[str] = []
+    logger = logging.get_absl_logger()
+    monkeypatch.setattr(logger, "isEnabledFor", lambda _: True)
+    monkeypatch.setattr(logger, "handle", lambda r: lines.append(r.getMessage()))
+    return lines
+
+
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
--- a/tests/test_foreign_calls.py
+++ b/tests/test_foreign_calls.py
@@ -74,9 +74,12 @@
     )
 
 
-async def call(app, method, path, chunks=(b"",), headers=HEADERS):
-    """Make a call through the server interface; return status and body."""
-    sent = []
+async def call(app, method, path, chunks=(b"",), headers=HEADERS, sent=None):
+    """Make a call through the server interface; return status and body.
+
+    ``sent`` receives the messages of the answer.
+    """
+    sent = [] if sent is None else sent
     parts = iter(chunks)
     scope = {
         "type": "http", "method": method, "path": path.decode("latin-1"),
