Ask other entries when the stream to the leader ends and the store is away

An entry that the store refuses connected again and again to a frozen leader, whose kernel accepts connections, and heard of no other. A new test also covers the announcements that the leader repeats.

--- a/src/ebonyhub/entry/leadership_manager.py
+++ b/src/ebonyhub/entry/leadership_manager.py
@@ -318,20 +318,19 @@
     async def connect_to_leader(self, leader: Leader) -> None:
         """Hold a stream to the leader until it closes or the leader changes."""
         opened = await self._connect(leader.record.address)
-        if opened.is_error():
-            if isinstance(opened.error, ConnectionRefusedError):
-                # Nothing listens on the address, so the leader's process has ended.
-                log_event(Event.LEADER_CONNECTION_REFUSED, leader=leader.record.entry)
-                if self.leader == leader:
-                    await self.campaign(leader.revision)
-            else:
-                await self._wait_for_change(ELECTION_RETRY_SECONDS)
-            if self.store.failing and self.leader == leader:
-                # Without the store and the leader, only another peer tells of a new
-                # leader or a new configuration.
-                await self.connect_to_any_peer()
-            return
-        await self._run_stream(opened.ok, None)
+        if opened.is_ok():
+            await self._run_stream(opened.ok, None)
+        elif isinstance(opened.error, ConnectionRefusedError):
+            # Nothing listens on the address, so the leader's process has ended.
+            log_event(Event.LEADER_CONNECTION_REFUSED, leader=leader.record.entry)
+            if self.leader == leader:
+                await self.campaign(leader.revision)
+        else:
+            await self._wait_for_change(ELECTION_RETRY_SECONDS)
+        if self.store.failing and self.leader == leader:
+            # Without the store and the leader, only another peer tells of a new leader
+            # or a new configuration.
+            await self.connect_to_any_peer()
 
     async def take_over(self, expected_revision: Revision) -> tuple[int, Any]:
         """Become leader at the request of the current one.
--- a/tests/test_configuration_replica.py
+++ b/tests/test_configuration_replica.py
@@ -8,6 +8,7 @@
 import json
 import random
 from dataclasses import replace
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -17,6 +18,7 @@
 from ebonyhub.cluster.leadership import LEADER_KEY, LeaderRecord
 from ebonyhub.cluster.metadata_store import Batch, Item
 from ebonyhub.cluster.peers import MessageKind, PeerFailure, connect
+from ebonyhub.entry import process
 from ebonyhub.entry.process import PlatformEntry
 from ebonyhub.entry.workspaces import replica as replica_module
 from ebonyhub.entry.workspaces.replica import (
@@ -302,7 +304,7 @@
     """An entry that listens, and others that do not run."""
 
     def __init__(self):
-        self.network, self.tasks = claim_network(), []
+        self.network, self.tasks, self.servers = claim_network(), [], []
         self.first, self.second = (
             PlatformEntry(settings(self.network.address(1, n)), 1) for n in (1, 2)
         )
@@ -322,6 +324,8 @@
 async def entries():
     found = Entries()
     yield found
+    for closing in found.servers:
+        closing.close()
     for task in found.tasks:
         task.cancel()
     await asyncio.gather(*found.tasks, return_exceptions=True)
@@ -349,6 +353,22 @@
     assert (second.configuration.version, stream.is_open) == (3, True)
 
 
+async def test_leader_announces_its_version_at_intervals(entries, monkeypatch):
+    """Entries without the store would otherwise refuse keys after a while."""
+    monkeypatch.setattr(process, "STATES_INTERVAL_SECONDS", 0.0)
+    first, second = entries.first, entries.second
+    for entry in (first, second):
+        entry.replica.apply_stored(document(1))
+    second.leadership.leader_stream = stream = await entries.connect()
+    entries.start(stream.run(second))
+    await wait_until(lambda: first.leadership.peer_server.streams)
+    assert second.replica.is_stale()
+    first.replica.store_checked_at = first.clock.monotonic
+    first.leadership.term = SimpleNamespace(ended=False)
+    entries.start(first.broadcast_periodically())
+    await wait_until(lambda: not second.replica.is_stale())
+
+
 def leader_item(entries, host, revision):
     """Return the leader key of an entry with an address of the network."""
     address = f"{entries.network.address(1, host)}:{PORT}"
@@ -370,10 +390,11 @@
 
 
 @pytest.mark.parametrize("store_failing", [True, False])
+@pytest.mark.parametrize("listens", [True, False])
 async def test_entry_with_neither_store_nor_leader_asks_another_entry(
-    entries, store_failing
+    entries, store_failing, listens
 ):
-    """It tried the address of a dead leader until the store was back."""
+    """It tried the address of a dead or frozen leader until the store was back."""
     first, second = entries.first.leadership, entries.second.leadership
     first.update_leader(leader_item(entries, 1, 9))
     second.update_leader(leader_item(entries, 3, 8))
@@ -381,6 +402,12 @@
     second.entry_addresses = {EntryId("e1"): first.leader.record.address}
     if store_failing:
         entries.second.store.last_failure_at = second.clock.monotonic() + 100.0
+    if listens:
+        # Closes its streams without a word.
+        address = entries.network.address(1, 3)
+        entries.servers.append(
+            await asyncio.start_server(lambda _, writer: writer.close(), address, PORT)
+        )
     await asyncio.sleep(0.05)
     await second.connect_to_leader(second.leader)
     assert second.leader.record.entry == ("e1" if store_failing else "e3")
