--- a/src/ebonyhub/scheduling/share_order.py
+++ b/src/ebonyhub/scheduling/share_order.py
@@ -57,6 +57,35 @@
     ) -> Iterator[tuple[Job, OpenWorkers]]:
         """Yield the candidates that limits let start, each with its workers.
 
+        Jobs over the rate are looked at only if there is room that is not kept for
+        others. Under overload they are nearly all that wait.
+        """
+        is_over = self.workspaces.rates.is_over
+        within_rate: list[Job] = []
+        over_rate: list[Job] = []
+        for job in candidates:
+            is_last = is_over(job.job_id) and not job.accepted.spec.long_running
+            (over_rate if is_last else within_rate).append(job)
+        yield from self._by_share(service, jobs, within_rate, workers, now)
+        starts = len(self.planned_runs)
+        least = min((job.min_pending_cpu for job in over_rate), default=0)
+        if not over_rate or workers.max_free(starts) < least:
+            return
+        choice = self._kept_workers(service, jobs, workers.workers, now)
+        unkept = _without(workers, choice.kept_from(Standing.OVER_RATE, Rank.LATE))
+        if unkept.max_free(starts) >= least:
+            yield from self._by_share(service, jobs, over_rate, workers, now)
+
+    def _by_share(
+        self,
+        service: ServiceName,
+        jobs: list[Job],
+        candidates: list[Job],
+        workers: OpenWorkers,
+        now: float,
+    ) -> Iterator[tuple[Job, OpenWorkers]]:
+        """Yield candidates in the order of ``order_key``.
+
         The starts of the pass use up shares, so a job whose workspace has none left
         takes its new place in the order, also if some of its tasks were started.
         """
@@ -70,12 +99,15 @@
                 continue
             if policy.standing(job, service) is standing:
                 kept: frozenset[WorkerId] = frozenset()
-                if standing is not Standing.WITHIN_SHARE:
+                rank = Rank(key[2])
+                if (
+                    standing is not Standing.WITHIN_SHARE
+                    and rank is not Rank.LONG_RUNNING
+                ):
                     choice = self._kept_workers(service, jobs, workers.workers, now)
-                    kept = choice.kept_from(standing, Rank(key[2]))
+                    kept = choice.kept_from(standing, rank)
                 if kept not in open_workers:
-                    free = [w for w in workers.workers if w.worker_id not in kept]
-                    open_workers[kept] = OpenWorkers(free)
+                    open_workers[kept] = _without(workers, kept)
                 yield job, open_workers[kept]
                 if not job.pending or policy.standing(job, service) is standing:
                     continue
@@ -163,3 +195,8 @@
             if needed > most:
                 break
         return waiting
+
+
+def _without(workers: OpenWorkers, kept: frozenset[WorkerId]) -> OpenWorkers:
+    """Return the workers that are not kept for other jobs."""
+    return OpenWorkers([w for w in workers.workers if w.worker_id not in kept])
