Keep workers only for tasks that limits let start

Each waiting job of a limited workspace counted with what the limit leaves, so all workers were kept for work of which little could start.

--- a/bench/workspace_rush.py
+++ b/bench/workspace_rush.py
@@ -1,14 +1,14 @@
 """Replays a day on which one workspace sends 8 times its usual load.
 
 ``python -m bench.workspace_rush`` prints the share of jobs on time of each workspace
-with and without the rush, and ``--order`` compares orders of the waiting jobs. All
-jobs are accepted, so that the figures show the order of starts alone.
+with and without the rush, for several orders of the waiting jobs. All jobs are
+accepted, so that the figures show the order of starts alone.
 """
 
 import argparse
 import random
 import sys
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
 from absl import logging
@@ -16,8 +16,6 @@
 from ebonyhub.configuration import Queue, Workspace
 from ebonyhub.ids import QueueName, ServiceName, WorkspaceName
 from ebonyhub.jobs.model import JobSpec, Resources, StepSpec
-from ebonyhub.scheduling.scheduler import Scheduler
-from ebonyhub.scheduling.workspaces.policy import WorkspaceRules
 from standins.replayed_fleet import (
     JobOutcome,
     RecordedDay,
@@ -27,6 +25,7 @@
 )
 
 from .recorded_day import CALL_TIMEOUT_SECONDS, MAX_ATTEMPTS, STANDBY
+from .share_orders import ORDERS
 
 SEED = 1
 DAY_SECONDS = 40.0
@@ -147,27 +146,17 @@
         return True
 
 
-# Changes a scheduler before the replay, to another order of the waiting jobs.
-Order = Callable[[Scheduler], None]
-
-
 def play(
-    scenario: Scenario,
-    rush: bool,
-    seed: int = SEED,
-    enforced: bool = True,
-    order: Order | None = None,
+    scenario: Scenario, rush: bool, seed: int = SEED, order: str = "shares"
 ) -> list[JobOutcome]:
-    """Replay a day; without ``enforced`` in the order without workspaces."""
-    scheduler = Scheduler(WorkspaceRules(enforced=enforced))
+    """Replay a day with one of ``ORDERS``."""
+    scheduler = ORDERS[order]()
     scheduler.workspaces.configure(
         {
             name: Workspace(name, priority=0, weight=scenario.weight)
             for name in WORKSPACES
         }
     )
-    if order is not None:
-        order(scheduler)
     fleet = AcceptingFleet(build_day(scenario, rush, seed), scheduler=scheduler)
     return fleet.play().outcomes
 
@@ -196,6 +185,7 @@
     """Print the shares on time of all scenarios."""
     parser = argparse.ArgumentParser(prog="bench.workspace_rush", description=__doc__)
     parser.add_argument("--seed", action="append", type=int)
+    parser.add_argument("--order", action="append", choices=sorted(ORDERS))
     options = parser.parse_args(arguments)
     logging.set_verbosity(logging.FATAL)
     print(
@@ -204,14 +194,11 @@
     for scenario in SCENARIOS:
         for seed in options.seed or [SEED]:
             print(f"{scenario.name}, {seed}, {fair_share(scenario):.3f}")
-            for text, rush, enforced in (
-                ("no rush", False, True),
-                ("rush", True, True),
-                ("rush, without limits", True, False),
-            ):
-                shares = on_time_shares(play(scenario, rush, seed, enforced))
-                row = "  ".join(f"{share:.3f}" for share in shares.values())
-                print(f"  {text:22} {row}", flush=True)
+            for order in options.order or ["shares"]:
+                for text, rush in (("no rush", False), ("rush", True)):
+                    shares = on_time_shares(play(scenario, rush, seed, order))
+                    row = "  ".join(f"{share:.3f}" for share in shares.values())
+                    print(f"  {order:16} {text:8} {row}", flush=True)
     return 0
 
 
--- a/src/ebonyhub/scheduling/share_order.py
+++ b/src/ebonyhub/scheduling/share_order.py
@@ -171,28 +171,40 @@
 
         Ends early once they need all workers.
         """
-        policy = self.workspaces
+        policy, claims = self.workspaces, self.workspaces.waiting_claims()
         waiting: dict[Precedence, list[WaitingTasks]] = {}
-        needed, most = 0, sum(worker.entry.capacity.cpu for worker in workers)
+        most = sum(worker.entry.capacity.cpu for worker in workers)
+        needed = dict.fromkeys(Precedence, 0)
+        standings: dict[WorkspaceName, Standing] = {}
         is_over = policy.rates.is_over
         for job in jobs:
             if is_over(job.job_id) or not job.pending:
                 continue
-            standing = policy.share_standing(job.accepted.workspace, service)
-            urgency = self._urgency(service, job, standing, now)
-            precedence = Precedence.of(standing, urgency.rank)
+            name = job.accepted.workspace
+            if name not in standings:
+                standings[name] = policy.share_standing(name, service)
+            precedence = Precedence.LENT
+            if standings[name] is Standing.WITHIN_SHARE:
+                rank = self._urgency(service, job, standings[name], now).rank
+                precedence = Precedence.of(standings[name], rank)
+            if needed[precedence] > most:
+                continue
+            room = claims.room(name)
             for (occurrence, number), positions in job.pending.items():
                 step = job.accepted.spec.steps[number]
-                count = policy.tasks_allowed(job, step, len(positions))
+                count = len(positions)
+                if room is not None:
+                    count = room.take(step.demand, count)
+                if not count or (step.gang and count < len(positions)):
+                    continue
                 requirements = self.requirements_of(
                     job, occurrence, number, workers, now
                 )
-                if count and requirements is not None:
+                if requirements is not None:
                     tasks = WaitingTasks(requirements, count)
                     waiting.setdefault(precedence, []).append(tasks)
-                    if precedence is Precedence.WITHIN_SHARE_IN_TIME:
-                        needed += count * step.reserved.cpu
-            if needed > most:
+                    needed[precedence] += count * step.reserved.cpu
+            if needed[Precedence.WITHIN_SHARE_IN_TIME] > most:
                 break
         return waiting
 
--- a/tests/test_workspace_machine.py
+++ b/tests/test_workspace_machine.py
@@ -27,7 +27,7 @@
 from ebonyhub.scheduling.workspaces.shares import dominant_share
 from ebonyhub.scheduling.workspaces.status import Standing
 from standins.emulator import QUEUE, SERVICE
-from tests.test_workspace_limits import WorkspaceDriver, configuration, end_of, spec
+from tests.workspace_driver import WorkspaceDriver, configuration, end_of, spec
 
 NAMES = tuple(WorkspaceName(name) for name in "abc")
 NODES = ("w1", "w2", "w3")
