--- a/src/ebonyhub/scheduling/share_order.py
+++ b/src/ebonyhub/scheduling/share_order.py
@@ -57,6 +57,35 @@
     ) -> Iterator[tuple[Job, OpenWorkers]]:
         """Yield the candidates that limits let start, each with its workers.
 
+        Jobs over the rate are looked at only if there is room that is not kept for
+        others. Under overload they are nearly all that wait.
+        """
+        is_over = self.workspaces.rates.is_over
+        within_rate: list[Job] = []
+        over_rate: list[Job] = []
+        for job in candidates:
+            is_last = is_over(job.job_id) and not job.accepted.spec.long_running
+            (over_rate if is_last else within_rate).append(job)
+        yield from self._by_share(service, jobs, within_rate, workers, now)
+        starts = len(self.planned_runs)
+        least = min((job.min_pending_cpu for job in over_rate), default=0)
+        if not over_rate or workers.max_free(starts) < least:
+            return
+        choice = self._kept_workers(service, jobs, workers.workers, now)
+        unkept = _without(workers, choice.kept_from(Standing.OVER_RATE, Rank.LATE))
+        if unkept.max_free(starts) >= least:
+            yield from self._by_share(service, jobs, over_rate, workers, now)
+
+    def _by_share(
+        self,
+        service: ServiceName,
+        jobs: list[Job],
+        candidates: list[Job],
+        workers: OpenWorkers,
+        now: float,
+    ) -> Iterator[tuple[Job, OpenWorkers]]:
+        """Yield candidates in the order of ``order_key``.
+
         The starts of the pass use up shares, so a job whose workspace has none left
         takes its new place in the order, also if some of its tasks were started.
         """
@@ -70,12 +99,15 @@
                 continue
             if policy.standing(job, service) is standing:
                 kept: frozenset[WorkerId] = frozenset()
-                if standing is not Standing.WITHIN_SHARE:
+                rank = Rank(key[2])
+                if (
+                    standing is not Standing.WITHIN_SHARE
+                    and rank is not Rank.LONG_RUNNING
+                ):
                     choice = self._kept_workers(service, jobs, workers.workers, now)
-                    kept = choice.kept_from(standing, Rank(key[2]))
+                    kept = choice.kept_from(standing, rank)
                 if kept not in open_workers:
-                    free = [w for w in workers.workers if w.worker_id not in kept]
-                    open_workers[kept] = OpenWorkers(free)
+                    open_workers[kept] = _without(workers, kept)
                 yield job, open_workers[kept]
                 if not job.pending or policy.standing(job, service) is standing:
                     continue
@@ -139,27 +171,44 @@
 
         Ends early once they need all workers.
         """
-        policy = self.workspaces
+        policy, claims = self.workspaces, self.workspaces.waiting_claims()
         waiting: dict[Precedence, list[WaitingTasks]] = {}
-        needed, most = 0, sum(worker.entry.capacity.cpu for worker in workers)
+        most = sum(worker.entry.capacity.cpu for worker in workers)
+        needed = dict.fromkeys(Precedence, 0)
+        standings: dict[WorkspaceName, Standing] = {}
         is_over = policy.rates.is_over
         for job in jobs:
             if is_over(job.job_id) or not job.pending:
                 continue
-            standing = policy.share_standing(job.accepted.workspace, service)
-            urgency = self._urgency(service, job, standing, now)
-            precedence = Precedence.of(standing, urgency.rank)
+            name = job.accepted.workspace
+            if name not in standings:
+                standings[name] = policy.share_standing(name, service)
+            precedence = Precedence.LENT
+            if standings[name] is Standing.WITHIN_SHARE:
+                rank = self._urgency(service, job, standings[name], now).rank
+                precedence = Precedence.of(standings[name], rank)
+            if needed[precedence] > most:
+                continue
+            room = claims.room(name)
             for (occurrence, number), positions in job.pending.items():
                 step = job.accepted.spec.steps[number]
-                count = policy.tasks_allowed(job, step, len(positions))
+                count = len(positions)
+                if room is not None:
+                    count = room.take(step.demand, count)
+                if not count or (step.gang and count < len(positions)):
+                    continue
                 requirements = self.requirements_of(
                     job, occurrence, number, workers, now
                 )
-                if count and requirements is not None:
+                if requirements is not None:
                     tasks = WaitingTasks(requirements, count)
                     waiting.setdefault(precedence, []).append(tasks)
-                    if precedence is Precedence.WITHIN_SHARE_IN_TIME:
-                        needed += count * step.reserved.cpu
-            if needed > most:
+                    needed[precedence] += count * step.reserved.cpu
+            if needed[Precedence.WITHIN_SHARE_IN_TIME] > most:
                 break
         return waiting
+
+
+def _without(workers: OpenWorkers, kept: frozenset[WorkerId]) -> OpenWorkers:
+    """Return the workers that are not kept for other jobs."""
+    return OpenWorkers([w for w in workers.workers if w.worker_id not in kept])
