Soak: each workspace starts with a key that may be removed

Change: every workspace has a second key from the start, and a removed key counts as one that has just changed, which callers use most.

--- a/soak/key_calls.py
+++ b/soak/key_calls.py
@@ -113,8 +113,11 @@
             key = rng.choice(removable)
             rows[name] = row.without_key(key)
             self.injector.write_configuration()
-            self.monitor.keys[key].removed_at = monotonic()
-            self.injector.timeline.write(f"removed {self.monitor.keys[key].label}")
+            record = self.monitor.keys.pop(key)
+            record.removed_at = monotonic()
+            # Last, as the keys that have just changed.
+            self.monitor.keys[key] = record
+            self.injector.timeline.write(f"removed {record.label}")
         else:
             key = draw_key(rng)
             rows[name] = row.with_key(key)
--- a/soak/scopes.py
+++ b/soak/scopes.py
@@ -106,7 +106,7 @@
     if play is Play.QUEUES:
         return ScopePlan(play, rng, PlatformOptions(has_second_queue=True))
     rows = tuple(
-        WorkspaceRow(name, (draw_key(rng),), weight, limit)
+        WorkspaceRow(name, (draw_key(rng), draw_key(rng)), weight, limit)
         for name, weight, limit, _ in WORKSPACES
     )
     bounds = {
