Acknowledge ended tasks only on a connection that has returned a report

Cause: after an answer that cannot be read, or a refusal, the connection stays open, and the next poll on it acknowledged the number of the worker's previous process. A restarted worker then forgets ends that the leader has not seen, and finished tasks may start again. Change: a poll acknowledges nothing until a report was read on its connection.

--- a/src/ebonyhub/platform/workers.py
+++ b/src/ebonyhub/platform/workers.py
@@ -58,6 +58,8 @@
         self.poll_session = HttpSession(address, clock, 1)
         self.headers = ((b"X-Expected-Instance", worker.encode("utf-8", "replace")),)
         self.rejected_answers = RejectedAnswers("worker", clock, metrics)
+        # Whether a report has been read on the present connection for polls.
+        self.has_read_report = False
 
     async def _send_order(
         self,
@@ -122,6 +124,8 @@
         new connection before its first report.
         """
         if not self.poll_session.has_idle_connection():
+            self.has_read_report = False
+        if not self.has_read_report:
             acknowledged_sequence = 0
         body: dict[str, Any] = {
             "FencingToken": token,
@@ -132,9 +136,12 @@
         wait_ms = int(wait_seconds * 1000)
         if wait_ms:
             body["WaitMs"] = wait_ms
-        return self._decode_report_answer(
+        report = self._decode_report_answer(
             await self._send_order(b"/hold", body, wait_seconds, self.poll_session)
         )
+        if report.is_ok():
+            self.has_read_report = True
+        return report
 
     async def fetch_report(
         self, token: LeaderToken, lease_until_ms: int | None
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -157,6 +157,25 @@
         client.close()
 
 
+async def test_unreadable_report_of_a_connection_lets_nothing_be_acknowledged(served):
+    """The worker may be a restarted process, whose ended tasks would be forgotten.
+
+    The second poll of a connection acknowledged the number of the previous process,
+    although the first answer on it could not be read.
+    """
+    core = StoreCore(time.monotonic)
+    standin = await served.start(WorkerServer("w", "plans", served.listener, core))
+    client = WorkerClient(WorkerId("w"), served.address, SystemClock())
+    standin.odd_report = b"[]"
+    assert (await client.poll(LeaderToken(1), 57, None, 0.0)).is_error()
+    standin.odd_report = None
+    assert (await client.poll(LeaderToken(1), 57, None, 0.0)).is_ok()
+    assert standin.fake.acknowledged_sequence == 0
+    assert (await client.poll(LeaderToken(1), 57, None, 0.0)).is_ok()
+    assert standin.fake.acknowledged_sequence == 57
+    client.close()
+
+
 async def test_cloud_calls(served):
     pools = {"m1": "a", "m2": "a", "m3": "b"}
     await served.start(CloudServer(served.listener, pools))
