--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -22,7 +22,8 @@
 from ebonyhub.scheduling import overdue, placement, planning, views
 from ebonyhub.scheduling.runs import Worker
 from standins import replayed_fleet
-from standins.replayed_fleet import DayReport, RecordedDay, ReplayedFleet
+from standins.recorded_jobs import DayReport, RecordedDay
+from standins.replayed_fleet import ReplayedFleet
 
 from .load_shapes import SHAPES, build_day
 from .policies import ORDERS
--- a/bench/load_shapes.py
+++ b/bench/load_shapes.py
@@ -12,7 +12,7 @@
 from ebonyhub.configuration import Queue
 from ebonyhub.ids import QueueName, ServiceName
 from ebonyhub.jobs.model import Resources, StepSpec
-from standins.replayed_fleet import RecordedDay, RecordedJob, RecordedStep
+from standins.recorded_jobs import RecordedDay, RecordedJob, RecordedStep
 
 from .recorded_day import CALL_TIMEOUT_SECONDS, MAX_ATTEMPTS, STANDBY
 
--- a/bench/recorded_day.py
+++ b/bench/recorded_day.py
@@ -7,7 +7,7 @@
 from ebonyhub.configuration import Queue
 from ebonyhub.ids import QueueName, RackId, ServiceName
 from ebonyhub.jobs.model import Resources, StepSpec
-from standins.replayed_fleet import RackOutage, RecordedDay, RecordedJob, RecordedStep
+from standins.recorded_jobs import RackOutage, RecordedDay, RecordedJob, RecordedStep
 
 STANDBY = ServiceName("standby")
 # Time-out of every queue in the recorded configurations.
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -14,12 +14,9 @@
 import matplotlib
 from absl import logging
 
-from standins.replayed_fleet import (
-    WINDOW_SECONDS,
-    DayReport,
-    RecordedDay,
-    ReplayedFleet,
-)
+from ebonyhub.ids import WorkspaceName
+from standins.recorded_jobs import WINDOW_SECONDS, DayReport, RecordedDay
+from standins.replayed_fleet import ReplayedFleet
 
 from .policies import ORDERS
 from .recorded_day import read_recorded_day
@@ -32,14 +29,28 @@
 REPEAT_SPREAD_SECONDS = 0.3
 
 
-def with_load(day: RecordedDay, load: float, seed: int = 1) -> RecordedDay:
-    """Return the day with 1 to 2 times its jobs; long-running ones are not repeated."""
+def with_load(
+    day: RecordedDay, load: float, seed: int = 1, workspace: WorkspaceName | None = None
+) -> RecordedDay:
+    """Return the day with ``load`` times its jobs; long-running ones stay as they are.
+
+    The repeated jobs belong to ``workspace`` if it is given.
+    """
     rng = random.Random(seed)
     jobs = list(day.jobs)
     for job in day.jobs:
-        is_long_running = any(step.spec.long_running for step in job.steps)
-        if not is_long_running and rng.random() < load - 1.0:
-            jobs.append(replace(job, at=job.at + rng.uniform(0, REPEAT_SPREAD_SECONDS)))
+        if job.spec.long_running:
+            continue
+        more = load - 1.0
+        while more > 0.0:
+            if rng.random() < more:
+                repeated = replace(
+                    job, at=job.at + rng.uniform(0, REPEAT_SPREAD_SECONDS)
+                )
+                if workspace is not None:
+                    repeated = replace(repeated, workspace=workspace)
+                jobs.append(repeated)
+            more -= 1.0
     return replace(day, jobs=tuple(sorted(jobs, key=lambda job: job.at)))
 
 
--- a/standins/replayed_fleet.py
+++ b/standins/replayed_fleet.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from itertools import count
@@ -23,19 +22,27 @@
     JobId,
     LeaderToken,
     PoolName,
-    QueueName,
     RackId,
     ServiceName,
     VmId,
     WorkerId,
 )
-from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec
+from ebonyhub.jobs.model import AcceptedJob, JobSpec
 from ebonyhub.scheduling.model import OrderFailure, RunOutcome, StartOrder
 from ebonyhub.scheduling.orders import FetchReport, StartRun, StopRun, ThrottleRun
 from ebonyhub.scheduling.overload import usefulness_overrun_seconds
 from ebonyhub.scheduling.scheduler import Scheduler
 from standins.fake_worker import FakeWorker
 
+from .recorded_jobs import (
+    DayReport,
+    JobOutcome,
+    RackOutage,
+    RecordedDay,
+    RecordedJob,
+    Silence,
+)
+
 STEP_SECONDS = 0.02
 # Seconds between a decision and its effect, for a commit and an order.
 ORDER_DELAY_SECONDS = 0.02
@@ -50,156 +57,20 @@
 TOKEN = LeaderToken(1)
 # Seconds after which the leader polls a worker again that left a poll unanswered.
 UNANSWERED_POLL_SECONDS = 1.65
-# A result later than this multiple of the objective is of no use to the caller.
-USEFULNESS_FACTOR = 3.0
-WINDOW_SECONDS = 2.0
-
-
-@dataclass(frozen=True, slots=True)
-class RecordedStep:
-    """A step with the time (ms) that each of its tasks took."""
-
-    spec: StepSpec
-    task_ms: tuple[int, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class RecordedJob:
-    """A job and the second of the day at which it arrived."""
-
-    at: float
-    queue: QueueName
-    steps: tuple[RecordedStep, ...]
-
-    @property
-    def critical_path_seconds(self) -> float:
-        """Return the time of the longest path through the steps as recorded."""
-        longest: list[float] = []
-        for step in self.steps:
-            before = max((longest[i] for i in step.spec.after), default=0.0)
-            longest.append(before + sum(step.task_ms) / len(step.task_ms) / 1000)
-        return max(longest)
-
-    @property
-    def core_seconds(self) -> float:
-        """Return the recorded processor time of the job in core seconds."""
-        return sum(s.spec.demand.cpu / 1000 * sum(s.task_ms) / 1000 for s in self.steps)
-
-
-@dataclass(frozen=True, slots=True)
-class RackOutage:
-    """Outage of all VMs of a rack, from the second ``at`` for ``seconds``."""
-
-    at: float
-    seconds: float
-    rack: RackId
-
-
-@dataclass(frozen=True, slots=True)
-class RecordedDay:
-    """The fleet, queues, jobs and rack outages of a recorded day."""
-
-    queues: tuple[Queue, ...]
-    vms_per_pool: int
-    vms_per_rack: int
-    capacity: Resources
-    standby: ServiceName
-    jobs: tuple[RecordedJob, ...]
-    rack_outages: tuple[RackOutage, ...] = ()
-    # Share of the polls that workers leave unanswered.
-    unanswered_poll_share: float = 0.0
 
 
 @dataclass(slots=True)
-class JobOutcome:
-    """Result of one job."""
+class Attempt:
+    """A caller's submission of a recorded job."""
 
+    job_id: JobId
     job: RecordedJob
-    objective_seconds: float
-    ended_after_seconds: float | None = None
-    refused: bool = False
-
-    @property
-    def in_time(self) -> bool:
-        """Return whether the job ended within its objective."""
-        return (
-            self.ended_after_seconds is not None
-            and self.ended_after_seconds <= self.objective_seconds
-        )
-
-    @property
-    def is_useful(self) -> bool:
-        """Return whether the result came early enough to be of use to the caller."""
-        if self.ended_after_seconds is None:
-            return False
-        return self.ended_after_seconds <= USEFULNESS_FACTOR * self.objective_seconds
-
-
-@dataclass(slots=True)
-class DayReport:
-    """Results of a replayed day."""
-
-    outcomes: list[JobOutcome]
-    # Cores of one VM.
-    vm_cores: float = 1.0
-    paid_vm_seconds: float = 0.0
-    used_core_seconds: float = 0.0
-    moves: int = 0
-    # Refusals while a worker had capacity for a task of the job.
-    refused_with_capacity: int = 0
-
-    @property
-    def in_time_share(self) -> float:
-        """Return the share of the work that ended within its objective."""
-        return _share(self.outcomes, [o for o in self.outcomes if o.in_time])
-
-    @property
-    def accepted_not_useful(self) -> int:
-        """Return how many jobs were accepted and ended too late to be of use."""
-        return sum(1 for o in self.outcomes if not o.refused and not o.is_useful)
-
-    @property
-    def refused(self) -> int:
-        """Return how many jobs were refused."""
-        return sum(1 for o in self.outcomes if o.refused)
-
-    def in_time_by_window(self) -> list[float]:
-        """Return the share in time of the jobs that arrived in each window."""
-        groups: dict[int, list[JobOutcome]] = {}
-        for outcome in self.outcomes:
-            groups.setdefault(int(outcome.job.at / WINDOW_SECONDS), []).append(outcome)
-        return [
-            _share(group, [o for o in group if o.in_time])
-            for _, group in sorted(groups.items())
-        ]
-
-    def mean_of_worst_windows(self) -> float:
-        """Return the mean of the two worst windows."""
-        return sum(sorted(self.in_time_by_window())[:2]) / 2
-
-    def largest_jobs_in_time_share(self) -> float:
-        """Return the share in time of the tenth of the jobs with the most work."""
-        ordered = sorted(self.outcomes, key=lambda o: -o.job.core_seconds)
-        largest = ordered[: max(1, len(ordered) // 10)]
-        return sum(o.in_time for o in largest) / len(largest)
-
-
-def job_weight(job: RecordedJob, mean_work: float) -> float:
-    """Return the weight of a job in the shares; a job of mean work weighs 1."""
-    return min(4.0, 0.3 + 0.7 * job.core_seconds / mean_work)
-
-
-def _share(all_jobs: Sequence[JobOutcome], subset: Sequence[JobOutcome]) -> float:
-    if not all_jobs:
-        return 1.0
-    mean_work_by_queue: dict[QueueName, float] = {}
-    for queue in {o.job.queue for o in all_jobs}:
-        job_work = [o.job.core_seconds for o in all_jobs if o.job.queue == queue]
-        mean_work_by_queue[queue] = sum(job_work) / len(job_work)
-    total = sum(job_weight(o.job, mean_work_by_queue[o.job.queue]) for o in all_jobs)
-    return (
-        sum(job_weight(o.job, mean_work_by_queue[o.job.queue]) for o in subset) / total
-    )
+    queue: Queue
+    spec: JobSpec
+    outcome: JobOutcome
+    first_at: float
+    # Attempts before this one.
+    repeats: int = 0
 
 
 @dataclass
@@ -243,6 +114,8 @@
         self.next_poll_at: dict[WorkerId, float] = {}
         # Workers that left a poll unanswered, and when its timeout is over.
         self.silent_until: dict[WorkerId, float] = {}
+        # VMs without contact to the leader.
+        self.silent_vms: set[VmId] = set()
         self.rng = random.Random(1)
         self.next_plan = self.now
         self.next_tick = self.now
@@ -283,6 +156,8 @@
             self._schedule(start + job.at, (number, job))
         for outage in self.day.rack_outages:
             self._schedule(start + outage.at, outage)
+        for silence in self.day.silences:
+            self._schedule(start + silence.at, silence)
         end = start + max(job.at for job in self.day.jobs) + DRAIN_SECONDS
         while self.now < end:
             self.now = round(self.now + STEP_SECONDS, 6)
@@ -316,6 +191,12 @@
         match event:
             case (int(number), RecordedJob() as job):
                 self._submit(number, job)
+            case Attempt():
+                self._attempt(event)
+            case Silence():
+                self._silence(event)
+            case "silence ends":
+                self.silent_vms.clear()
             case RackOutage():
                 for name, vm in list(self.vms.items()):
                     if vm.rack == event.rack and vm.state is VmState.UP:
@@ -324,43 +205,82 @@
                 self._start_run(event)
             case StopRun():
                 worker = self.workers.get(event.worker)
-                if worker is not None:
+                if worker is not None and worker.vm not in self.silent_vms:
                     worker.stop(event.task, event.number, TOKEN, self.now)
                     self.scheduler.handle_stop_result(event, None, self.now)
 
+    def _silence(self, silence: Silence) -> None:
+        """Cut the first VMs of each pool off from the leader."""
+        for pool in self.planner.pool_names:
+            vms = [name for name, vm in self.vms.items() if vm.pool == pool]
+            self.silent_vms.update(vms[: round(len(vms) * silence.share)])
+        self._schedule(self.now + silence.seconds, "silence ends")
+
     def _submit(self, number: int, job: RecordedJob) -> None:
         queue = next(queue for queue in self.day.queues if queue.name == job.queue)
         outcome = JobOutcome(
             job, queue.stretch * job.critical_path_seconds + queue.target_seconds
         )
-        spec = JobSpec("t", tuple(step.spec for step in job.steps))
+        spec = job.spec
         if not spec.long_running:
             self.report.outcomes.append(outcome)
-        if not self.admit(queue, spec):
-            outcome.refused = True
-            return
         job_id = JobId(f"{number:016x}")
+        self._attempt(Attempt(job_id, job, queue, spec, outcome, self.now))
+
+    def _attempt(self, attempt: Attempt) -> None:
+        outcome, job, job_id = attempt.outcome, attempt.job, attempt.job_id
+        outcome.refused = not self.admit(attempt)
+        if outcome.refused:
+            outcome.refusals += 1
+            self.report.refused_with_capacity += self.has_unclaimed_room(attempt)
+            self.handle_refusal(attempt)
+            return
         self.recorded[job_id] = job
         accepted = AcceptedJob(
-            job_id, job.queue, queue.service, 3, int(self.now * 1000), spec
-        )
-        self.open_jobs[job_id] = (outcome, self.now)
+            job_id, job.queue, attempt.queue.service, 3, int(self.now * 1000),
+            attempt.spec, job.workspace,
+        )  # fmt: skip
+        self.open_jobs[job_id] = (outcome, attempt.first_at)
         self.scheduler.load_job(accepted, None, False, self.now, int(self.now * 1000))
 
-    def admit(self, queue: Queue, spec: JobSpec) -> bool:
-        """Return whether an entry accepts the job; counts refusals despite capacity."""
-        cores = {ServiceName(pool): n for pool, n in self.planner.pool_cores().items()}
-        forecast = self.scheduler.forecasts(cores, self.now).get(queue.service)
-        if forecast is None or usefulness_overrun_seconds(queue, spec, forecast) <= 0.0:
-            return True
-        smallest = min(step.reserved.cpu for step in spec.steps)
-        self.report.refused_with_capacity += any(
-            worker.entry.service == queue.service
-            and self.scheduler.is_eligible(worker, self.now)
-            and worker.free.cpu >= smallest
+    def handle_refusal(self, attempt: Attempt) -> None:
+        """Let the caller return; here it gives up."""
+
+    def has_unclaimed_room(self, attempt: Attempt) -> bool:
+        """Return whether a task of the job could start at once on some worker.
+
+        Room into which a waiting task of another job fits does not count.
+        """
+        service = attempt.queue.service
+        ready = [step.reserved for step in attempt.spec.steps if not step.after]
+        others = [
+            step.reserved
+            for job in self.scheduler.active.values()
+            if self.scheduler.service_of(job) == service
+            for (_, number) in job.pending
+            for step in (job.accepted.spec.steps[number],)
+        ]
+        return any(
+            any(demand.fits_into(worker.free) for demand in ready)
+            and not any(demand.fits_into(worker.free) for demand in others)
             for worker in self.scheduler.workers.values()
+            if worker.entry.service == service
+            and self.scheduler.is_eligible(worker, self.now)
         )
-        return False
+
+    def admit(self, attempt: Attempt) -> bool:
+        """Return whether an entry with the present forecast accepts the job."""
+        queue, spec = attempt.queue, attempt.spec
+        forecast = self.scheduler.forecasts(self.pool_cores(), self.now).get(
+            queue.service
+        )
+        return (
+            forecast is None or usefulness_overrun_seconds(queue, spec, forecast) <= 0.0
+        )
+
+    def pool_cores(self) -> dict[ServiceName, float]:
+        """Return the cores of each service by the VM list, as the leader knows it."""
+        return {ServiceName(pool): n for pool, n in self.planner.pool_cores().items()}
 
     def _start_run(self, order: StartRun) -> None:
         run = order.run
@@ -368,6 +288,9 @@
         worker = self.scheduler.workers.get(run.worker)
         if fake is None or worker is None:
             return
+        if fake.vm in self.silent_vms:
+            self.scheduler.handle_start_result(run, OrderFailure.UNKNOWN, self.now)
+            return
         deadline = worker.clock_now_ms(self.now) + LEASE_MS
         worker.lease_end_ms = max(worker.lease_end_ms, deadline)
         step = self.recorded[run.task.job].steps[run.task.step]
@@ -383,7 +306,8 @@
             return
         if not fake.ended and self.now < self.next_poll_at.get(fake.worker, 0.0):
             return
-        if self.rng.random() < self.day.unanswered_poll_share:
+        cut_off = fake.vm in self.silent_vms
+        if self.rng.random() < self.day.unanswered_poll_share or cut_off:
             self.silent_until[fake.worker] = self.now + UNANSWERED_POLL_SECONDS
             return
         worker = self.scheduler.workers.get(fake.worker)
@@ -428,10 +352,7 @@
         self.planner.fleet_load = self.scheduler.fleet_load(self.now)
         demands = self.scheduler.demands(self.now)
         changes = self.planner.plan(demands, self.now)
-        self.scheduler.pool_cores = {
-            ServiceName(pool): cores
-            for pool, cores in self.planner.pool_cores().items()
-        }
+        self.scheduler.pool_cores = self.pool_cores()
         self.scheduler.set_cordoned(self.planner.cordoned_vms())
         for change in changes:
             vm = self.vms[change.vm]
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -28,7 +28,8 @@
     retry_after_seconds,
     usefulness_overrun_seconds,
 )
-from standins.replayed_fleet import RackOutage, ReplayedFleet
+from standins.recorded_jobs import RackOutage
+from standins.replayed_fleet import ReplayedFleet
 from tests.test_priority import DAY
 
 SERVICE = ServiceName("s")
