Shedding by cost: loads of services, admission and order

Cores of silent workers counted, and a job was accepted until its wait reached three times its objective. Where jobs are shed by cost, the leader now sends the load that workers which respond have (message OVERLOAD), entries accept what is expected on time or may find room, and late jobs of use come before those of none. Without the word pressure in the contracts nothing changes.

--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -268,6 +268,15 @@
         "a part of a platform answer could not be read and is not used",
         "Compare its fields with docs/platform.md.",
     )
+    CAPACITY_SHORT = EventSpec(
+        2640,
+        _I,
+        "waiting work of a service can make jobs late; entries refuse by cost",
+        "Check the size of the service's pool and whether its workers respond.",
+    )
+    CAPACITY_SUFFICIENT = EventSpec(
+        2641, _I, "waiting work of a service makes no job late any more", "None."
+    )
     JOB_RECORDS_REMOVED = EventSpec(
         2501, _I, "records of finished jobs removed", "None."
     )
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -29,6 +29,8 @@
 from .retention import Retention
 from .runs import SLOW_CLOCK_FACTOR, Worker
 from .scheduler import Scheduler
+from .shedding.leader import LeaderShedding
+from .shedding.service_load import ServiceLoad
 from .state import Advice, StepKey, UnreadableJob
 from .waiting import NOT_WAITING, WaitCause
 from .worker_directory import LEASE_EXTENSION_SECONDS, WorkerDirectory
@@ -84,6 +86,8 @@
             store, mirror, self.scheduler, term, clock, retention_seconds
         )
         self.fleet = self._new_fleet(cloud) if cloud is not None else None
+        # Set where jobs are shed by cost.
+        self.shedding: LeaderShedding | None = None
         self.wake = asyncio.Event()
         self.workers = WorkerDirectory(
             term, store, self.scheduler, clock, rng, metrics, mirror.rejections,
@@ -210,6 +214,16 @@
             return {}
         return self.scheduler.forecasts(self._pool_cores(), self.clock.monotonic())
 
+    def shed_by_cost(self) -> None:
+        """Order waiting jobs and measure loads for shedding by cost."""
+        self.shedding = LeaderShedding(self.scheduler)
+
+    def service_loads(self) -> dict[ServiceName, ServiceLoad]:
+        """Return the load of each service; empty unless jobs are shed by cost."""
+        if self.shedding is None:
+            return {}
+        return self.shedding.loads(self.clock.monotonic())
+
     def _pool_cores(self) -> dict[ServiceName, float]:
         """Return each service's cores, including VMs that are moving to it."""
         if self.fleet is None:
@@ -275,6 +289,8 @@
                 self.next_tick = now + TICK_INTERVAL_SECONDS
                 self.scheduler.tick(now, self._wall_ms())
                 self.scheduler.pool_cores = self._pool_cores()
+                if self.shedding is not None and self.fleet is not None:
+                    self.shedding.update_fleet(self.fleet.planner, now)
                 self._log_wait_causes(now)
                 self.workers.close_removed_links()
             if self.term.is_valid(now) and self.committer.healthy:
--- a/src/ebonyhub/scheduling/overload.py
+++ b/src/ebonyhub/scheduling/overload.py
@@ -16,13 +16,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from math import ceil, inf
-from typing import Annotated, Any
+from typing import Annotated, Any, Protocol
 
 import msgspec
 
 from ..configuration import Queue
 from ..decoding import try_convert
-from ..ids import ServiceName
+from ..ids import ServiceName, WorkspaceName
 from ..jobs.model import JobSpec
 
 # Upper bounds in core-seconds of the job size classes by which waiting work is summed.
@@ -127,6 +127,21 @@
     return max(1, ceil(min(seconds, MAX_RETRY_AFTER_SECONDS)))
 
 
+class Admission(Protocol):
+    """Decides at an entry whether a job is accepted."""
+
+    # Monotonic seconds of the latest news from the leader.
+    updated_at: float
+
+    def refusal_seconds(
+        self, queue: Queue, spec: JobSpec, workspace: WorkspaceName, now: float
+    ) -> float:
+        """Return after how many seconds a job is likely to be accepted.
+
+        0 means that it is accepted now.
+        """
+
+
 class ForecastCache:
     """An entry's copy of the leader's latest forecasts."""
 
@@ -139,6 +154,12 @@
         self.forecasts = forecasts
         self.updated_at = now
 
+    def refusal_seconds(
+        self, queue: Queue, spec: JobSpec, workspace: WorkspaceName, now: float
+    ) -> float:
+        """Return ``overrun_seconds``; the workspace plays no role."""
+        return self.overrun_seconds(queue, spec, now)
+
     def overrun_seconds(self, queue: Queue, spec: JobSpec, now: float) -> float:
         """Return by how many seconds a job would end too late to be useful, else 0."""
         forecast = self.forecasts.get(queue.service)
--- a/src/ebonyhub/scheduling/views.py
+++ b/src/ebonyhub/scheduling/views.py
@@ -10,6 +10,9 @@
 from .overload import BacklogJob, Forecast, build_forecast
 from .priority import Rank, remaining_core_seconds
 from .runs import Job, Run, RunPhase, Worker
+from .shedding.measurement import measure_loads, responding_share
+from .shedding.service_load import ServiceLoad
+from .shedding.standings import AllWithinShare, Standings
 from .state import SchedulerState
 
 # Seconds within which the backlog of waiting tasks should be served.
@@ -77,6 +80,42 @@
             for service, jobs in backlog_jobs.items()
         }
 
+    def service_loads(
+        self,
+        cores_on_way: Mapping[ServiceName, float],
+        now: float,
+        standings: Standings | None = None,
+    ) -> dict[ServiceName, ServiceLoad]:
+        """Return the load of each service with jobs, for shedding by cost.
+
+        ``cores_on_way`` are the cores of VMs that are planned to move or moving there.
+        """
+        known = standings or AllWithinShare()
+        jobs = [
+            (
+                self.service_of(job),
+                job,
+                self.urgency(job, self.queues.get(job.queue), now, False),
+                known.standing(job),
+            )
+            for job in self.active.values()
+            if not job.accepted.spec.long_running
+        ]
+        workers = [w for w in self.workers.values() if self.is_eligible(w, now)]
+        return measure_loads(jobs, workers, cores_on_way, self.fleet_slowdown, now)
+
+    def expected_cores_on_way(
+        self, cores_on_way: Mapping[ServiceName, float], now: float
+    ) -> dict[ServiceName, float]:
+        """Return the cores on their way of which the workers will probably respond."""
+        responsive = {
+            worker.worker_id
+            for worker in self.workers.values()
+            if self.is_responsive(worker, now)
+        }
+        share = responding_share(self.workers.values(), responsive)
+        return {service: cores * share for service, cores in cores_on_way.items()}
+
     def demands(self, now: float) -> dict[PoolName, Demand]:
         """Return the demand of each service, as the pool of the same name."""
         serving: dict[ServiceName, float] = {}
--- a/standins/recorded_jobs.py
+++ b/standins/recorded_jobs.py
@@ -7,6 +7,7 @@
 from ebonyhub.ids import QueueName, RackId, ServiceName, WorkspaceName
 from ebonyhub.jobs.model import JobSpec, Resources, StepSpec
 
+NO_WORKSPACE = WorkspaceName("")
 # A result later than this multiple of the objective is of no use to the caller.
 USEFULNESS_FACTOR = 3.0
 WINDOW_SECONDS = 2.0
@@ -27,7 +28,7 @@
     at: float
     queue: QueueName
     steps: tuple[RecordedStep, ...]
-    workspace: WorkspaceName = WorkspaceName("")
+    workspace: WorkspaceName = NO_WORKSPACE
 
     @property
     def spec(self) -> JobSpec:
--- a/tests/test_decoders_fuzz.py
+++ b/tests/test_decoders_fuzz.py
@@ -19,7 +19,17 @@
 from ebonyhub.cluster.peers import DECODE_ERRORS, PeerStream
 from ebonyhub.errors import ErrorKind
 from ebonyhub.http_client import ExchangeError, SmallResponse
-from ebonyhub.ids import EntryId, JobId, LeaderToken, Revision, TaskId, VmId, WorkerId
+from ebonyhub.ids import (
+    EntryId,
+    JobId,
+    LeaderToken,
+    Revision,
+    ServiceName,
+    TaskId,
+    VmId,
+    WorkerId,
+    WorkspaceName,
+)
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec, spec_problem
 from ebonyhub.jobs.records import ACCEPTED_PREFIX, PROGRESS_PREFIX, ProgressRecord
 from ebonyhub.metrics import Metrics
@@ -33,10 +43,23 @@
 from ebonyhub.platform.submissions import decode_submission
 from ebonyhub.platform.workers import WorkerClient
 from ebonyhub.scheduling.overload import SIZE_CLASSES, decode_forecasts
+from ebonyhub.scheduling.shedding.service_load import (
+    BacklogClass,
+    ServiceLoad,
+    Work,
+    decode_loads,
+    encode_loads,
+)
 from standins.job_platform import demo_configuration
 
 SEEDS = range(40)
 TASK = TaskId(JobId("0123456789abcdef"), 0, 0, 1)
+LOAD = ServiceLoad(
+    10.0,
+    {BacklogClass(False, False, 0, False, 1): Work(50.0, 3.0)},
+    free_cpu=100,
+    over_rate=frozenset({WorkspaceName("w")}),
+)
 INVALID_VALUES = (None, -1, 2**70, 1.5, "x", "", [], [[]], {}, True, "\u0000", [None])
 
 HOLD = {
@@ -231,6 +254,9 @@
     def on_peer_forecasts(self, rows):
         decode_forecasts(rows)
 
+    def on_peer_overload(self, rows):
+        decode_loads(rows)
+
     def on_peer_leader(self, revision, value):
         int(revision)
 
@@ -245,6 +271,7 @@
         [4, 7, b"x"],
         [5, 9, [["j", "q", False, 1]], True],
         [6, [["s", 10.0, 5.0, [0.0] * len(SIZE_CLASSES), 1.0, 5]]],
+        [8, encode_loads({ServiceName("s"): LOAD})],
     ]
     stream = PeerStream.__new__(PeerStream)
     stream.pending_replies = {}
--- a/tests/test_foreign_peers_and_watches.py
+++ b/tests/test_foreign_peers_and_watches.py
@@ -241,6 +241,7 @@
         """Ignore the states."""
 
     on_peer_records = on_peer_leader = on_peer_forecasts = lambda self, *_: None
+    on_peer_overload = on_peer_forecasts
 
     async def on_peer_call(self, method, argument):
         return 0, argument
