Entries use the loads of services where jobs are shed by cost

Entries knew only forecasts. With pressure in the contracts the leader broadcasts OVERLOAD instead, and submissions ask the admission policy; the check before the store is written, with its read of the store, is the same. Without it the messages are as before.

--- a/src/ebonyhub/cluster/peers.py
+++ b/src/ebonyhub/cluster/peers.py
@@ -58,6 +58,9 @@
     # [kind, [[service, cores, started, [waiting, ...], late, free_cpu], ...]]: the
     # leader's forecasts for the services with a large backlog.
     FORECASTS = 6
+    # [kind, [load, ...]]: the leader's loads of the services whose jobs may be late, as
+    # in ``scheduling/shedding/service_load.py``; only where jobs are shed by cost.
+    OVERLOAD = 8
 
 
 class PeerFailure(IntEnum):
@@ -88,6 +91,7 @@
         Count, list[tuple[Name, Name, bool, JobStateNumber]], bool
     ],
     MessageKind.FORECASTS: tuple[list[Any]],
+    MessageKind.OVERLOAD: tuple[list[Any]],
 }
 HANDSHAKE_TYPE = tuple[Count, Name, Count, Cores]
 
@@ -107,6 +111,9 @@
     def on_peer_forecasts(self, rows: list[Any]) -> None:
         """Apply the leader's backlog forecasts."""
 
+    def on_peer_overload(self, rows: list[Any]) -> None:
+        """Apply the leader's loads of services."""
+
     def initial_states_message(self) -> list[Any] | None:
         """Return the states message for a newly connected entry.
 
@@ -224,6 +231,8 @@
             handler.on_peer_states(values[0], fields[1], values[2])
         elif kind == MessageKind.FORECASTS:
             handler.on_peer_forecasts(values[0])
+        elif kind == MessageKind.OVERLOAD:
+            handler.on_peer_overload(values[0])
         elif kind == MessageKind.LEADER:
             handler.on_peer_leader(*values)
 
--- a/src/ebonyhub/entry/job_service.py
+++ b/src/ebonyhub/entry/job_service.py
@@ -30,12 +30,12 @@
 from ..decoding import DECODE_ERRORS, Name, try_convert, try_decode
 from ..errors import ErrorKind
 from ..events import Event, log_event
-from ..ids import JobId, QueueName, Revision
+from ..ids import JobId, QueueName, Revision, WorkspaceName
 from ..jobs.model import AcceptedJob, JobSpec
 from ..jobs.records import JobState, accepted_key, cancelled_key, progress_key
 from ..jobs.validation import accepted_problem, is_job_id
 from ..metrics import Metrics
-from ..scheduling.overload import ForecastCache, retry_after_seconds
+from ..scheduling.overload import Admission, retry_after_seconds
 from .withdrawals import WITHDRAWALS_KEY, Withdrawal, Withdrawals
 
 # If neither the watch nor the leader has updated the mirror for this long, reads of
@@ -50,6 +50,9 @@
 # been suspended. Must be well below the time for which an id stays withdrawn.
 MAX_SUBMISSION_SECONDS = 10.0
 
+# The callers' path does not tell workspaces yet.
+NO_WORKSPACE = WorkspaceName("")
+
 _decode_accepted = msgspec.msgpack.Decoder(AcceptedJob).decode
 
 PeerCall = Callable[[str, Any], Awaitable[Result[tuple[int, Any], PeerFailure]]]
@@ -95,7 +98,7 @@
         metrics: Metrics,
         call_peer: PeerCall,
         on_records: Callable[[list[Item]], None],
-        forecast_cache: ForecastCache,
+        forecast_cache: Admission,
         rng: random.Random,
         withdrawals: Withdrawals,
     ) -> None:
@@ -143,7 +146,7 @@
         read first; if that fails, the job is submitted normally.
         """
         now = self.clock.monotonic()
-        overrun = self.forecast_cache.overrun_seconds(queue, spec, now)
+        overrun = self.forecast_cache.refusal_seconds(queue, spec, NO_WORKSPACE, now)
         if overrun <= 0.0 or self.store.failing:
             return None
         found = await self.store.get(accepted_key(job_id))
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -34,6 +34,8 @@
 from ..rejections import InputSource, Rejections
 from ..scheduling.controller import Controller
 from ..scheduling.overload import ForecastCache, decode_forecasts, encode_forecasts
+from ..scheduling.shedding.admission import AdmissionPolicy
+from ..scheduling.shedding.service_load import decode_loads, encode_loads
 from ..servers import HttpServer, build_server, run_server
 from ..settings import Listener
 from ..supervisor import Supervisor, run_until_signal
@@ -79,6 +81,7 @@
         self.store.rejections = self.rejections
         self.mirror = JobMirror(self.rejections)
         self.forecast_cache = ForecastCache()
+        self.admission_policy = AdmissionPolicy()
         self.configuration: Configuration | None = None
         self.waves: dict[WaveId, Wave] = {}
         self.leadership = LeadershipManager(
@@ -90,7 +93,8 @@
         )
         self.service = JobService(
             self.store, self.mirror, self.clock, self.metrics,
-            self.leadership.call_peer, self.on_local_records, self.forecast_cache,
+            self.leadership.call_peer, self.on_local_records,
+            self.admission_policy if settings.sheds_by_cost else self.forecast_cache,
             self.rng, self.withdrawals,
         )  # fmt: skip
         self.job_api = JobApi(
@@ -153,6 +157,8 @@
         self.leadership.peer_server.broadcast(
             self.states_message(self.mirror.unfinished_states(), True)
         )
+        if settings.sheds_by_cost:
+            controller.shed_by_cost()
         controller.configure(self.configuration)
         for wave in self.waves.values():
             controller.add_wave(wave)
@@ -292,13 +298,20 @@
 
     def broadcast_forecasts(self) -> None:
         """Send all entries the forecasts of services with a long backlog."""
-        if self.leadership.controller is None:
+        controller = self.leadership.controller
+        if controller is None:
             return
-        forecasts = self.leadership.controller.forecasts()
-        self.forecast_cache.update(forecasts, self.clock.monotonic())
-        rows = encode_forecasts(forecasts)
+        rows: list[Any]
+        if self.settings.sheds_by_cost:
+            loads = controller.service_loads()
+            self.admission_policy.update(loads, self.clock.monotonic())
+            kind, rows = MessageKind.OVERLOAD, encode_loads(loads)
+        else:
+            forecasts = controller.forecasts()
+            self.forecast_cache.update(forecasts, self.clock.monotonic())
+            kind, rows = MessageKind.FORECASTS, encode_forecasts(forecasts)
         if rows or self.last_forecasts_nonempty:
-            self.leadership.peer_server.broadcast([MessageKind.FORECASTS, rows])
+            self.leadership.peer_server.broadcast([kind, rows])
         # One empty message follows, to clear the forecasts on the other entries.
         self.last_forecasts_nonempty = bool(rows)
 
@@ -308,6 +321,12 @@
         if self.leadership.term is None:
             self.forecast_cache.update(forecasts, self.clock.monotonic())
 
+    def on_peer_overload(self, rows: list[Any]) -> None:
+        """Apply the leader's loads of services unless this entry leads."""
+        loads = decode_loads(rows)
+        if self.leadership.term is None:
+            self.admission_policy.update(loads, self.clock.monotonic())
+
     def initial_states_message(self) -> list[Any] | None:
         """Return the full states message, or None if this entry does not lead."""
         if self.leadership.controller is None:
