--- a/bench/entry_fleet.py
+++ b/bench/entry_fleet.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass, field, replace
 
 from ebonyhub.configuration import Queue
-from ebonyhub.ids import ServiceName, WorkspaceName
+from ebonyhub.fleet.model import VmState
+from ebonyhub.ids import ServiceName, VmId, WorkspaceName
 from ebonyhub.scheduling.overload import (
     USEFULNESS_FACTOR,
     Forecast,
@@ -22,9 +23,12 @@
 from ebonyhub.scheduling.shedding.admission import AdmissionPolicy
 from ebonyhub.scheduling.shedding.leader import LeaderShedding
 from ebonyhub.scheduling.shedding.service_load import decode_loads, encode_loads
+from ebonyhub.scheduling.state import RESPONSE_MAX_AGE_SECONDS
 from ebonyhub.scheduling.workspaces.status import Standing
 from standins.recorded_jobs import RecordedDay
-from standins.replayed_fleet import Attempt, ReplayedFleet
+from standins.replayed_fleet import WARM_UP_SECONDS, Attempt, ReplayedFleet
+
+from .clairvoyant_bound import SLOT_SECONDS
 
 # Interval of the leader's messages to the entries.
 LOAD_INTERVAL_SECONDS = 0.4
@@ -78,7 +82,8 @@
         self.next_load = self.now
         # Largest number of cores that each service had in each slot of time.
         self.cores_by_slot: dict[ServiceName, dict[int, float]] = {}
-        self.slot_seconds = 0.1
+        # The replay's time of the first arrival.
+        self.started_at = self.now + WARM_UP_SECONDS
         self.returns = True
 
     def _step(self) -> None:
@@ -89,7 +94,7 @@
         self._record_cores()
 
     def _record_cores(self) -> None:
-        slot = int((self.now + 1e-6) / self.slot_seconds)
+        slot = int((self.now - self.started_at + 1e-6) / SLOT_SECONDS)
         cores: Counter[ServiceName] = Counter()
         for worker in self.scheduler.workers.values():
             if worker.entry.vm in self.silent_vms:
@@ -152,6 +157,10 @@
     no_room_rule: bool = False
     # A returning caller's objective counts from its first attempt.
     first_attempt: bool = False
+    # Waiting jobs have the order of shedding by cost.
+    shedding_order: bool = False
+    # The fleet planner counts VMs with silent workers as down.
+    planner_skips_silent: bool = False
 
 
 def _without_room(forecast: Forecast) -> Forecast:
@@ -189,6 +198,32 @@
         super().__init__(day, weights)
         self.cache = ForecastCache()
         self.causes = causes
+        self.silent_seen: set[VmId] = set()
+        self.shedding: LeaderShedding | None = None
+        if causes.shedding_order:
+            self.shedding = LeaderShedding(self.scheduler, self.standings)
+
+    def _plan_fleet(self) -> None:
+        listed = dict(self.vms)
+        if self.causes.planner_skips_silent:
+            self._note_silent_vms()
+            for name in self.silent_seen:
+                if self.vms[name].state is VmState.UP:
+                    self.vms[name] = replace(self.vms[name], state=VmState.DOWN)
+        super()._plan_fleet()
+        for name in self.silent_seen:
+            if self.vms[name].state is VmState.DOWN and name not in self.back_up_at:
+                self.vms[name] = replace(self.vms[name], state=listed[name].state)
+        if self.shedding is not None:
+            self.shedding.update_fleet(self.planner, self.now)
+
+    def _note_silent_vms(self) -> None:
+        """Note the VMs of workers that have not responded for some time."""
+        for worker in self.scheduler.workers.values():
+            if self.scheduler.is_responsive(worker, self.now):
+                self.silent_seen.discard(worker.entry.vm)
+            elif self.now - worker.discovered_at > RESPONSE_MAX_AGE_SECONDS:
+                self.silent_seen.add(worker.entry.vm)
 
     def _forecasts(self) -> Callable[[], None]:
         cores = self.pool_cores()
--- a/src/ebonyhub/scheduling/shedding/service_load.py
+++ b/src/ebonyhub/scheduling/shedding/service_load.py
@@ -3,7 +3,7 @@
 from bisect import bisect_left
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from math import inf
+from math import ceil, floor, inf
 from typing import Annotated, Any, NamedTuple
 
 import msgspec
@@ -136,16 +136,21 @@
 
 
 def encode_loads(loads: Mapping[ServiceName, ServiceLoad]) -> list[LoadRow]:
-    """Return rows for a message to peers; only significant loads are sent."""
+    """Return rows for a message to peers; only significant loads are sent.
+
+    Amounts are rounded, as whole numbers take a third of the bytes and the leader sends
+    them to each entry. What waits is rounded down and what becomes free up, so that no
+    job is refused for the difference while a worker has room.
+    """
     return [
         (
             service,
-            load.cores,
+            round(load.cores, 1),
             _work_rows(load.work),
             load.free_cpu,
-            load.waiting_cores,
-            load.starting,
-            load.cores_on_way,
+            tuple(floor(cores) for cores in load.waiting_cores),
+            ceil(load.starting),
+            ceil(load.cores_on_way),
             sorted(load.over_rate)[:MAX_WORKSPACES],
         )
         for service, load in loads.items()
@@ -155,9 +160,10 @@
 
 def _work_rows(work: Mapping[BacklogClass, Work]) -> list[WorkRow]:
     """Return the classes that are served first, with the rest added to the last."""
-    rows = [
-        (*backlog_class, amount.waiting, amount.arriving)
+    rows: list[WorkRow] = [
+        (*backlog_class, round(amount.waiting), round(amount.arriving))
         for backlog_class, amount in sorted(work.items())
+        if amount.waiting >= 0.5 or amount.arriving >= 0.5
     ]
     kept, rest = rows[:MAX_CLASSES], rows[MAX_CLASSES:]
     if rest:
--- a/standins/recorded_jobs.py
+++ b/standins/recorded_jobs.py
@@ -72,7 +72,7 @@
 class Silence:
     """Loss of contact with VMs that keep running, from ``at`` for ``seconds``.
 
-    The VM list still shows them. Each pool loses its first VMs up to ``share``.
+    The VM list still shows them. ``share`` of the VMs of each pool are lost.
     """
 
     at: float
