--- a/bench/entry_fleet.py
+++ b/bench/entry_fleet.py
@@ -220,6 +220,9 @@
     def _note_silent_vms(self) -> None:
         """Note the VMs of workers that have not responded for some time."""
         for worker in self.scheduler.workers.values():
+            vm = self.vms.get(worker.entry.vm)
+            if vm is None or vm.worker != worker.worker_id:
+                continue
             if self.scheduler.is_responsive(worker, self.now):
                 self.silent_seen.discard(worker.entry.vm)
             elif self.now - worker.discovered_at > RESPONSE_MAX_AGE_SECONDS:
