--- a/bench/workspace_rush.py
+++ b/bench/workspace_rush.py
@@ -15,14 +15,14 @@
 
 from ebonyhub.configuration import Queue, Workspace
 from ebonyhub.ids import QueueName, ServiceName, WorkspaceName
-from ebonyhub.jobs.model import JobSpec, Resources, StepSpec
-from standins.replayed_fleet import (
+from ebonyhub.jobs.model import Resources, StepSpec
+from standins.recorded_jobs import (
     JobOutcome,
     RecordedDay,
     RecordedJob,
     RecordedStep,
-    ReplayedFleet,
 )
+from standins.replayed_fleet import Attempt, ReplayedFleet
 
 from .recorded_day import CALL_TIMEOUT_SECONDS, MAX_ATTEMPTS, STANDBY
 from .share_orders import ORDERS
@@ -141,7 +141,7 @@
 class AcceptingFleet(ReplayedFleet):
     """A fleet whose entries accept every job."""
 
-    def admit(self, queue: Queue, spec: JobSpec) -> bool:
+    def admit(self, attempt: Attempt) -> bool:
         """Return True: admission is not part of these replays."""
         return True
 
--- a/src/ebonyhub/cluster/peers.py
+++ b/src/ebonyhub/cluster/peers.py
@@ -62,6 +62,9 @@
     # [kind, version, age_ms]: the sender's version of the configuration, and how long
     # ago it last knew that this was the newest one.
     CONFIGURATION = 7
+    # [kind, [load, ...]]: the leader's loads of the services whose jobs may be late, as
+    # in ``scheduling/shedding/service_load.py``; only where jobs are shed by cost.
+    OVERLOAD = 8
 
 
 class PeerFailure(IntEnum):
@@ -93,6 +96,7 @@
     ],
     MessageKind.FORECASTS: tuple[list[Any]],
     MessageKind.CONFIGURATION: tuple[Count, Count],
+    MessageKind.OVERLOAD: tuple[list[Any]],
 }
 HANDSHAKE_TYPE = tuple[Count, Name, Count, Cores]
 
@@ -120,6 +124,9 @@
     ) -> None:
         """Note the version of the configuration that a peer has."""
 
+    def on_peer_overload(self, rows: list[Any]) -> None:
+        """Apply the leader's loads of services."""
+
     def initial_states_message(self) -> list[Any] | None:
         """Return the states message for a newly connected entry.
 
@@ -240,6 +247,8 @@
             handler.on_peer_states(values[0], fields[1], values[2])
         elif kind == MessageKind.FORECASTS:
             handler.on_peer_forecasts(values[0])
+        elif kind == MessageKind.OVERLOAD:
+            handler.on_peer_overload(values[0])
         elif kind == MessageKind.LEADER:
             handler.on_peer_leader(*values)
         elif kind == MessageKind.CONFIGURATION:
--- a/src/ebonyhub/entry/job_service.py
+++ b/src/ebonyhub/entry/job_service.py
@@ -31,11 +31,11 @@
 from ..configuration import Queue
 from ..errors import ErrorKind
 from ..events import Event, log_event
-from ..ids import JobId, QueueName, Revision
+from ..ids import JobId, QueueName, Revision, WorkspaceName
 from ..jobs.model import AcceptedJob, JobScope, JobSpec, Resources
 from ..jobs.records import JobState, accepted_key, cancelled_key, progress_key
 from ..metrics import Metrics
-from ..scheduling.overload import ForecastCache, retry_after_seconds
+from ..scheduling.overload import Admission, retry_after_seconds
 from .forwarded_calls import decode_peer_call, stored_scope
 from .job_answers import (
     ACCEPTED,
@@ -91,7 +91,7 @@
         metrics: Metrics,
         call_peer: PeerCall,
         on_records: Callable[[list[Item]], None],
-        forecast_cache: ForecastCache,
+        admission: Admission,
         rng: random.Random,
         withdrawals: Withdrawals,
     ) -> None:
@@ -101,7 +101,7 @@
         self.metrics = metrics
         self.call_peer = call_peer
         self.on_records = on_records
-        self.forecast_cache = forecast_cache
+        self.admission = admission
         self.rng = rng
         self.withdrawals = withdrawals
         self.synced_at = float("-inf")
@@ -126,7 +126,7 @@
         withdrawn = self._withdrawn_answer(job_id, scope)
         if withdrawn is not None:
             return withdrawn
-        refusal = await self._check_overload(queue, job_id, spec)
+        refusal = await self._check_overload(queue, job_id, spec, scope.workspace)
         if refusal is not None:
             return refusal
         accepted = AcceptedJob(
@@ -141,7 +141,7 @@
         return await self._forward("submit", [job_id, value], job_id)
 
     async def _check_overload(
-        self, queue: Queue, job_id: JobId, spec: JobSpec
+        self, queue: Queue, job_id: JobId, spec: JobSpec, workspace: WorkspaceName
     ) -> JobAnswer | None:
         """Return a refusal if the job would end too late to be of use, else None.
 
@@ -150,7 +150,7 @@
         read first; if that fails, the job is submitted normally.
         """
         now = self.clock.monotonic()
-        overrun = self.forecast_cache.overrun_seconds(queue, spec, now)
+        overrun = self.admission.refusal_seconds(queue, spec, workspace, now)
         if overrun <= 0.0 or self.store.failing:
             return None
         found = await self.store.get(accepted_key(job_id))
@@ -160,7 +160,7 @@
         log_event(
             Event.JOB_NOT_ADMITTED, job=job_id, queue=queue.name,
             excess=round(overrun, 2),
-            age=round(now - self.forecast_cache.updated_at, 2), retry_after=retry_after,
+            age=round(now - self.admission.updated_at, 2), retry_after=retry_after,
         )  # fmt: skip
         return JobAnswer(error=ErrorKind.OVERLOADED, retry_after=retry_after)
 
--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -294,6 +294,15 @@
     CONFIGURATION_CURRENT = EventSpec(
         2604, _I, "configuration known to be the newest again", "None."
     )
+    CAPACITY_SHORT = EventSpec(
+        2640,
+        _I,
+        "waiting work of a service can make jobs late; entries refuse by cost",
+        "Check the size of the service's pool and whether its workers respond.",
+    )
+    CAPACITY_SUFFICIENT = EventSpec(
+        2641, _I, "waiting work of a service makes no job late any more", "None."
+    )
     JOB_RECORDS_REMOVED = EventSpec(
         2501, _I, "records of finished jobs removed", "None."
     )
--- a/tests/test_foreign_peers_and_watches.py
+++ b/tests/test_foreign_peers_and_watches.py
@@ -244,6 +244,7 @@
 
     on_peer_records = on_peer_leader = on_peer_forecasts = lambda self, *_: None
     on_stream_started = on_peer_configuration = lambda self, *_: None
+    on_peer_overload = on_peer_forecasts
 
     async def on_peer_call(self, method, argument):
         return 0, argument
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -82,9 +82,7 @@
 
 def overload(entry):
     forecast = build_forecast(1.0, [BacklogJob(1.0, 500.0, True)])
-    entry.service.forecast_cache.update(
-        {QUEUE.service: forecast}, SystemClock().monotonic()
-    )
+    entry.service.admission.update({QUEUE.service: forecast}, SystemClock().monotonic())
 
 
 async def test_job_that_would_end_too_late_is_refused_before_it_is_stored(core):
