--- a/bench/entry_fleet.py
+++ b/bench/entry_fleet.py
@@ -145,7 +145,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Causes:
-    """Which suspected causes of the old admission are taken away in a replay."""
+    """Suspected causes of lost worth that a replay of the old admission leaves out."""
 
     # Only cores of workers that respond count.
     responding_cores: bool = False
--- a/bench/share_orders.py
+++ b/bench/share_orders.py
@@ -10,7 +10,7 @@
 
 # Core-seconds that a workspace may start in one round, for each unit of its weight.
 QUANTUM = 10.0
-# Window in seconds for which no replay uses up the tokens.
+# Rate window in seconds that is long enough for no job of a replay to exceed its rate.
 UNLIMITED_RATE_WINDOW = 1e6
 
 
--- a/bench/shedding.py
+++ b/bench/shedding.py
@@ -3,7 +3,7 @@
 Plays the recorded day at several loads, with all workers and with half of them silent,
 and with workspaces of which one sends more than it is entitled to. Prints for each
 combination the upper bound of the worth in time and what the old and the new admission
-reach. ``--causes`` shows what each suspected cause of the old admission costs.
+reach. ``--causes`` shows the replays of the old admission without each suspected cause.
 """
 
 import argparse
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -73,7 +73,7 @@
     # Draws who leaves; apart from ``rng``, which draws the jobs.
     leaving_rng: random.Random = field(default_factory=lambda: random.Random(1))
     plan: ScopePlan = field(default_factory=ScopePlan)
-    # Checks the answers to calls with keys; None if no keys are played.
+    # Checks the answers to calls with keys; None without workspaces.
     key_monitor: KeyMonitor | None = None
 
     async def call(
--- a/soak/impairments.py
+++ b/soak/impairments.py
@@ -25,7 +25,7 @@
 ) -> float:
     """Return when a change is in force on an entry.
 
-    ``halts`` are times in which the entry's process or the whole store stood still;
+    ``halts`` are times in which the entry's process or the whole store was stopped;
     the time to apply a change starts anew after them. ``refusals`` are times in which
     the store was unavailable to this entry only.
     """
--- a/soak/key_calls.py
+++ b/soak/key_calls.py
@@ -1,4 +1,4 @@
-"""Calls with keys that come and go, and calls for jobs of other scopes."""
+"""Calls with keys that are added and removed, and calls for jobs of other scopes."""
 
 import asyncio
 import random
@@ -154,7 +154,7 @@
             await asyncio.sleep(KEY_CALL_INTERVAL_SECONDS)
             keys = list(self.monitor.keys)
             key = rng.choice(keys[-RECENT_KEYS:] if rng.random() < 0.7 else keys)
-            # A key without a workspace: if the job were accepted, any owner would do.
+            # For a key in no workspace the owner is arbitrary, since 401 is due.
             scopes = self.plan.scopes()
             workspace = self.workspaces_of_keys.get(key or "")
             owner = rng.choice(
--- a/soak/scopes.py
+++ b/soak/scopes.py
@@ -29,14 +29,14 @@
 
 
 class Play(Enum):
-    """Scopes that a run plays."""
+    """Which scopes a run has."""
 
     ONE_QUEUE = "one-queue"
     QUEUES = "queues"
     WORKSPACES = "workspaces"
 
 
-# Half of the seeds have workspaces; both kinds of deployments exist.
+# Half of the seeds have workspaces, since deployments exist with and without them.
 PLAY_WEIGHTS = {Play.ONE_QUEUE: 1, Play.QUEUES: 1, Play.WORKSPACES: 2}
 
 
@@ -93,7 +93,7 @@
 
 
 def draw_play(seed: int) -> Play:
-    """Draw which scopes a seed plays."""
+    """Draw which scopes a seed has."""
     rng = random.Random(f"{seed}/play")
     return rng.choices(list(PLAY_WEIGHTS), list(PLAY_WEIGHTS.values()))[0]
 
--- a/src/ebonyhub/configuration_check/findings.py
+++ b/src/ebonyhub/configuration_check/findings.py
@@ -8,10 +8,10 @@
 class Severity(Enum):
     """Whether a finding makes the configuration invalid."""
 
-    # The entries would leave a row out, replace it, or serve it in a way that nobody
-    # can want.
+    # The entries would leave a row out, replace it, or serve it in a way that is
+    # certainly not intended.
     ERROR = "error"
-    # Valid, but probably not what was meant.
+    # Valid, but probably not intended.
     WARNING = "warning"
 
 
--- a/src/ebonyhub/node_settings.py
+++ b/src/ebonyhub/node_settings.py
@@ -42,7 +42,7 @@
     has_limits: bool = False
     # Whether jobs are refused under overload by what the refusal costs callers.
     sheds_by_cost: bool = False
-    # Whether an entry without news of the configuration refuses keys after
+    # Whether an entry that cannot confirm its configuration refuses keys after
     # ``revocation_seconds``.
     strict_revocation: bool = False
     revocation_seconds: float = inf
--- a/src/ebonyhub/scheduling/intake.py
+++ b/src/ebonyhub/scheduling/intake.py
@@ -66,10 +66,10 @@
             self.cancel(accepted.job, now, wall_ms)
 
     def _hold_for_left_runs(self, job: Job, wall_ms: int) -> None:
-        """Count what a job that ended lately may still run for its workspace.
+        """Count what a job that ended recently may still run for its workspace.
 
         The runs of a cancelled or failed job may still be stopping. Those of a
-        completed one have ended, but for a copy of a task that was taken for lost. With
+        completed one have ended, except a copy of a task that was considered lost. With
         all their tasks counted, no workspace could start anything after a change of
         leader until the last worker has reported.
         """
--- a/src/ebonyhub/scheduling/isolation.py
+++ b/src/ebonyhub/scheduling/isolation.py
@@ -74,7 +74,7 @@
             wanted = len(tasks.positions)
             step = tasks.requirements.step
             if not self.workspaces.tasks_allowed(tasks.job, step, wanted):
-                # A worker held for it would be kept from others for nothing.
+                # Reserving a worker for it would only block other tasks.
                 continue
             assigned = count - len(quiet) < limit and self._assign_alone(
                 tasks, quiet, now
--- a/src/ebonyhub/scheduling/kept_workers.py
+++ b/src/ebonyhub/scheduling/kept_workers.py
@@ -1,6 +1,6 @@
 """Keeps workers for waiting tasks that come first, until these fit (pure).
 
-Small tasks would otherwise take each bit of capacity that becomes free, and a larger
+Small tasks would otherwise take all capacity that becomes free, and a larger
 task of a workspace that is within its share would wait for as long as others have
 small ones.
 """
@@ -68,7 +68,7 @@
     """The workers of a service that are kept for each class and those before it."""
 
     chosen_at: float
-    # Number of jobs that were looked at for the choice.
+    # Number of waiting jobs that the choice was computed from.
     waiting_jobs: int
     by_class: dict[Precedence, frozenset[WorkerId]] = field(default_factory=dict)
 
--- a/src/ebonyhub/scheduling/overload.py
+++ b/src/ebonyhub/scheduling/overload.py
@@ -130,7 +130,7 @@
 class Admission(Protocol):
     """Decides at an entry whether a job is accepted."""
 
-    # Monotonic seconds of the latest news from the leader.
+    # Monotonic time of the leader's last message.
     updated_at: float
 
     def refusal_seconds(
--- a/src/ebonyhub/scheduling/share_order.py
+++ b/src/ebonyhub/scheduling/share_order.py
@@ -57,8 +57,8 @@
     ) -> Iterator[tuple[Job, OpenWorkers]]:
         """Yield the candidates that limits let start, each with its workers.
 
-        Jobs over the rate are looked at only if there is room that is not kept for
-        others. Under overload they are nearly all that wait.
+        Jobs over the rate are examined only if workers that are not kept for others
+        have free capacity. Under overload nearly all waiting jobs are over the rate.
         """
         is_over = self.workspaces.rates.is_over
         within_rate: list[Job] = []
--- a/src/ebonyhub/scheduling/shedding/admission.py
+++ b/src/ebonyhub/scheduling/shedding/admission.py
@@ -18,8 +18,8 @@
 # result is of use up to three times the objective; the rest is margin for estimates.
 ACCEPTED_STRETCH = 2.0
 # Time of task starts, beyond the age of the load, for which enough tasks must wait so
-# that they and not a new job get the capacity that becomes free. With 0.1 s, and VMs on
-# their way left out, 12 refused calls in 20 replays met free capacity, and none now.
+# that they and not a new job get the capacity that becomes free. 0.1 s, without the VMs
+# on their way, refused calls while a worker had free capacity.
 ROOM_SECONDS = 0.8
 
 
--- a/src/ebonyhub/scheduling/workspaces/assessment.py
+++ b/src/ebonyhub/scheduling/workspaces/assessment.py
@@ -12,8 +12,8 @@
 from .shares import Claim, fair_level
 from .usage import UsageLedger
 
-# Seconds for which an assessment is used, and how much longer for each waiting job: a
-# job costs about 3 us to count, which may take a twentieth of the time at most.
+# Seconds for which an assessment is used, or seconds for each waiting job if that is
+# longer. Counting a job takes about 3 us, and may use 5% of the time at most.
 VALID_SECONDS = 0.1
 VALID_SECONDS_PER_JOB = 6e-5
 
--- a/src/ebonyhub/scheduling/workspaces/policy.py
+++ b/src/ebonyhub/scheduling/workspaces/policy.py
@@ -30,7 +30,7 @@
 from .status import Standing, WorkspaceStatus
 from .usage import UsageLedger
 
-# Seconds between two looks for changes to be logged.
+# Interval of the check for changes to log.
 NOTICE_INTERVAL_SECONDS = 1.0
 
 
@@ -65,7 +65,7 @@
         self._waiting_claims: WaitingClaims | None = None
         self._notices = Notices()
         self._next_notices_at = -inf
-        # Workspaces that were held back by their limit or share lately.
+        # Workspaces recently held back by their limit or share.
         self._at_limit: set[WorkspaceName] = set()
         self._lent: set[WorkspaceName] = set()
 
