Check the key again after the body, and gate two peer changes by tenants

A call whose key was removed while its body arrived was stored. Without workspaces, an entry whose store calls failed campaigned up to 1 s after the store had recovered.

--- a/src/ebonyhub/entry/job_api.py
+++ b/src/ebonyhub/entry/job_api.py
@@ -97,9 +97,7 @@
             return _json(200, body)
         if len(rest) != JOB_ID_LENGTH or not _HEX.issuperset(rest):
             return self._refuse(ErrorKind.UNKNOWN_JOB, rest, request)
-        workspace = configuration.workspaces.get(scope.workspace)
-        limit = workspace.limit if workspace is not None else NO_LIMIT
-        return await self._answer_job(request, queue, JobId(rest), scope, limit)
+        return await self._answer_job(request, configuration, queue, JobId(rest), scope)
 
     def _authorize(
         self, configuration: Configuration, queue: Queue, request: Request
@@ -112,10 +110,10 @@
     async def _answer_job(
         self,
         request: Request,
+        configuration: Configuration,
         queue: Queue,
         job_id: JobId,
         scope: JobScope,
-        limit: Resources,
     ) -> Response:
         match request.method:
             case "GET":
@@ -127,6 +125,14 @@
                 decoded = await self._read_submission(request)
                 if decoded.is_error():
                     return self._reject_input(decoded.error, request)
+                # The key may have been removed while the body arrived.
+                configuration = self.configuration() or configuration
+                authorized = self._authorize(configuration, queue, request)
+                if authorized.is_error():
+                    self.on_refused(NO_WORKSPACE, authorized.error)
+                    return self._refuse(authorized.error, queue.name, request)
+                scope = JobScope(queue.name, authorized.ok)
+                limit = _limit(configuration, scope.workspace)
                 answer = await self.service.submit(
                     queue, job_id, decoded.ok, scope, limit
                 )
@@ -195,6 +201,11 @@
         return response
 
 
+def _limit(configuration: Configuration, name: WorkspaceName) -> Resources:
+    workspace = configuration.workspaces.get(name)
+    return workspace.limit if workspace is not None else NO_LIMIT
+
+
 def _json(status: int, body: bytes) -> Response:
     return Response(status, content=Content(b"application/json", body))
 
--- a/src/ebonyhub/entry/leadership_manager.py
+++ b/src/ebonyhub/entry/leadership_manager.py
@@ -202,7 +202,11 @@
             # An entry that the store refuses may still take this one for the leader,
             # whose process has been restarted since. Peers close a stream on which a
             # key arrives that cannot be read.
-            if is_new and decode_leader_record(item.value).is_ok():
+            if (
+                is_new
+                and self.settings.has_workspaces
+                and decode_leader_record(item.value).is_ok()
+            ):
                 self.peer_server.broadcast([MessageKind.LEADER, *known])
         term = self.term
         if term is not None and (leader is None or leader.revision > int(term.token)):
@@ -327,7 +331,11 @@
                 await self.campaign(leader.revision)
         else:
             await self._wait_for_change(ELECTION_RETRY_SECONDS)
-        if self.store.failing and self.leader == leader:
+        if (
+            self.settings.has_workspaces
+            and self.store.failing
+            and self.leader == leader
+        ):
             # Without the store and the leader, only another peer tells of a new leader
             # or a new configuration.
             await self.connect_to_any_peer()
