Faults that a review of keys and scopes has shown

Causes: five entries that fetched a document of 1 MB over 5 Mbit/s timed out and fetched it again for ever; a document with many short keys exceeded the message limit of peers; every entry on a slow link fetched what its store was still sending; fields that are not read went to peers as they are; the mirror took the state and the cancellation of an earlier job for those of the next job under the same id. Change: a fetch lasts as long as its stream; digests of 16 bytes, and a size limit; no fetch while the store answers; only known fields are passed on; a job of another scope replaces the earlier one.

--- a/src/ebonyhub/cluster/mirror.py
+++ b/src/ebonyhub/cluster/mirror.py
@@ -209,6 +209,9 @@
         if problem is not None:
             self._reject(item, problem)
             return None
+        if known is not None and known.scope not in (None, accepted.scope):
+            # What is known is an earlier job under the same id, whose records are gone.
+            self.remove(job_id)
         job = self.jobs.setdefault(job_id, MirroredJob())
         job.queue, job.workspace = accepted.scope
         job.recurring = bool(accepted.spec.repeat_count)
@@ -349,6 +352,10 @@
     def _apply_state(
         self, job_id: JobId, scope: JobScope, recurring: bool, state: JobState
     ) -> None:
+        known = self.jobs.get(job_id)
+        if known is not None and known.scope not in (None, scope):
+            # What is known is an earlier job under the same id, whose records are gone.
+            self.remove(job_id)
         job = self.jobs.setdefault(job_id, MirroredJob())
         job.state_confirmed, job.progress_unreadable = True, False
         # States only advance, so a lower state comes from an outdated message.
--- a/src/ebonyhub/configuration.py
+++ b/src/ebonyhub/configuration.py
@@ -53,9 +53,14 @@
     connection_limit: int
 
 
+# Half of a SHA-256 digest tells keys apart, and keeps the configuration that entries
+# send each other below the size limit of a message.
+KEY_DIGEST_BYTES = 16
+
+
 def digest_key(key: bytes) -> bytes:
-    """Return the SHA-256 digest of an API key; the key itself is kept nowhere."""
-    return hashlib.sha256(key).digest()
+    """Return a digest of an API key (SHA-256, cut); the key itself is kept nowhere."""
+    return hashlib.sha256(key).digest()[:KEY_DIGEST_BYTES]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -60,6 +60,8 @@
 STATES_INTERVAL_SECONDS = 0.4
 # A follower that receives no states for this long watches the store itself.
 STATES_TIMEOUT_SECONDS = 1.0
+# Time for an answer of the store beyond the wait of a watch call.
+STORE_ANSWER_MARGIN_SECONDS = 0.4
 # Port of the status API; must match deploy/system.toml.
 STATUS_PORT = 9464
 # A stopping entry keeps serving for the notice period, so that the load balancer's
@@ -86,7 +88,7 @@
         self.replica = ConfigurationReplica(
             settings, self.clock, self.rejections,
             lambda: self.operator_watch.synced_at, self.on_configuration,
-            self.announce_configuration,
+            self.announce_configuration, self.store_answers,
         )  # fmt: skip
         self.admission_policy = AdmissionPolicy()
         self.waves: dict[WaveId, Wave] = {}
@@ -145,6 +147,11 @@
         )
         return build_server(StatusApi(sources), Listener(self.settings.ip, STATUS_PORT))
 
+    def store_answers(self) -> bool:
+        """Return whether the watch of the configuration hears from the store."""
+        age = self.clock.monotonic() - self.operator_watch.synced_at
+        return age < WATCH_TIMEOUT_SECONDS + STORE_ANSWER_MARGIN_SECONDS
+
     def workspace_policy(self) -> WorkspacePolicy | None:
         """Return what the leader knows of workspaces, None if this entry follows."""
         controller = self.leadership.controller
--- a/src/ebonyhub/entry/workspaces/replica.py
+++ b/src/ebonyhub/entry/workspaces/replica.py
@@ -14,7 +14,7 @@
 from expression import Result
 
 from ...clock import Clock
-from ...cluster.peers import MessageKind, PeerFailure
+from ...cluster.peers import MAX_MESSAGE_BYTES, MessageKind, PeerFailure
 from ...configuration import Configuration
 from ...decoding import DECODE_ERRORS, describe
 from ...events import Event, log_event
@@ -27,14 +27,18 @@
 FETCH_METHOD = "configuration"
 # The store usually delivers a new version within this time after a peer has it.
 FETCH_DELAY_SECONDS = 0.25
-# A document of 1 MB takes 1.6 s on a link of 5 Mbit/s that carries nothing else.
-FETCH_TIMEOUT_SECONDS = 6.0
+# A stream that delivers nothing is closed after 2 s. Until then a document is on its
+# way, and a second fetch would send it again. With 31 entries on a link of 5 Mbit/s,
+# 1 MB takes 50 s.
+FETCH_TIMEOUT_SECONDS = 120.0
 # A version whose document this entry could not use is not fetched again for this long.
 UNUSABLE_SECONDS = 10.0
 # An entry without a configuration takes its first one only from a peer that knew for
 # certain within this time that it is the newest. An earlier process of the entry may
 # have applied a newer one than a peer that has long been cut off.
 MAX_FIRST_AGE_SECONDS = 3.0
+# A message with a larger document would end the stream.
+MAX_SHARED_BYTES = MAX_MESSAGE_BYTES - 1024
 # Limit of the age in an announcement of a peer that never knew.
 MAX_AGE_SECONDS = 1e9
 
@@ -69,6 +73,7 @@
         store_checked_at: Callable[[], float],
         on_applied: Callable[[Configuration], None],
         announce: Callable[[list[Any]], None],
+        store_answers: Callable[[], bool] = lambda: False,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -76,6 +81,8 @@
         self.store_checked_at = store_checked_at
         self.on_applied = on_applied
         self.announce = announce
+        # Whether new versions arrive from the store, so that none is fetched.
+        self.store_answers = store_answers
         self.current: Configuration | None = None
         # The document of the present version with digests of keys, for peers.
         self.shared = b""
@@ -96,14 +103,21 @@
         if configuration is None or not self._is_newer(configuration.version):
             return
         if has_workspaces:
-            try:
-                self.shared = digest_keys(document, configuration.workspaces)
-            except DECODE_ERRORS as error:
-                # Peers read the store or ask another entry.
-                self.shared = b""
-                self._reject(CONFIG_KEY, document, describe(error))
+            self.shared = self._digested(document, configuration)
         self._put_into_force(configuration)
 
+    def _digested(self, document: bytes, configuration: Configuration) -> bytes:
+        """Return the document for peers, empty if it cannot be sent to them."""
+        try:
+            digested = digest_keys(document, configuration.workspaces)
+        except DECODE_ERRORS as error:
+            self._reject(CONFIG_KEY, document, describe(error))
+            return b""
+        if len(digested) > MAX_SHARED_BYTES:
+            self._reject(CONFIG_KEY, document, "the document is too large for peers")
+            return b""
+        return digested
+
     def apply_shared(self, document: bytes) -> None:
         """Apply a document of a peer unless it is not newer than the present one."""
         configuration = self._decode(document, "peer", True)
@@ -188,6 +202,9 @@
             return
         if version == self.unusable_version and now < self.unusable_until:
             return
+        if self.store_answers():
+            # Otherwise a large document would be sent to each entry twice.
+            return
         task = asyncio.create_task(self._fetch(stream, version, checked_at))
         self.fetching = stream.transfer = task
         task.add_done_callback(lambda task: self._end_fetch(stream, task))
--- a/src/ebonyhub/platform/tenants.py
+++ b/src/ebonyhub/platform/tenants.py
@@ -7,7 +7,7 @@
 import msgspec
 from expression import Result
 
-from ..configuration import Workspace, digest_key
+from ..configuration import KEY_DIGEST_BYTES, Workspace, digest_key
 from ..decoding import try_decode
 from ..ids import WorkspaceName
 from ..jobs.model import Resources
@@ -17,6 +17,8 @@
 # Authentication scheme of the header, named in answers with status 401.
 API_KEY_SCHEME = b"ApiKey"
 MAX_KEYS = 10_000
+# Fields of a configuration that entries send each other as they are.
+SHARED_FIELDS = frozenset({"Version", "Routes", "Services", "Limits"})
 # A header has no control characters, and loses the spaces at its ends.
 _UNUSABLE_KEY = re.compile(r"[\x00-\x1f\x7f]|^ | $")
 Limit = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
@@ -24,7 +26,9 @@
 Priority = Annotated[int, msgspec.Meta(ge=-1_000_000, le=1_000_000)]
 Weight = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 # Encoded in base64.
-Digest = Annotated[bytes, msgspec.Meta(min_length=32, max_length=32)]
+Digest = Annotated[
+    bytes, msgspec.Meta(min_length=KEY_DIGEST_BYTES, max_length=KEY_DIGEST_BYTES)
+]
 Key = Annotated[str, msgspec.Meta(min_length=1, max_length=4096)]
 
 
@@ -120,10 +124,14 @@
 ) -> bytes:
     """Return a configuration with the digests of the API keys in place of the keys.
 
-    ``workspaces`` are those of the document. Raises one of DECODE_ERRORS if it cannot
-    be decoded.
+    ``workspaces`` are those of the document. Fields that are not read are left out,
+    since they may hold keys, too. Raises one of DECODE_ERRORS if the document cannot be
+    decoded.
     """
-    fields = msgspec.json.decode(document, type=dict[str, msgspec.Raw])
+    document_fields = msgspec.json.decode(document, type=dict[str, msgspec.Raw])
+    fields = {
+        name: value for name, value in document_fields.items() if name in SHARED_FIELDS
+    }
     rows = [
         DigestedTenantRow(
             workspace.name, tuple(sorted(workspace.key_digests)), workspace.priority,
--- a/tests/test_review_keys.py
+++ b/tests/test_api_key_faults.py
@@ -150,7 +150,7 @@
     """96 entries on slow links would all fetch what their store is still sending."""
     world = Replicas(1, 1)
     world.store(0, document(2))
-    world.checked_at[1] = world.clock.now
+    world.replicas[1].store_answers = lambda: True
     calls = await world.announce(0, 1)
     assert calls == 0
 
