Keep no workers for tasks that cannot start; count limits in loads and VMs

Workers are no longer kept for gangs and replicas without room, or for tasks whose memory long-running tasks hold. Ending jobs charge no others while records are loaded. Runs of jobs that become readable count with what their step needs. Work beyond a limit is no backlog for admission, and replicas beyond it need no VMs. Amounts in loads stay within what entries accept.

--- a/src/ebonyhub/scheduling/kept_workers.py
+++ b/src/ebonyhub/scheduling/kept_workers.py
@@ -10,6 +10,7 @@
 from enum import IntEnum
 
 from ..ids import WorkerId
+from ..jobs.model import MAX_TASKS, Resources
 from .placement import StepRequirements, meets_constraints
 from .priority import Rank
 from .runs import Worker
@@ -104,14 +105,15 @@
     The workers of a class include those of the classes before it.
     """
     ranked = sorted(workers, key=lambda worker: -worker.free.cpu)
-    unused = {w.worker_id: _capacity_without_long_runs(w) for w in workers}
+    rooms = {w.worker_id: _room_beside_long_runs(w) for w in workers}
+    unused = {worker_id: room.cpu for worker_id, room in rooms.items()}
     kept: set[WorkerId] = set()
     by_class: dict[Precedence, frozenset[WorkerId]] = {}
     for precedence in Precedence:
         for tasks in waiting.get(precedence, ()):
             if len(kept) == len(ranked):
                 break
-            _keep_for(tasks, ranked, unused, kept)
+            _keep_for(tasks, ranked, rooms, unused, kept)
         by_class[precedence] = frozenset(kept)
     return by_class
 
@@ -119,24 +121,29 @@
 def _keep_for(
     tasks: WaitingTasks,
     workers: Sequence[Worker],
+    rooms: dict[WorkerId, Resources],
     unused: dict[WorkerId, int],
     kept: set[WorkerId],
 ) -> None:
-    """Add workers to ``kept`` and take what the tasks need from ``unused``."""
-    step = tasks.requirements.step
-    cpu = max(1, step.reserved.cpu)
+    """Add workers to ``kept`` and take what the tasks need from ``unused``.
+
+    Nothing is kept for tasks that cannot start when other runs end: others would wait
+    for good.
+    """
+    requirements = tasks.requirements
+    if requirements.step.gang and not _gang_fits(tasks, workers, rooms):
+        return
+    cpu = max(1, requirements.step.reserved.cpu)
     missing = int(tasks.count * KEPT_FACTOR)
     for worker in workers:
         if missing <= 0:
             return
         fitting = unused[worker.worker_id] // cpu
-        if step.max_per_worker:
-            fitting = min(fitting, step.max_per_worker)
-        if (
-            fitting <= 0
-            or not step.reserved.fits_into(worker.entry.capacity)
-            or not meets_constraints(tasks.requirements, worker)
-        ):
+        if fitting <= 0:
+            continue
+        room = rooms[worker.worker_id]
+        fitting = min(fitting, _tasks_that_fit(requirements, worker, room))
+        if fitting <= 0:
             continue
         taken = min(fitting, missing)
         missing -= taken
@@ -144,7 +151,51 @@
         kept.add(worker.worker_id)
 
 
-def _capacity_without_long_runs(worker: Worker) -> int:
-    """Return the CPU of a worker that its long-running tasks leave."""
-    held = sum(r.reserved.cpu for r in worker.runs.values() if r.step.long_running)
-    return worker.entry.capacity.cpu - held
+def _gang_fits(
+    tasks: WaitingTasks, workers: Iterable[Worker], rooms: dict[WorkerId, Resources]
+) -> bool:
+    """Return whether the workers have room for all members once other runs end."""
+    members = 0
+    for worker in workers:
+        room = rooms[worker.worker_id]
+        members += _tasks_that_fit(tasks.requirements, worker, room)
+        if members >= tasks.count:
+            return True
+    return False
+
+
+def _tasks_that_fit(
+    requirements: StepRequirements, worker: Worker, room: Resources
+) -> int:
+    """Return how many tasks a worker can run in ``room`` at the same time."""
+    step, reserved = requirements.step, requirements.step.reserved
+    if not reserved.fits_into(room) or not meets_constraints(requirements, worker):
+        return 0
+    fitting = min(
+        (
+            available // needed
+            for available, needed in (
+                (room.cpu, reserved.cpu),
+                (room.memory, reserved.memory),
+                (room.accelerators, reserved.accelerators),
+            )
+            if needed
+        ),
+        default=MAX_TASKS,
+    )
+    if not step.max_per_worker:
+        return fitting
+    running = 0
+    if step.long_running:
+        running = worker.count_runs_of_step(
+            requirements.job, requirements.occurrence, requirements.step_number
+        )
+    return min(fitting, step.max_per_worker - running)
+
+
+def _room_beside_long_runs(worker: Worker) -> Resources:
+    """Return the capacity of a worker that its long-running tasks leave."""
+    long_runs = (run for run in worker.runs.values() if run.step.long_running)
+    return worker.entry.capacity - sum(
+        (run.reserved for run in long_runs), start=Resources()
+    )
--- a/src/ebonyhub/scheduling/shedding/measurement.py
+++ b/src/ebonyhub/scheduling/shedding/measurement.py
@@ -8,6 +8,7 @@
 from ..health import MIN_JOBS_FOR_SLOWDOWN, SlowdownAverage
 from ..priority import Rank, Urgency, remaining_core_seconds
 from ..runs import Job, Worker
+from ..state import AllowedTasks, allowed_part
 from ..workspaces.status import Standing
 from .service_load import (
     CPU_CLASSES,
@@ -37,9 +38,17 @@
     over_rate: set[WorkspaceName] = field(default_factory=set)
 
     def add_job(
-        self, job: Job, urgency: Urgency, standing: Standing, now: float
+        self,
+        job: Job,
+        urgency: Urgency,
+        standing: Standing,
+        allowed: AllowedTasks | None,
+        now: float,
     ) -> None:
-        """Add a job that has not ended."""
+        """Add a job that has not ended.
+
+        ``allowed`` are its ready tasks that limits let start; None for all.
+        """
         size = job_core_seconds(job)
         over_rate = standing is Standing.OVER_RATE
         if over_rate:
@@ -55,7 +64,7 @@
             self.arriving[arriving_class] = (
                 self.arriving.get(arriving_class, 0.0) + size / ARRIVAL_WINDOW_SECONDS
             )
-        work = remaining_core_seconds(job)
+        work = remaining_core_seconds(job) * allowed_part(job, allowed)
         if work <= 0.0:
             return
         backlog_class = BacklogClass(
@@ -66,9 +75,10 @@
             STARTED if job.started else size_class(size),
         )
         self.waiting[backlog_class] = self.waiting.get(backlog_class, 0.0) + work
-        for (_, number), positions in job.pending.items():
-            cpu = job.accepted.spec.steps[number].reserved.cpu
-            self.waiting_cores[cpu_class(cpu)] += len(positions) * cpu / 1000
+        for key, positions in job.pending.items():
+            cpu = job.accepted.spec.steps[key[1]].reserved.cpu
+            tasks = len(positions) if allowed is None else allowed[key]
+            self.waiting_cores[cpu_class(cpu)] += tasks * cpu / 1000
 
     def add_worker(self, worker: Worker, fleet: SlowdownAverage, now: float) -> None:
         """Add a worker that takes tasks."""
@@ -132,7 +142,7 @@
 
 
 def measure_loads(
-    jobs: Iterable[tuple[ServiceName, Job, Urgency, Standing]],
+    jobs: Iterable[tuple[ServiceName, Job, Urgency, Standing, AllowedTasks | None]],
     workers: Iterable[Worker],
     cores_on_way: Mapping[ServiceName, float],
     fleet: SlowdownAverage,
@@ -143,9 +153,9 @@
     ``workers`` are those that respond and take tasks.
     """
     meters: dict[ServiceName, LoadMeter] = {}
-    for service, job, urgency, standing in jobs:
+    for service, job, urgency, standing, allowed in jobs:
         meter = meters.setdefault(service, LoadMeter())
-        meter.add_job(job, urgency, standing, now)
+        meter.add_job(job, urgency, standing, allowed, now)
     for worker in workers:
         service_meter = meters.get(worker.entry.service)
         if service_meter is not None:
--- a/src/ebonyhub/scheduling/shedding/order.py
+++ b/src/ebonyhub/scheduling/shedding/order.py
@@ -22,7 +22,7 @@
     remaining_critical_path_seconds,
 )
 from ..runs import Job, Worker
-from ..state import SchedulerState
+from ..state import SchedulerState, allowed_part
 from ..workspaces.status import Standing
 from .measurement import worker_cores
 from .standings import AllWithinShare, Standings
@@ -110,10 +110,11 @@
             return
         self.determined_at = now
         work: dict[ServiceName, float] = {}
-        for job in self.scheduler.active.values():
+        for job, allowed in self.scheduler.jobs_within_limits():
             if self._delays_others(job):
                 service = self.scheduler.service_of(job)
-                work[service] = work.get(service, 0.0) + remaining_core_seconds(job)
+                job_work = remaining_core_seconds(job) * allowed_part(job, allowed)
+                work[service] = work.get(service, 0.0) + job_work
         cores = dict(self.cores_on_way)
         for worker in self.scheduler.workers.values():
             if self.scheduler.is_eligible(worker, now):
@@ -127,9 +128,7 @@
     def _delays_others(self, job: Job) -> bool:
         """Return whether the job's waiting work comes before that of others."""
         return (
-            bool(job.pending)
-            and not job.accepted.spec.long_running
-            and self.standings.standing(job) is not Standing.OVER_RATE
+            bool(job.pending) and self.standings.standing(job) is not Standing.OVER_RATE
         )
 
     def _add_cores(self, cores: dict[ServiceName, float], worker: Worker) -> None:
--- a/src/ebonyhub/scheduling/shedding/service_load.py
+++ b/src/ebonyhub/scheduling/shedding/service_load.py
@@ -103,8 +103,10 @@
     return min(bisect_left(CPU_CLASSES, cpu), len(CPU_CLASSES) - 1)
 
 
-# NaN, infinite and negative values are refused.
-Amount = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+# NaN, infinite and negative values are refused. The work of a few of the largest valid
+# jobs is more than this, and is sent as this.
+MAX_AMOUNT = 10**12
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 WorkRow = tuple[
     bool,
     bool,
@@ -145,12 +147,12 @@
     return [
         (
             service,
-            round(load.cores, 1),
+            min(MAX_AMOUNT, round(load.cores, 1)),
             _work_rows(load.work),
             load.free_cpu,
-            tuple(floor(cores) for cores in load.waiting_cores),
-            ceil(load.starting),
-            ceil(load.cores_on_way),
+            tuple(min(MAX_AMOUNT, floor(cores)) for cores in load.waiting_cores),
+            min(MAX_AMOUNT, ceil(load.starting)),
+            min(MAX_AMOUNT, ceil(load.cores_on_way)),
             sorted(load.over_rate)[:MAX_WORKSPACES],
         )
         for service, load in loads.items()
@@ -161,7 +163,11 @@
 def _work_rows(work: Mapping[BacklogClass, Work]) -> list[WorkRow]:
     """Return the classes that are served first, with the rest added to the last."""
     rows: list[WorkRow] = [
-        (*backlog_class, round(amount.waiting), round(amount.arriving))
+        (
+            *backlog_class,
+            min(MAX_AMOUNT, round(amount.waiting)),
+            min(MAX_AMOUNT, round(amount.arriving)),
+        )
         for backlog_class, amount in sorted(work.items())
         if amount.waiting >= 0.5 or amount.arriving >= 0.5
     ]
@@ -171,7 +177,7 @@
         waiting += sum(row[5] for row in rest)
         arriving += sum(row[6] for row in rest)
         kept[-1] = (kept[-1][0], kept[-1][1], kept[-1][2], kept[-1][3], kept[-1][4],
-                    waiting, arriving)  # fmt: skip
+                    min(MAX_AMOUNT, waiting), min(MAX_AMOUNT, arriving))  # fmt: skip
     return kept
 
 
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -5,7 +5,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from math import inf
 
@@ -31,6 +31,7 @@
 from .orders import Order, StopRun
 from .priority import Urgency, urgency
 from .runs import Job, Run, RunPhase, StopReason, Worker
+from .workspaces.limits import Room
 from .workspaces.policy import WorkspacePolicy, WorkspaceRules
 
 # Seconds without a response after which a worker gets no new tasks. Workers are polled
@@ -50,6 +51,8 @@
 
 # Job, occurrence and step number.
 StepKey = tuple[JobId, int, int]
+# Number of ready tasks that a limit lets start, by occurrence and step number.
+AllowedTasks = dict[tuple[int, int], int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -232,6 +235,21 @@
             responded_at is not None and now - responded_at < RESPONSE_MAX_AGE_SECONDS
         )
 
+    def jobs_within_limits(self) -> Iterator[tuple[Job, AllowedTasks | None]]:
+        """Yield the jobs that are not long-running, with the tasks that limits allow.
+
+        Jobs whose tasks all wait for the limit of their workspace are left out, since
+        they take no capacity from others.
+        """
+        claims = self.workspaces.waiting_claims()
+        for job in self.active.values():
+            if job.accepted.spec.long_running:
+                continue
+            room = claims.room(job.accepted.workspace)
+            allowed = None if room is None else tasks_within_limit(job, room)
+            if not allowed or any(allowed.values()):
+                yield job, allowed
+
     def runs_are_known(self, now: float) -> bool:
         """Return whether no worker runs anything that this leader does not know of.
 
@@ -272,7 +290,9 @@
         if job is not None:
             return job.accepted.workspace
         unreadable = self.unreadable_jobs.get(job_id)
-        return unreadable.workspace if unreadable is not None else None
+        if unreadable is None or unreadable.spec is None:
+            return None
+        return unreadable.workspace
 
     def release_run(self, run: Run, worker: Worker) -> None:
         """Release the capacity that a run has reserved on the worker."""
@@ -326,6 +346,23 @@
     )
 
 
+def tasks_within_limit(job: Job, room: Room) -> AllowedTasks:
+    """Return how many ready tasks of each step the workspace's limit allows."""
+    steps = job.accepted.spec.steps
+    return {
+        key: room.take(steps[key[1]].demand, len(positions))
+        for key, positions in job.pending.items()
+    }
+
+
+def allowed_part(job: Job, allowed: AllowedTasks | None) -> float:
+    """Return the part of the ready tasks that limits allow."""
+    if not allowed:
+        return 1.0
+    ready = sum(len(positions) for positions in job.pending.values())
+    return sum(allowed.values()) / ready
+
+
 def short_name(task: TaskId) -> str:
     """Return ``occurrence.step.position`` of the task, for log lines."""
     return f"{task.occurrence}.{task.step}.{task.position}"
--- a/src/ebonyhub/scheduling/views.py
+++ b/src/ebonyhub/scheduling/views.py
@@ -13,8 +13,7 @@
 from .shedding.measurement import measure_loads, responding_share
 from .shedding.service_load import ServiceLoad
 from .shedding.standings import AllWithinShare, Standings
-from .state import SchedulerState
-from .workspaces.limits import Room
+from .state import SchedulerState, tasks_within_limit
 
 # Seconds within which the backlog of waiting tasks should be served.
 BACKLOG_DRAIN_SECONDS = 1.0
@@ -98,20 +97,13 @@
                 job,
                 self.urgency(job, self.queues.get(job.queue), now, False),
                 known.standing(job),
+                allowed,
             )
-            for job in self.active.values()
-            if not job.accepted.spec.long_running and not self._waits_for_limit(job)
+            for job, allowed in self.jobs_within_limits()
         ]
         workers = [w for w in self.workers.values() if self.is_eligible(w, now)]
         return measure_loads(jobs, workers, cores_on_way, self.fleet_slowdown, now)
 
-    def _waits_for_limit(self, job: Job) -> bool:
-        """Return whether no task may start, so that none takes capacity from others."""
-        if not (self.workspaces.is_active and job.pending):
-            return False
-        room = self.workspaces.room_of(job.accepted.workspace)
-        return not self.workspaces.may_start(job, room)
-
     def expected_cores_on_way(
         self, cores_on_way: Mapping[ServiceName, float], now: float
     ) -> dict[ServiceName, float]:
@@ -140,13 +132,15 @@
         for job in jobs:
             service = self.service_of(job)
             room = claims.room(job.accepted.workspace)
-            allowed = None if room is None else _tasks_within_limit(job, room)
+            allowed = None if room is None else tasks_within_limit(job, room)
             for number, step in enumerate(job.accepted.spec.steps):
                 if step.long_running:
-                    count = step.count - _tasks_beyond_limit(job, number, allowed)
+                    held_back = _tasks_beyond_limit(job, number, allowed)
+                    # Occurrences of a schedule may wait beside each other.
+                    count = max(0, step.count - held_back)
                     cores = count * step.reserved.cpu / 1000
                     serving[service] = serving.get(service, 0.0) + cores
-                    vms = _spread_vms(step) if count else 0
+                    vms = _spread_vms(step, count)
                     spread[service] = max(spread.get(service, 0), vms)
             cores_needed = _waiting_cores(job, allowed)
             by_service = over_rate if self._is_over_rate(job.job_id) else waiting
@@ -228,18 +222,9 @@
     return max(0.0, total_seconds - elapsed)
 
 
-def _spread_vms(step: StepSpec) -> int:
+def _spread_vms(step: StepSpec, count: int) -> int:
     """Return the number of VMs needed by a step's limit per worker, 0 without."""
-    return ceil(step.count / step.max_per_worker) if step.max_per_worker else 0
-
-
-def _tasks_within_limit(job: Job, room: Room) -> dict[tuple[int, int], int]:
-    """Return how many ready tasks of each step the workspace's limit allows."""
-    steps = job.accepted.spec.steps
-    return {
-        key: room.take(steps[key[1]].demand, len(positions))
-        for key, positions in job.pending.items()
-    }
+    return ceil(count / step.max_per_worker) if step.max_per_worker else 0
 
 
 def _tasks_beyond_limit(
@@ -259,7 +244,7 @@
     """Return the cores needed to serve the job's ready tasks in BACKLOG_DRAIN_SECONDS.
 
     A task shorter than that occupies its cores for only part of the time. ``allowed``
-    is the result of ``_tasks_within_limit``, or None for all tasks.
+    is the result of ``tasks_within_limit``, or None for all tasks.
     """
     cores = 0.0
     for key, positions in job.pending.items():
--- a/src/ebonyhub/scheduling/workspaces/policy.py
+++ b/src/ebonyhub/scheduling/workspaces/policy.py
@@ -87,7 +87,7 @@
             limits = Workspace(name, limit=accepted.workspace_limit)
             self._stored[name] = (accepted.accepted_ms, limits)
         self.rates.add(accepted, job.is_final)
-        self.ledger.attribute(accepted.job, name)
+        self.ledger.attribute(accepted.job, name, accepted.spec.steps)
         if not job.is_final:
             self._jobs.setdefault(name, {})[accepted.job] = job
         self._update_activity()
@@ -107,7 +107,7 @@
         have been lost before it had stopped them all. Nor does an unreadable record.
         """
         if workspace and spec is not None:
-            self.ledger.attribute(job, workspace)
+            self.ledger.attribute(job, workspace, spec.steps)
             self.ledger.hold(job, workspace, _sum_of_tasks(spec.steps))
 
     def run_reserved(
--- a/src/ebonyhub/scheduling/workspaces/rates.py
+++ b/src/ebonyhub/scheduling/workspaces/rates.py
@@ -50,13 +50,13 @@
         self._buckets: dict[WorkspaceName, TokenBucket] = {}
         self._over_rate: set[JobId] = set()
         # Each with whether it has ended.
-        self._uncharged: list[tuple[AcceptedJob, bool]] = []
+        self._uncharged: dict[JobId, tuple[AcceptedJob, bool]] = {}
         # Workspaces that sent jobs over the rate since they were last asked for.
         self._exceeded: set[WorkspaceName] = set()
 
     def add(self, accepted: AcceptedJob, ended: bool = False) -> None:
         """Count an accepted job; also one that has ended, since it took a token."""
-        self._uncharged.append((accepted, ended))
+        self._uncharged[accepted.job] = (accepted, ended)
 
     def is_over(self, job: JobId) -> bool:
         """Return whether the job was accepted beyond its workspace's rate."""
@@ -65,9 +65,13 @@
         return job in self._over_rate
 
     def forget(self, job: JobId) -> None:
-        """Forget a job that has ended."""
-        if self._uncharged:
-            self._charge()
+        """Forget a job that has ended.
+
+        It may end while jobs are loaded, so this charges none of them.
+        """
+        uncharged = self._uncharged.get(job)
+        if uncharged is not None:
+            self._uncharged[job] = (uncharged[0], True)
         self._over_rate.discard(job)
 
     def take_exceeded(self) -> set[WorkspaceName]:
@@ -78,8 +82,8 @@
         return exceeded
 
     def _charge(self) -> None:
-        jobs, self._uncharged = self._uncharged, []
-        jobs.sort(key=lambda pair: pair[0].accepted_ms)
+        jobs = sorted(self._uncharged.values(), key=lambda pair: pair[0].accepted_ms)
+        self._uncharged = {}
         for accepted, ended in jobs:
             if not self._take(accepted) and not ended:
                 self._over_rate.add(accepted.job)
--- a/src/ebonyhub/scheduling/workspaces/usage.py
+++ b/src/ebonyhub/scheduling/workspaces/usage.py
@@ -1,9 +1,10 @@
 """Resources that the runs of each workspace have reserved (pure)."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from ...ids import NO_WORKSPACE, JobId, ServiceName, TaskId, WorkerId, WorkspaceName
-from ...jobs.model import Resources
+from ...jobs.model import Resources, StepSpec
 from .limits import NOTHING
 
 # Worker, task and run number.
@@ -75,11 +76,18 @@
         used_in = self._used_in.setdefault(service, {})
         used_in[workspace] = used_in.get(workspace, NOTHING) + amount
 
-    def attribute(self, job: JobId, workspace: WorkspaceName) -> None:
-        """Count the runs of a job, which was not known before, for its workspace."""
+    def attribute(
+        self, job: JobId, workspace: WorkspaceName, steps: Sequence[StepSpec] = ()
+    ) -> None:
+        """Count the runs of a job, which was not known before, for its workspace.
+
+        What they have reserved was not known before either; ``steps`` tells it.
+        """
         for key in self._unknown.pop(job, ()):
-            reservation = self._runs[key]
-            self.add(key, reservation.service, workspace, reservation.amount)
+            reservation, number = self._runs[key], key[1].step
+            known = number < len(steps)
+            amount = steps[number].demand if known else reservation.amount
+            self.add(key, reservation.service, workspace, amount)
 
     def hold(self, job: JobId, workspace: WorkspaceName, amount: Resources) -> None:
         """Count what a job's unknown runs may use, until ``release_held``."""
