--- a/src/ebonyhub/scheduling/shedding/measurement.py
+++ b/src/ebonyhub/scheduling/shedding/measurement.py
@@ -51,9 +51,9 @@
         """
         size = job_core_seconds(job)
         over_rate = standing is Standing.OVER_RATE
-        if over_rate:
-            self.over_rate.add(job.accepted.workspace)
         if now - job.arrived_at <= ARRIVAL_WINDOW_SECONDS:
+            if over_rate:
+                self.over_rate.add(job.accepted.workspace)
             arriving_class = BacklogClass(
                 over_rate,
                 False,
--- a/tests/test_review_shares.py
+++ b/tests/test_review_shares.py
@@ -187,3 +187,15 @@
     driver.submit(job_spec)
     demand = driver.scheduler.demands(driver.now)[SERVICE]
     assert demand.long_running_cores >= 0
+
+
+def test_workspace_is_over_its_rate_only_while_it_sends_too_much():
+    """Entries refused jobs within the rate for as long as one earlier job waited."""
+    driver = WorkspaceDriver(Workspace(A, weight=1.0), LEADING)
+    for _ in range(20):
+        driver.submit(spec(1), A)
+    driver.wait(30.0)
+    within = driver.submit(spec(1), A)
+    assert driver.policy.standing(within) is Standing.WITHIN_SHARE
+    load = driver.scheduler.service_loads({}, driver.now, driver.policy)[SERVICE]
+    assert load.over_rate == frozenset()
