--- /dev/null
+++ b/tests/test_review_open.py
@@ -0,0 +1,103 @@
+"""Faults found in a review that are not mended: each test fails."""
+
+from ebonyhub.configuration import Workspace
+from ebonyhub.jobs.model import Resources
+from ebonyhub.scheduling.crashes import CrashEvidence
+from ebonyhub.scheduling.lifecycle import add_crash_evidence
+from tests.test_scheduler import listed
+from tests.workspace_driver import (
+    A,
+    B,
+    WorkspaceDriver,
+    end_of,
+    limited,
+    spec,
+)
+
+LEADING = Workspace(B, weight=100.0)
+OVER_RATE = Workspace(A, weight=0.0)
+
+
+def report_all(driver):
+    for name in ("w1", "w2"):
+        runs = driver.worker(name).runs.values()
+        driver.report(name, running=[listed(run) for run in runs])
+
+
+def test_cancelled_job_counts_on_a_worker_without_an_entry():
+    """After a take-over the workspace ran more than its limit."""
+    driver = WorkspaceDriver(limited(8), names=("w1", "w2"))
+    first = driver.submit(spec(8))
+    driver.start_all()
+    holder = driver.runs()[0].worker
+    assert {run.worker for run in driver.runs()} == {holder}
+    driver.scheduler.handle_worker_entry_removed(holder)
+    driver.scheduler.cancel(first.job_id, driver.now, int(driver.now * 1000))
+    driver.submit(spec(8))
+    successor = driver.successor()
+    # Its entry is gone, so a new leader doesn't list it; its lease is still valid.
+    del successor.scheduler.workers[holder]
+    successor.scheduler.inherited_leases_until = successor.now + 12.0
+    (other,) = {"w1", "w2"} - {str(holder)}
+    successor.report(other)
+    assert len(driver.runs()) == 8
+    assert len(successor.start_all()) == 0
+
+
+def test_task_above_the_limit_starts_in_the_end():
+    """Smaller tasks of its workspace passed it for good."""
+    driver = WorkspaceDriver(limited(4), names=("w1", "w2"))
+    driver.submit(spec(2))
+    driver.start_all()
+    large = driver.submit(spec(1, Resources(6000, 10)))
+    sequence = {"w1": 0, "w2": 0}
+    for _ in range(200):
+        driver.submit(spec(1))
+        driver.wait(0.5)
+        for name in ("w1", "w2"):
+            mine = list(driver.worker(name).runs.values())
+            ended = []
+            for run in mine:
+                if driver.now - run.planned_at >= 0.9:
+                    sequence[name] += 1
+                    ended.append(end_of(run, sequence[name]))
+            rest = [listed(r) for r in mine if r.task not in {e.task for e in ended}]
+            driver.report(name, running=rest, ended=ended)
+        driver.start_all()
+        if not large.pending:
+            return
+    raise AssertionError(f"waits after {driver.now:.0f} s")
+
+
+def test_copy_of_a_done_task_counts_after_a_take_over():
+    """Its record no longer names the run, and it is not among the ended jobs."""
+    driver = WorkspaceDriver(limited(1))
+    job = driver.submit(spec(1))
+    (first,) = driver.start_all()
+    (other,) = {"w1", "w2"} - {str(first.worker)}
+    # The first run is taken for lost, its task starts again elsewhere, and then the
+    # end of the first run arrives.
+    lost = driver.worker(str(first.worker))
+    driver.scheduler.discard_run(first, lost)
+    lost.health.quarantine(driver.now)
+    (second,) = driver.start_all()
+    assert str(second.worker) == other
+    driver.report(str(first.worker), ended=[end_of(first)])
+    assert job.is_final
+    assert len(driver.runs()) == 1
+    driver.submit(spec(1))
+    successor = driver.successor()
+    successor.report(str(first.worker))
+    assert successor.start_all() == []
+
+
+def test_suspected_tasks_over_the_rate_hold_no_workers_of_others():
+    driver = WorkspaceDriver(LEADING, OVER_RATE)
+    job = driver.submit(spec(2), A)
+    (run, _) = driver.start_all()
+    add_crash_evidence(job, run.task, CrashEvidence(1, 0))
+    driver.scheduler.discard_run(run, driver.worker(str(run.worker)))
+    report_all(driver)
+    waiting = driver.submit(spec(16), B)
+    driver.start_all()
+    assert len(waiting.pending.get((0, 0), ())) <= 1
