--- a/tests/test_review_open.py
+++ b/tests/test_workspace_open_faults.py
@@ -1,4 +1,4 @@
-"""Faults found in a review that are not mended: each test fails."""
+"""Known faults of limits and shares; each test is listed in KNOWN-RED.txt."""
 
 from ebonyhub.configuration import Workspace
 from ebonyhub.jobs.model import Resources
