Shedding keeps the scheduler's order of waiting jobs

Jobs were taken for useless by estimates that are off by half and more, and least work first came too early. Change: the order is that of priority.py and of shares; only jobs over their rate come last.

--- a/src/ebonyhub/scheduling/priority.py
+++ b/src/ebonyhub/scheduling/priority.py
@@ -44,8 +44,6 @@
     # Slack in seconds; remaining core-seconds if oversubscribed or late, reduced by
     # ageing once late.
     value: float
-    # Late beyond use to its caller; judged only where jobs are shed by cost.
-    useless: bool = False
 
     @property
     def key(self) -> tuple[int, int, bool, float]:
@@ -55,7 +53,7 @@
 
 def order_key(
     urgency: Urgency, standing: Standing, lending_priority: int
-) -> tuple[bool, bool, int, bool, int, bool, int, bool, float]:
+) -> tuple[bool, bool, int, int, bool, int, bool, float]:
     """Return the sort key of a job in a deployment with workspaces.
 
     Long-running jobs come first, then jobs within the rate of their workspace. A share
@@ -68,7 +66,6 @@
         urgency.rank is not Rank.LONG_RUNNING,
         standing is Standing.OVER_RATE,
         urgency.rank,
-        urgency.useless,
         urgency.priority,
         lent,
         lending_priority if lent else 0,
--- a/src/ebonyhub/scheduling/share_order.py
+++ b/src/ebonyhub/scheduling/share_order.py
@@ -19,7 +19,7 @@
 from .workspaces.status import Standing
 
 # Sort key of a job, see ``order_key``.
-Key = tuple[bool, bool, int, bool, int, bool, int, bool, float]
+Key = tuple[bool, bool, int, int, bool, int, bool, float]
 
 
 class ShareOrder(IsolatedStarts):
--- a/src/ebonyhub/scheduling/shedding/leader.py
+++ b/src/ebonyhub/scheduling/shedding/leader.py
@@ -1,5 +1,7 @@
 """Shedding by cost on the leader: measures loads and orders the waiting jobs."""
 
+from collections.abc import Mapping
+
 from ...events import Event, log_event
 from ...fleet.state import FleetState
 from ...ids import ServiceName
@@ -21,7 +23,9 @@
     ) -> None:
         self.scheduler = scheduler
         self.standings = standings or standings_of(scheduler)
-        self.order = SheddingOrder(scheduler, self.standings)
+        self.order = SheddingOrder(self.standings)
+        # Cores of VMs that are planned to move or moving to each service.
+        self.cores_on_way: Mapping[ServiceName, float] = {}
         scheduler.urgency = self.order
         # Services whose loads the entries have been told.
         self.short_services: set[ServiceName] = set()
@@ -33,7 +37,7 @@
             ServiceName(pool): vms * fleet.cores_per_vm(pool)
             for pool, vms in fleet.vms_on_way().items()
         }
-        self.order.cores_on_way = self.scheduler.expected_cores_on_way(cores, now)
+        self.cores_on_way = self.scheduler.expected_cores_on_way(cores, now)
 
     def loads(self, now: float) -> dict[ServiceName, ServiceLoad]:
         """Return the loads of all services with jobs; logs which become short."""
@@ -41,9 +45,7 @@
             self.first_measured_at = now
         if now - self.first_measured_at < GRACE_SECONDS:
             return {}
-        loads = self.scheduler.service_loads(
-            self.order.cores_on_way, now, self.standings
-        )
+        loads = self.scheduler.service_loads(self.cores_on_way, now, self.standings)
         short = {service for service, load in loads.items() if load.is_significant}
         for service in sorted(short - self.short_services):
             log_event(
