--- a/src/ebonyhub/scheduling/shedding/admission.py
+++ b/src/ebonyhub/scheduling/shedding/admission.py
@@ -18,9 +18,9 @@
 # result is of use up to three times the objective; the rest is margin for estimates.
 ACCEPTED_STRETCH = 2.0
 # Time of task starts, beyond the age of the load, for which enough tasks must wait so
-# that they and not a new job get the capacity that becomes free. 0.1 s, without the VMs
-# on their way, refused calls while a worker had free capacity.
-ROOM_SECONDS = 0.8
+# that they and not a new job get the capacity that becomes free. A shorter time lets
+# calls be refused beside free capacity, which starts in bursts.
+ROOM_SECONDS = 1.2
 
 
 @dataclass(frozen=True, slots=True)
