Logs of clocks and leases around the restart of a worker

Cause: the logs could not tell a lease that was granted by a call for the former process from a renewal that the leader forgot or a clock that it read wrongly. No decision changes.

--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -221,6 +221,13 @@
     WORKER_CAPACITY_CHANGED = EventSpec(
         2310, _I, "worker's capacity changed while it runs", "None."
     )
+    WORKER_LEASE_TOO_LONG = EventSpec(
+        2311,
+        _W,
+        "poll granted a worker a longer lease than intended, since its clock was "
+        "another than known",
+        "None; the worker has most likely restarted.",
+    )
     WAVE_RECEIVED = EventSpec(2401, _I, "maintenance wave received", "None.")
     WAVE_COMPLETED = EventSpec(2402, _I, "maintenance wave completed", "None.")
     WAVE_REOPENED = EventSpec(
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -103,7 +103,8 @@
         """
         log_event(
             Event.WORKER_RESTARTED, worker=worker.worker_id, vm=worker.entry.vm,
-            born=report.born_ms, runs=len(worker.runs),
+            born=report.born_ms, clock=report.clock_ms,
+            former_clock=worker.clock_now_ms(now), runs=len(worker.runs),
             youngest=youngest_runs(worker, now),
         )  # fmt: skip
         self.on_worker_lost(LossCause.RESTARTED, len(worker.runs))
--- a/src/ebonyhub/scheduling/worker_link.py
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -15,7 +15,7 @@
 from ..platform.workers import WorkerClient
 from .model import OrderFailure, StartOrder, WorkerReport
 from .orders import StopRun, ThrottleRun
-from .runs import Run, Worker
+from .runs import CLOCK_MARGIN_MS, Run, Worker
 
 # Seconds for which a poll renews the lease of all runs on the worker. Longer than a
 # change of leadership takes, and below the platform's limit of 10 s.
@@ -94,6 +94,8 @@
         result = await self.client.poll(
             self.token, self.worker.acknowledged_sequence, lease_end_ms, wait_seconds
         )
+        if result.is_ok() and lease_end_ms is not None:
+            self._check_granted_lease(result.ok, lease_end_ms, sent_at)
         if result.is_ok() and result.ok.complete:
             if not self.reachable:
                 self.reachable = True
@@ -118,12 +120,27 @@
         delay = FENCED_DELAY_SECONDS if is_fenced else RETRY_DELAY_SECONDS
         await asyncio.sleep(delay * self.rng.uniform(0.8, 1.2))
 
+    def _check_granted_lease(
+        self, report: WorkerReport, lease_end_ms: int, sent_at: float
+    ) -> None:
+        """Log a lease that is longer on the worker's clock than it was meant to be."""
+        granted_ms = lease_end_ms - report.clock_ms
+        if granted_ms > WORKER_LEASE_SECONDS * 1000 + CLOCK_MARGIN_MS:
+            log_event(
+                Event.WORKER_LEASE_TOO_LONG, worker=self.worker.worker_id,
+                born=report.born_ms, clock=report.clock_ms, lease=granted_ms,
+                age=round(self.clock.monotonic() - sent_at, 3),
+            )  # fmt: skip
+
     async def fetch_report(self) -> None:
         """Request a report at once, beside the pending long poll."""
         sent_at = self.clock.monotonic()
         self.metrics.worker_orders.labels("look").inc()
-        result = await self.client.fetch_report(self.token, self._next_lease(sent_at))
+        lease_end_ms = self._next_lease(sent_at)
+        result = await self.client.fetch_report(self.token, lease_end_ms)
         if result.is_ok():
+            if lease_end_ms is not None:
+                self._check_granted_lease(result.ok, lease_end_ms, sent_at)
             self.on_report(self.worker, result.ok, sent_at)
         else:
             self._count_failure("look", result.error)
