--- /dev/null
+++ b/src/ebonyhub/scheduling/advice_requests.py
@@ -0,0 +1,81 @@
+"""Calls the placement advisor for steps that cannot be placed without its advice."""
+
+import asyncio
+from collections.abc import Callable
+
+from ..clock import Clock
+from ..configuration import AdvisorPolicy
+from ..ids import QueueName
+from ..platform.cloud import AdvisorClient
+from .scheduler import Scheduler
+from .state import Advice, StepKey
+
+RETRY_DELAY_SECONDS = 0.2
+# The platform's limits on the advisor: pending calls, and workers named in one call.
+MAX_ADVISOR_CALLS = 32
+MAX_WORKERS_PER_CALL = 100
+# Share of a ticket's validity after which it is no longer used, which leaves time for
+# the start order to reach the worker.
+TICKET_VALIDITY_SHARE = 0.7
+
+
+class AdviceRequests:
+    """The pending calls of one term; ``track`` keeps their tasks until they end."""
+
+    def __init__(
+        self,
+        advisor: AdvisorClient,
+        scheduler: Scheduler,
+        clock: Clock,
+        track: Callable[[asyncio.Task[None]], None],
+    ) -> None:
+        self.advisor = advisor
+        self.scheduler = scheduler
+        self.clock = clock
+        self.track = track
+        # Steps with a pending call.
+        self.in_progress: set[StepKey] = set()
+
+    def request_missing(self) -> None:
+        """Call the advisor for the steps that wait for it."""
+        steps = self.scheduler.steps_without_advice
+        if not steps:
+            return
+        self.scheduler.steps_without_advice = {}
+        for key, queue_name in steps.items():
+            policy = self.scheduler.queues[queue_name].advisor
+            if policy is None or key in self.in_progress:
+                continue
+            if len(self.in_progress) >= MAX_ADVISOR_CALLS:
+                return
+            self.in_progress.add(key)
+            self.track(asyncio.create_task(self._fetch(key, queue_name, policy)))
+
+    async def _fetch(
+        self, key: StepKey, queue_name: QueueName, policy: AdvisorPolicy
+    ) -> None:
+        """Get advice on one step; the advisor takes time for each worker named."""
+        now = self.clock.monotonic()
+        service = self.scheduler.queues[queue_name].service
+        workers = [
+            worker.worker_id
+            for worker in self.scheduler.workers.values()
+            if worker.entry.service == service
+            and self.scheduler.is_eligible(worker, now)
+        ][:MAX_WORKERS_PER_CALL]
+        seconds = policy.decision_seconds + policy.seconds_per_worker * len(workers)
+        # The advisor answers the calls of one entry one after another.
+        seconds *= len(self.in_progress)
+        try:
+            result = await self.advisor.advise(*key, workers, seconds)
+            if result.is_ok():
+                expires = (
+                    self.clock.monotonic()
+                    + policy.validity_seconds * TICKET_VALIDITY_SHARE
+                )
+                self.scheduler.advice[key] = Advice(result.ok, expires)
+                self.scheduler.services_to_plan.add(service)
+            else:
+                await asyncio.sleep(RETRY_DELAY_SECONDS)
+        finally:
+            self.in_progress.discard(key)
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -13,7 +13,7 @@
 from ..cluster.metadata_store import Item, MetadataStore
 from ..cluster.mirror import JobMirror, MirroredJob
 from ..cluster.revision_clock import RevisionClock
-from ..configuration import AdvisorPolicy, Configuration
+from ..configuration import Configuration
 from ..events import Event, log_event
 from ..fleet.controller import FleetController
 from ..fleet.model import Wave
@@ -21,6 +21,7 @@
 from ..jobs.model import AcceptedJob
 from ..metrics import Metrics
 from ..platform.cloud import AdvisorClient, CloudClient
+from .advice_requests import AdviceRequests
 from .committer import Committer
 from .losses import LossCause
 from .model import OrderFailure, WorkerReport
@@ -31,7 +32,7 @@
 from .scheduler import Scheduler
 from .shedding.leader import LeaderShedding
 from .shedding.service_load import ServiceLoad
-from .state import Advice, StepKey, UnreadableJob
+from .state import UnreadableJob
 from .waiting import NOT_WAITING, WaitCause
 from .worker_directory import LEASE_EXTENSION_SECONDS, WorkerDirectory
 from .worker_link import WORKER_LEASE_SECONDS
@@ -41,13 +42,6 @@
 TICK_INTERVAL_SECONDS = 0.1
 # Seconds between two checks of what ready tasks wait for.
 WAIT_CHECK_INTERVAL_SECONDS = 0.2
-RETRY_DELAY_SECONDS = 0.2
-# The platform's limits on the advisor: pending calls, and workers named in one call.
-MAX_ADVISOR_CALLS = 32
-MAX_WORKERS_PER_CALL = 100
-# Share of a ticket's validity after which it is no longer used, which leaves time for
-# the start order to reach the worker.
-TICKET_VALIDITY_SHARE = 0.7
 
 
 class Controller:
@@ -102,8 +96,11 @@
         self.next_wait_check = 0.0
         # What the ready tasks of each service waited for when last logged.
         self.wait_causes: dict[ServiceName, WaitCause] = {}
-        # Steps with a pending call to the advisor.
-        self.advice_in_progress: set[StepKey] = set()
+        self.advice = (
+            AdviceRequests(advisor, self.scheduler, clock, self._track_order)
+            if advisor is not None
+            else None
+        )
 
     def _new_fleet(self, cloud: CloudClient) -> FleetController:
         scheduler, clock = self.scheduler, self.clock
@@ -299,7 +296,8 @@
                 self.workers.close_removed_links()
             if self.term.is_valid(now) and self.committer.healthy:
                 self.scheduler.plan_changed(now)
-                self._request_advice()
+                if self.advice is not None:
+                    self.advice.request_missing()
             if self.scheduler.dirty:
                 self.committer.work_available.set()
             self._dispatch_orders()
@@ -336,9 +334,12 @@
         """Send the queued orders; ``_start`` checks that the term is still valid."""
         while self.scheduler.outbox:
             order = self.scheduler.outbox.popleft()
-            task = asyncio.create_task(self._execute(order))
-            self.order_tasks.add(task)
-            task.add_done_callback(self._order_done)
+            self._track_order(asyncio.create_task(self._execute(order)))
+
+    def _track_order(self, task: asyncio.Task[None]) -> None:
+        """Keep a task until it ends; the end of the term cancels it."""
+        self.order_tasks.add(task)
+        task.add_done_callback(self._order_done)
 
     def _order_done(self, task: asyncio.Task[None]) -> None:
         self.order_tasks.discard(task)
@@ -384,53 +385,6 @@
             outcome = OrderFailure.UNKNOWN
         self.scheduler.handle_start_result(run, outcome, self.clock.monotonic())
 
-    def _request_advice(self) -> None:
-        """Call the advisor for steps that cannot be placed without its advice."""
-        if self.advisor is None or not self.scheduler.steps_without_advice:
-            return
-        steps = self.scheduler.steps_without_advice
-        self.scheduler.steps_without_advice = {}
-        for key, queue_name in steps.items():
-            policy = self.scheduler.queues[queue_name].advisor
-            if policy is None or key in self.advice_in_progress:
-                continue
-            if len(self.advice_in_progress) >= MAX_ADVISOR_CALLS:
-                return
-            self.advice_in_progress.add(key)
-            task = asyncio.create_task(self._fetch_advice(key, queue_name, policy))
-            self.order_tasks.add(task)
-            task.add_done_callback(self._order_done)
-
-    async def _fetch_advice(
-        self, key: StepKey, queue_name: QueueName, policy: AdvisorPolicy
-    ) -> None:
-        """Get advice on one step; the advisor takes time for each worker named."""
-        assert self.advisor is not None
-        now = self.clock.monotonic()
-        service = self.scheduler.queues[queue_name].service
-        workers = [
-            worker.worker_id
-            for worker in self.scheduler.workers.values()
-            if worker.entry.service == service
-            and self.scheduler.is_eligible(worker, now)
-        ][:MAX_WORKERS_PER_CALL]
-        seconds = policy.decision_seconds + policy.seconds_per_worker * len(workers)
-        # The advisor answers the calls of one entry one after another.
-        seconds *= len(self.advice_in_progress)
-        try:
-            result = await self.advisor.advise(*key, workers, seconds)
-            if result.is_ok():
-                expires = (
-                    self.clock.monotonic()
-                    + policy.validity_seconds * TICKET_VALIDITY_SHARE
-                )
-                self.scheduler.advice[key] = Advice(result.ok, expires)
-                self.scheduler.services_to_plan.add(service)
-            else:
-                await asyncio.sleep(RETRY_DELAY_SECONDS)
-        finally:
-            self.advice_in_progress.discard(key)
-
     # Results
 
     def _on_report(self, worker: Worker, report: WorkerReport, sent_at: float) -> None:
@@ -456,9 +410,7 @@
         if self.term.ended or self.checking_leadership:
             return
         self.checking_leadership = True
-        task = asyncio.create_task(self._check_leadership(worker))
-        self.order_tasks.add(task)
-        task.add_done_callback(self._order_done)
+        self._track_order(asyncio.create_task(self._check_leadership(worker)))
 
     async def _check_leadership(self, worker: Worker) -> None:
         """End the term if another entry leads, as a worker that refuses the token says.
