--- a/src/ebonyhub/entry/process.py
+++ b/src/ebonyhub/entry/process.py
@@ -174,6 +174,7 @@
             cloud, settings.status_retention_seconds, settings.capacity_valid_seconds,
             self.on_progress_stored, self.leadership.revision_clock,
             WorkspaceRules(settings.has_limits, settings.rate_window_seconds),
+            settings.max_lease_seconds,
         )  # fmt: skip
         self.job_watch.restart_from(self.mirror.complete_until)
         self.mirror.take_changes()
--- a/src/ebonyhub/node_settings.py
+++ b/src/ebonyhub/node_settings.py
@@ -9,6 +9,8 @@
 LINK_MBPS_PER_CORE = 25.0
 # Time for a start order to reach its worker.
 START_MARGIN_SECONDS = 0.5
+# Used if the platform sets no limit on workers' leases.
+DEFAULT_MAX_LEASE_SECONDS = 10.0
 DEFAULT_RATE_WINDOW_SECONDS = 5.0
 
 
@@ -36,6 +38,8 @@
     # workers write their entries; infinity if the platform sets no limit.
     contact_seconds: float = inf
     heartbeat_seconds: float = inf
+    # Longest lease that a worker grants; it shortens longer ones.
+    max_lease_seconds: float = DEFAULT_MAX_LEASE_SECONDS
     # Whether callers need API keys of workspaces.
     has_workspaces: bool = False
     # Whether the limits and shares of workspaces are enforced.
--- a/src/ebonyhub/platform/settings.py
+++ b/src/ebonyhub/platform/settings.py
@@ -12,7 +12,11 @@
 from ..decoding import DECODE_ERRORS
 from ..http_session import split_address
 from ..ids import DataCentre, EntryId
-from ..node_settings import DEFAULT_RATE_WINDOW_SECONDS, NodeSettings
+from ..node_settings import (
+    DEFAULT_MAX_LEASE_SECONDS,
+    DEFAULT_RATE_WINDOW_SECONDS,
+    NodeSettings,
+)
 
 SETTINGS_PATH_VARIABLE = "EBONYHUB_NODE_FILE"
 # How long the state of an ended job stays readable if the file sets no time.
@@ -63,6 +67,7 @@
 
     status_s: Positive = DEFAULT_STATUS_RETENTION_SECONDS
     contact_ms: Positive | None = msgspec.field(name="ContactMs", default=None)
+    max_hold_ms: Positive | None = msgspec.field(name="MaxHoldMs", default=None)
     strict_revocation: bool = msgspec.field(name="StrictRevocation", default=False)
     revoke_ms: Positive | None = msgspec.field(name="RevokeMs", default=None)
     rate_window_s: Annotated[float, msgspec.Meta(gt=0, le=1e6)] = msgspec.field(
@@ -154,6 +159,11 @@
         advisor_address=file.advisor or "",
         status_retention_seconds=file.bounds.status_s,
         contact_seconds=_seconds(file.bounds.contact_ms),
+        max_lease_seconds=(
+            DEFAULT_MAX_LEASE_SECONDS
+            if file.bounds.max_hold_ms is None
+            else file.bounds.max_hold_ms / 1000
+        ),
         heartbeat_seconds=_seconds(file.heartbeat_ms),
         # In the file, "Cores" is the speed of a core and "CpuShare" the share of one.
         cores=file.limits.cpu_share * file.limits.cores,
--- a/src/ebonyhub/platform/workers.py
+++ b/src/ebonyhub/platform/workers.py
@@ -123,9 +123,8 @@
         same id numbers its ended tasks from 1 again, so nothing is acknowledged on a
         new connection before its first report.
         """
-        if not self.poll_session.has_idle_connection():
+        if not self.reaches_known_process():
             self.has_read_report = False
-        if not self.has_read_report:
             acknowledged_sequence = 0
         body: dict[str, Any] = {
             "FencingToken": token,
@@ -143,13 +142,21 @@
             self.has_read_report = True
         return report
 
+    def reaches_known_process(self) -> bool:
+        """Return whether the next poll uses a connection that has returned a report.
+
+        It then reaches the process of that report, or none.
+        """
+        return self.has_read_report and self.poll_session.has_idle_connection()
+
     async def fetch_report(
-        self, token: LeaderToken, lease_until_ms: int | None
+        self, token: LeaderToken
     ) -> Result[WorkerReport, OrderFailure]:
-        """Read the report at once while a poll waits; acknowledges nothing."""
+        """Read the report at once while a poll waits.
+
+        Acknowledges nothing and renews no lease, since any process may answer.
+        """
         body: dict[str, Any] = {"FencingToken": token, "AckCursor": 0}
-        if lease_until_ms is not None:
-            body["DeadlineMs"] = lease_until_ms
         return self._decode_report_answer(await self._send_order(b"/hold", body))
 
     def _decode_report_answer(
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -9,39 +9,43 @@
 from collections.abc import Callable
 
 from ..clock import Clock
+from ..cluster.fencing import FencingTokens
 from ..cluster.leadership import LEADER_KEY, Term
-from ..cluster.metadata_store import Item, MetadataStore
+from ..cluster.metadata_store import Item, MetadataStore, StoreFailure
 from ..cluster.mirror import JobMirror, MirroredJob
 from ..cluster.revision_clock import RevisionClock
 from ..configuration import Configuration
 from ..events import Event, log_event
 from ..fleet.controller import FleetController
 from ..fleet.model import Wave
-from ..ids import JobId, PoolName, QueueName, ServiceName
+from ..ids import JobId, PoolName, QueueName, ServiceName, WorkerId
 from ..jobs.model import AcceptedJob
 from ..metrics import Metrics
+from ..node_settings import DEFAULT_MAX_LEASE_SECONDS
 from ..platform.cloud import AdvisorClient, CloudClient
 from .advice_requests import AdviceRequests
 from .committer import Committer
 from .losses import LossCause
 from .model import OrderFailure, WorkerReport
-from .orders import FetchReport, Order, StartRun, StopRun, ThrottleRun
+from .orders import FetchReport, Order, RaiseToken, StartRun, StopRun, ThrottleRun
 from .overload import Forecast
 from .retention import Retention
-from .runs import SLOW_CLOCK_FACTOR, Worker
+from .runs import Worker
 from .scheduler import Scheduler
 from .shedding.leader import LeaderShedding
 from .shedding.service_load import ServiceLoad
 from .state import UnreadableJob
 from .waiting import NOT_WAITING, WaitCause
 from .worker_directory import LEASE_EXTENSION_SECONDS, WorkerDirectory
-from .worker_link import WORKER_LEASE_SECONDS
+from .worker_process import SLOW_CLOCK_FACTOR, WORKER_LEASE_SECONDS
 from .workspaces.policy import WorkspaceRules
 
 # Seconds between calls of the scheduler's time-dependent checks.
 TICK_INTERVAL_SECONDS = 0.1
 # Seconds between two checks of what ready tasks wait for.
 WAIT_CHECK_INTERVAL_SECONDS = 0.2
+# Seconds until the next attempt to get a fencing token.
+TOKEN_RETRY_SECONDS = 0.5
 
 
 class Controller:
@@ -65,6 +69,7 @@
         on_stored: Callable[[], None],
         revision_clock: RevisionClock | None = None,
         workspace_rules: WorkspaceRules | None = None,
+        max_lease_seconds: float = DEFAULT_MAX_LEASE_SECONDS,
     ) -> None:
         self.term = term
         self.store = store
@@ -75,6 +80,7 @@
         self.metrics = metrics
         self.notify_stored = on_stored
         self.scheduler = self._new_scheduler(capacity_valid_seconds, workspace_rules)
+        self.scheduler.max_lease_seconds = max_lease_seconds
         self.committer = Committer(
             store, self.scheduler, term, clock, metrics, self._on_stored
         )
@@ -90,6 +96,9 @@
             revision_clock or RevisionClock(), self._on_report, self._on_fenced,
             self.wake.set,
         )  # fmt: skip
+        self.fencing = FencingTokens(store, term)
+        # Workers for which a higher token is being issued.
+        self.raising_tokens: set[WorkerId] = set()
         self.order_tasks: set[asyncio.Task[None]] = set()
         self.checking_leadership = False
         self.next_tick = 0.0
@@ -123,6 +132,7 @@
         self, capacity_valid_seconds: float, rules: WorkspaceRules | None
     ) -> Scheduler:
         scheduler = Scheduler(rules)
+        scheduler.token = self.term.token
         scheduler.on_worker_lost = self._count_lost_worker
         scheduler.on_job_given_up = self._count_job_given_up
         scheduler.max_entry_age_seconds = capacity_valid_seconds
@@ -367,6 +377,32 @@
                 link = self.workers.links.get(order.worker)
                 if link is not None:
                     await link.fetch_report()
+            case RaiseToken():
+                await self._raise_token(order.worker)
+
+    async def _raise_token(self, worker_id: WorkerId) -> None:
+        """Get a higher token for calls to a worker; retries while the term lasts."""
+        if worker_id in self.raising_tokens:
+            return
+        self.raising_tokens.add(worker_id)
+        try:
+            while not self.term.ended:
+                worker = self.scheduler.workers.get(worker_id)
+                if worker is None:
+                    return
+                process = worker.process
+                issued = await self.fencing.issue()
+                # A token for an earlier process may have been sent to it already.
+                if issued.is_ok() and worker.process is process:
+                    now = self.clock.monotonic()
+                    self.scheduler.set_process_token(worker_id, issued.ok, now)
+                    return
+                if issued.is_error():
+                    if issued.error is StoreFailure.CONFLICT:
+                        self._end_term("fencing token")
+                    await asyncio.sleep(TOKEN_RETRY_SECONDS)
+        finally:
+            self.raising_tokens.discard(worker_id)
 
     async def _start(self, order: StartRun) -> None:
         run = order.run
@@ -416,7 +452,8 @@
         """End the term if another entry leads, as a worker that refuses the token says.
 
         A worker that refuses the token of the present leader is alone in this; ending
-        the term for it would end that of each successor, too.
+        the term for it would end that of each successor, too. It has seen a token of
+        this term that was forgotten with its entry, and gets a higher one.
         """
         try:
             found = await self.store.get(LEADER_KEY)
@@ -424,12 +461,15 @@
             self.checking_leadership = False
         item = found.ok if found.is_ok() else None
         if item is not None and int(item.revision) == int(self.term.token):
+            await self._raise_token(worker.worker_id)
             return
+        self._end_term("fenced", worker=worker.worker_id)
+
+    def _end_term(self, cause: str, **details: object) -> None:
         if not self.term.ended:
             log_event(
-                Event.LEADERSHIP_LOST, cause="fenced", token=self.term.token,
-                worker=worker.worker_id,
-            )  # fmt: skip
+                Event.LEADERSHIP_LOST, cause=cause, token=self.term.token, **details
+            )
         self.term.ended = True
         self.wake.set()
 
@@ -445,7 +485,7 @@
                 continue
             self.scheduler.acknowledge_stored_ends(worker)
             link = self.workers.links.get(worker_id)
-            if link is not None and not worker.unstored_ends:
+            if link is not None and not worker.process.unstored_ends:
                 link.ends_stored.set()
         self._dispatch_orders()
         self.wake.set()
--- a/src/ebonyhub/scheduling/crash_attribution.py
+++ b/src/ebonyhub/scheduling/crash_attribution.py
@@ -32,8 +32,8 @@
         log_event(
             Event.WORKER_EXPIRED, worker=worker.worker_id, vm=worker.entry.vm,
             cause=cause.value, runs=len(worker.runs),
-            lease=worker.lease_end_ms - worker.clock_ms,
-            last_report=round(now - worker.clock_read_at, 3),
+            lease=worker.process.lease_end_ms - worker.process.clock_ms,
+            last_report=round(now - worker.process.clock_read_at, 3),
             youngest=youngest_runs(worker, now),
         )  # fmt: skip
         self.on_worker_lost(cause, len(worker.runs))
--- a/src/ebonyhub/scheduling/intake.py
+++ b/src/ebonyhub/scheduling/intake.py
@@ -107,10 +107,10 @@
                     checkpoint=record.checkpoint,
                     probation_seconds=probation_seconds(step_progress, position),
                 )  # fmt: skip
-                worker = self._worker_of_record(run, record.vm, job)
+                worker = self._worker_of_record(run, record.vm, job, now)
                 self.reserve_for_run(run, worker)
 
-    def _worker_of_record(self, run: Run, vm: VmId, job: Job) -> Worker:
+    def _worker_of_record(self, run: Run, vm: VmId, job: Job, now: float) -> Worker:
         """Return the worker of an inherited run; a placeholder if its entry is gone."""
         worker = self.workers.get(run.worker)
         if worker is None:
@@ -119,7 +119,8 @@
                 rack=job.accepted.spec.steps[0].data_rack, capacity=Resources(),
                 draining=False, leaves_in=None, born_ms=run.born_ms, vm=vm,
             )  # fmt: skip
-            worker = Worker(entry, born_ms=run.born_ms, deregistered=True)
+            process = self.new_process(run.worker, run.born_ms, now)
+            worker = Worker(entry, process, deregistered=True)
             worker.successor_service = self._successor_service(vm, run.born_ms)
             self.workers[run.worker] = worker
         return worker
--- a/src/ebonyhub/scheduling/order_results.py
+++ b/src/ebonyhub/scheduling/order_results.py
@@ -38,6 +38,7 @@
                 self.discard_run(run, worker)
                 continue
             run.phase = RunPhase.ORDERED
+            run.token = worker.process.token
             key = (run.task.job, run.task.occurrence, run.task.step)
             advice = self.advice.get(key)
             ticket = advice.tickets.get(run.worker, "") if advice else ""
@@ -63,7 +64,7 @@
                 task=short_name(run.task),
                 run=run.number,
                 worker=run.worker,
-                contact_age=round(now - worker.clock_read_at, 3),
+                contact_age=round(now - worker.process.clock_read_at, 3),
             )
             return
         log_event(
@@ -79,7 +80,7 @@
             key = (run.task.job, run.task.occurrence, run.task.step)
             self.advice.pop(key, None)
         if failure in (OrderFailure.REFUSED, OrderFailure.NOT_SENT):
-            worker.health.quarantine(now, REFUSAL_QUARANTINE_SECONDS)
+            worker.process.health.quarantine(now, REFUSAL_QUARANTINE_SECONDS)
         self.discard_run(run, worker)
 
     def handle_stop_result(
--- a/src/ebonyhub/scheduling/orders.py
+++ b/src/ebonyhub/scheduling/orders.py
@@ -40,4 +40,11 @@
     worker: WorkerId
 
 
-Order = StartRun | StopRun | ThrottleRun | FetchReport
+@dataclass(frozen=True, slots=True)
+class RaiseToken:
+    """Get a higher fencing token for the present process of a worker."""
+
+    worker: WorkerId
+
+
+Order = StartRun | StopRun | ThrottleRun | FetchReport | RaiseToken
--- a/src/ebonyhub/scheduling/overdue.py
+++ b/src/ebonyhub/scheduling/overdue.py
@@ -40,10 +40,10 @@
 
 def is_report_overdue(worker: Worker, jobs: Mapping[JobId, Job], now: float) -> bool:
     """Return whether a run of the worker should have ended since its last report."""
-    silent_for = now - worker.clock_read_at
+    silent_for = now - worker.process.clock_read_at
     if silent_for < MIN_SILENCE_SECONDS:
         return False
-    if now - worker.report_requested_at < MIN_REQUEST_INTERVAL_SECONDS:
+    if now - worker.process.report_requested_at < MIN_REQUEST_INTERVAL_SECONDS:
         return False
     for run in worker.runs.values():
         # A run that was due before the last report is known to go on.
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -7,7 +7,6 @@
 from ..jobs.model import Resources, StepSpec
 from . import lifecycle
 from .crashes import LostRun, is_crash
-from .health import WorkerHealth
 from .losses import LossCause, youngest_runs
 from .model import (
     EndedTask,
@@ -15,7 +14,7 @@
     RunOutcome,
     WorkerReport,
 )
-from .orders import ThrottleRun
+from .orders import RaiseToken, ThrottleRun
 from .overdue import record_duration
 from .runs import Job, Run, RunPhase, StopReason, Worker
 from .state import short_name
@@ -53,7 +52,7 @@
         if report.born_ms and worker.born_ms and report.born_ms != worker.born_ms:
             self._handle_restart(worker, report, now)
         if report.born_ms:
-            worker.born_ms = report.born_ms
+            worker.process.born_ms = report.born_ms
         if not report.complete:
             # Only its ends are certain. For everything else, the worker did not answer.
             self._handle_ends(worker, report.ended, now, wall_ms)
@@ -66,9 +65,9 @@
         worker.last_response_at = now
         worker.silent_since = None
         worker.successor_service = None
-        worker.clock_ms, worker.clock_read_at = report.clock_ms, now
+        worker.process.read_clock(report.clock_ms, sent_at, now)
         worker.expired = False
-        worker.listed_ends = len(report.ended)
+        worker.process.listed_ends = len(report.ended)
         self._handle_ends(worker, report.ended, now, wall_ms)
         listed = set()
         for row in report.running:
@@ -92,28 +91,25 @@
         if not report.born_ms:
             return worker.reports_born
         worker.reports_born = True
-        return report.born_ms != worker.born_ms and sent_at <= worker.restarted_at
+        return report.born_ms != worker.born_ms and sent_at <= worker.process.found_at
 
     def _handle_restart(self, worker: Worker, report: WorkerReport, now: float) -> None:
         """Reset the report state of a worker that restarted under the same id.
 
-        The new process counts its ends from 1 again. Its earlier runs are found missing
-        from the new report. A start that is under way may still reach the new process,
+        Its earlier runs are found missing from the new report. A start that is under
+        way may still reach the new process until that refuses the token of the start,
         so no run is discarded here.
         """
+        former = worker.process
         log_event(
             Event.WORKER_RESTARTED, worker=worker.worker_id, vm=worker.entry.vm,
             born=report.born_ms, clock=report.clock_ms,
-            former_clock=worker.clock_now_ms(now), runs=len(worker.runs),
-            youngest=youngest_runs(worker, now),
+            former_clock=former.clock_now_ms(now) if former.clock_known else None,
+            runs=len(worker.runs), youngest=youngest_runs(worker, now),
         )  # fmt: skip
         self.on_worker_lost(LossCause.RESTARTED, len(worker.runs))
-        worker.restarted_at = now
-        worker.last_seen_sequence = 0
-        worker.acknowledged_sequence = 0
-        worker.unstored_ends.clear()
-        worker.lease_end_ms = 0
-        worker.health = WorkerHealth()
+        worker.process = former.successor(report.born_ms, now)
+        self.outbox.append(RaiseToken(worker.worker_id))
 
     def _handle_ends(
         self, worker: Worker, ended: Iterable[EndedTask], now: float, wall_ms: int
@@ -121,14 +117,14 @@
         job_versions: dict[JobId, int] = {}
         last = 0
         for end in ended:
-            if end.sequence <= worker.last_seen_sequence:
+            if end.sequence <= worker.process.last_seen_sequence:
                 continue
-            worker.last_seen_sequence = last = end.sequence
+            worker.process.last_seen_sequence = last = end.sequence
             self._handle_end(worker, end, now, wall_ms)
             job = self.jobs.get(end.task.job)
             job_versions[end.task.job] = job.version if job else 0
         if last:
-            worker.unstored_ends.append((last, job_versions))
+            worker.process.unstored_ends.append((last, job_versions))
             self.workers_with_unstored_ends.add(worker.worker_id)
 
     def _handle_end(
@@ -217,20 +213,20 @@
                 seconds = now - (run.confirmed_at or run.planned_at)
                 record_duration(self.jobs[end.task.job], run, seconds)
                 estimate = step.estimate_ms / 1000
-                worker.health.count_success(
+                worker.process.health.count_success(
                     end.task.job, seconds, estimate, self.fleet_slowdown
                 )
                 self._check_slowdown(worker, now)
-        elif end.outcome is RunOutcome.FAILED and worker.health.count_failure(
+        elif end.outcome is RunOutcome.FAILED and worker.process.health.count_failure(
             end.task.job, now
         ):
             self.log_quarantine(worker, "failures")
 
     def _check_slowdown(self, worker: Worker, now: float) -> None:
         """Quarantine a slow worker; its speed is measured anew afterwards."""
-        if worker.health.is_slow(self.fleet_slowdown):
-            worker.health.quarantine(now)
-            worker.health.reset_slowdown()
+        if worker.process.health.is_slow(self.fleet_slowdown):
+            worker.process.health.quarantine(now)
+            worker.process.health.reset_slowdown()
             self.log_quarantine(worker, "slow")
 
     def _handle_running(self, worker: Worker, row: RunningTask, now: float) -> None:
@@ -312,8 +308,8 @@
         Returns the discarded runs.
 
         A missing run is gone if the report was requested after the run or its stop was
-        confirmed. Runs of an earlier leader are gone in any case, since fencing keeps
-        its pending orders from taking effect.
+        confirmed. It is gone in any case if the process refuses its start by now: it
+        was sent by an earlier leader, or to an earlier process under the id.
         """
         missing: list[Run] = []
         for key, run in list(worker.runs.items()):
@@ -326,7 +322,8 @@
                     run.stop_confirmed_at is not None
                     and run.stop_confirmed_at < sent_at
                 )
-                is_gone = run.inherited or stop_confirmed
+                refused = worker.process.refuses_token(run.token, sent_at)
+                is_gone = run.inherited or refused or stop_confirmed
             if is_gone:
                 log_event(
                     Event.RUN_LOST, job=run.task.job, task=short_name(run.task),
@@ -340,10 +337,10 @@
 
     def _throttle_best_effort_runs(self, worker: Worker, now: float) -> None:
         """Adapt the speed of best-effort runs to the latency of serving tasks."""
-        if now - worker.throttled_at < MIN_CHANGE_INTERVAL_SECONDS:
+        if now - worker.process.throttled_at < MIN_CHANGE_INTERVAL_SECONDS:
             return
         for run, percent in throttle_changes(worker):
-            worker.throttled_at = now
+            worker.process.throttled_at = now
             run.speed_percent = percent
             log_event(
                 Event.RUN_THROTTLED,
@@ -358,12 +355,12 @@
 
     def acknowledge_stored_ends(self, worker: Worker) -> None:
         """Advance the acknowledged sequence over ends whose records are stored."""
-        while worker.unstored_ends:
-            sequence, versions = worker.unstored_ends[0]
+        while worker.process.unstored_ends:
+            sequence, versions = worker.process.unstored_ends[0]
             if not all(self._is_stored(worker, j, v) for j, v in versions.items()):
                 return
-            worker.acknowledged_sequence = sequence
-            worker.unstored_ends.pop(0)
+            worker.process.acknowledged_sequence = sequence
+            worker.process.unstored_ends.pop(0)
         self.workers_with_unstored_ends.discard(worker.worker_id)
 
     def _is_stored(self, worker: Worker, job_id: JobId, version: int) -> bool:
@@ -376,7 +373,7 @@
         """
         job = self.jobs.get(job_id)
         if job is None:
-            holds_up_others = worker.listed_ends > MAX_HELD_ENDS
+            holds_up_others = worker.process.listed_ends > MAX_HELD_ENDS
             return self.is_removed(job_id) or (
                 holds_up_others and job_id in self.unreadable_jobs
             )
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -3,16 +3,11 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ..ids import JobId, QueueName, ServiceName, TaskId, WorkerId
+from ..ids import JobId, LeaderToken, QueueName, ServiceName, TaskId, WorkerId
 from ..jobs.model import AcceptedJob, Resources, StepSpec
 from ..jobs.records import JobState, ProgressRecord
-from .health import WorkerHealth
 from .model import WorkerEntry
-
-# Bounds for converting elapsed local time to a worker's clock: that clock may run 2%
-# slow, and CLOCK_MARGIN_MS covers the transit time of the response that was read.
-SLOW_CLOCK_FACTOR = 1.03
-CLOCK_MARGIN_MS = 100
+from .worker_process import NO_TOKEN, WorkerProcess
 
 
 class RunPhase(Enum):
@@ -61,6 +56,8 @@
     job_version: int = 0
     # Started by an earlier leader, whose pending orders the worker's fencing rejects.
     inherited: bool = False
+    # Fencing token of the start order.
+    token: LeaderToken = NO_TOKEN
     planned_at: float = 0.0
     confirmed_at: float = 0.0
     stop_reason: StopReason | None = None
@@ -90,11 +87,14 @@
 
 @dataclass(eq=False, slots=True)
 class Worker:
-    """The latest known state of one worker; times are monotonic seconds."""
+    """The latest known state of one worker; times are monotonic seconds.
+
+    What holds for one process only is in ``process``; the rest holds for the worker's
+    id and address, also across restarts.
+    """
 
     entry: WorkerEntry
-    # Start of the worker process in ms since 1970; differs after a restart.
-    born_ms: int = 0
+    process: WorkerProcess = field(default_factory=WorkerProcess)
     # The process that announced that it drains, by its start time; 0 if none has.
     draining_born_ms: int = 0
     # Service in which a later worker of the same VM has registered.
@@ -114,27 +114,8 @@
     silent_since: float | None = None
     # Time of the last response to this leader; None before the first.
     last_response_at: float | None = None
-    # The worker's clock in its last report, and when that report was received.
-    clock_ms: int = 0
-    clock_read_at: float = 0.0
-    # Latest lease end that was sent, in ms on the worker's clock.
-    lease_end_ms: int = 0
-    # When a report of the present process, which restarted under the id, was received.
-    restarted_at: float = float("-inf")
     # Whether its reports name the start of the process.
     reports_born: bool = False
-    # Number of ends in the last report.
-    listed_ends: int = 0
-    # Sequence numbers of the last run end that was processed and acknowledged.
-    last_seen_sequence: int = 0
-    acknowledged_sequence: int = 0
-    # Ends that cannot be acknowledged yet: sequence number, and for each affected job
-    # the version of its record that must be stored first.
-    unstored_ends: list[tuple[int, dict[JobId, int]]] = field(default_factory=list)
-    health: WorkerHealth = field(default_factory=WorkerHealth)
-    throttled_at: float = float("-inf")
-    # When a report was last requested since the end of a run was overdue.
-    report_requested_at: float = float("-inf")
     # Its runs were discarded because its lease had ended or its VM was gone.
     expired: bool = False
     # Capacity that no run has reserved.
@@ -149,6 +130,11 @@
         """Return the id under which the worker is registered in the store."""
         return self.entry.worker
 
+    @property
+    def born_ms(self) -> int:
+        """Return the start of the present process in ms since 1970."""
+        return self.process.born_ms
+
     @property
     def poll_failed(self) -> bool:
         """Return whether the last poll got no response."""
@@ -164,10 +150,6 @@
         self.entry = entry
         self.free = entry.capacity - self.used
 
-    def clock_now_ms(self, now: float) -> int:
-        """Return an upper bound of the worker's clock at ``now``."""
-        return self.clock_ms + int((now - self.clock_read_at) * 1000)
-
     def lease_has_ended(self, now: float, inherited_until: float) -> bool:
         """Return whether every lease of the worker has certainly ended.
 
@@ -176,8 +158,7 @@
         """
         if self.last_response_at is None:
             return now > inherited_until
-        elapsed_ms = (now - self.clock_read_at) * 1000 / SLOW_CLOCK_FACTOR
-        return self.clock_ms + elapsed_ms > self.lease_end_ms + CLOCK_MARGIN_MS
+        return self.process.lease_has_ended(now)
 
     def add(self, run: Run) -> None:
         """Reserve capacity for a run, in place of an earlier entry of it."""
--- a/src/ebonyhub/scheduling/shedding/measurement.py
+++ b/src/ebonyhub/scheduling/shedding/measurement.py
@@ -107,7 +107,7 @@
 
 def slowdown(worker: Worker, fleet: SlowdownAverage) -> float:
     """Return by which factor tasks take longer on the worker than elsewhere."""
-    measured = worker.health.slowdown
+    measured = worker.process.health.slowdown
     if measured.samples < MIN_JOBS_FOR_SLOWDOWN:
         return 1.0
     return max(1.0, exp(measured.average - fleet.average))
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -15,6 +15,7 @@
 from ..ids import (
     NO_WORKSPACE,
     JobId,
+    LeaderToken,
     QueueName,
     ServiceName,
     TaskId,
@@ -23,14 +24,16 @@
     WorkspaceName,
 )
 from ..jobs.model import AcceptedJob, JobSpec
+from ..node_settings import DEFAULT_MAX_LEASE_SECONDS
 from . import lifecycle
 from .crashes import Crash
 from .health import FLEET_AVERAGE_WEIGHT, SlowdownAverage
 from .kept_workers import KeptWorkers
 from .losses import LossCause
-from .orders import Order, StopRun
+from .orders import FetchReport, Order, RaiseToken, StopRun
 from .priority import Urgency, urgency
 from .runs import Job, Run, RunPhase, StopReason, Worker
+from .worker_process import LATE_CALL_SECONDS, NO_TOKEN, WorkerProcess
 from .workspaces.limits import Room
 from .workspaces.policy import WorkspacePolicy, WorkspaceRules
 
@@ -118,6 +121,11 @@
         # Jobs that have not ended.
         self.active: dict[JobId, Job] = {}
         self.workers: dict[WorkerId, Worker] = {}
+        # Fencing token of the term, and the longest lease that workers grant.
+        self.token = NO_TOKEN
+        self.max_lease_seconds = DEFAULT_MAX_LEASE_SECONDS
+        # When workers were forgotten to which calls may still be under way.
+        self.forgotten_workers: dict[WorkerId, float] = {}
         # Jobs whose progress record has changes that are not yet stored.
         self.dirty: dict[JobId, Job] = {}
         # Orders that the controller has yet to send to workers.
@@ -164,6 +172,44 @@
         # VMs about to be moved or put into maintenance; their workers get no new tasks.
         self.cordoned_vms: set[VmId] = set()
 
+    def new_process(
+        self, worker_id: WorkerId, born_ms: int, now: float
+    ) -> WorkerProcess:
+        """Return the state of a process of which this leader knows only its entry.
+
+        Calls of the same token may be under way to a worker that was forgotten shortly
+        before, so its process needs another one.
+        """
+        process = WorkerProcess(
+            born_ms, self.token, max_lease_seconds=self.max_lease_seconds
+        )
+        forgotten_at = self.forgotten_workers.pop(worker_id, None)
+        if forgotten_at is not None and now <= forgotten_at + LATE_CALL_SECONDS:
+            process.has_own_token = False
+            process.found_at = now
+            self.outbox.append(RaiseToken(worker_id))
+        return process
+
+    def forget_worker(self, worker: Worker, now: float) -> None:
+        """Remove a worker that has no entry and no runs."""
+        del self.workers[worker.worker_id]
+        self.forgotten_workers = {
+            worker_id: forgotten_at
+            for worker_id, forgotten_at in self.forgotten_workers.items()
+            if now <= forgotten_at + LATE_CALL_SECONDS
+        }
+        self.forgotten_workers[worker.worker_id] = now
+
+    def set_process_token(
+        self, worker_id: WorkerId, token: LeaderToken, now: float
+    ) -> None:
+        """Use a higher token for calls to a worker, and call it at once."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return
+        worker.process.set_token(token, now)
+        self.outbox.append(FetchReport(worker_id))
+
     def configure(self, configuration: Configuration) -> None:
         """Apply a newer configuration."""
         self.queues.update(configuration.queues)
@@ -219,9 +265,10 @@
         """
         self.unreadable_jobs.pop(job_id, None)
         for worker in self.workers.values():
-            if any(job_id in versions for _, versions in worker.unstored_ends):
-                worker.unstored_ends.clear()
-                worker.last_seen_sequence = worker.acknowledged_sequence
+            if any(job_id in versions for _, versions in worker.process.unstored_ends):
+                worker.process.unstored_ends.clear()
+                process = worker.process
+                process.last_seen_sequence = process.acknowledged_sequence
 
     def mark_dirty(self, job: Job) -> None:
         """Schedule storing of the job's record and planning of its service."""
@@ -270,9 +317,10 @@
             and not worker.entry.draining
             and not worker.cordoned
             and not worker.expired
+            and worker.process.is_fenced
             and now - worker.entry_seen_at <= self.max_entry_age_seconds
             and self.is_responsive(worker, now)
-            and not worker.health.is_quarantined(now)
+            and not worker.process.health.is_quarantined(now)
         )
 
     def reserve_for_run(self, run: Run, worker: Worker) -> None:
--- a/src/ebonyhub/scheduling/worker_directory.py
+++ b/src/ebonyhub/scheduling/worker_directory.py
@@ -166,8 +166,8 @@
             worker.worker_id, worker.entry.address, self.clock, self.metrics
         )
         link = WorkerLink(
-            worker, client, self.term.token, self.clock, self.rng, self.metrics,
-            self.on_report, self.on_fenced,
+            worker, client, self.clock, self.rng, self.metrics, self.on_report,
+            self.on_fenced,
         )  # fmt: skip
         link.may_renew_lease = self._may_renew_leases
         self.links[worker.worker_id] = link
--- a/src/ebonyhub/scheduling/worker_link.py
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -15,11 +15,9 @@
 from ..platform.workers import WorkerClient
 from .model import OrderFailure, StartOrder, WorkerReport
 from .orders import StopRun, ThrottleRun
-from .runs import CLOCK_MARGIN_MS, Run, Worker
+from .runs import Run, Worker
+from .worker_process import CLOCK_MARGIN_MS, WORKER_LEASE_SECONDS
 
-# Seconds for which a poll renews the lease of all runs on the worker. Longer than a
-# change of leadership takes, and below the platform's limit of 10 s.
-WORKER_LEASE_SECONDS = 6.0
 # Seconds that a poll waits for the end of a run before it returns.
 LONG_POLL_SECONDS = 1.0
 # Seconds between polls while reported ends cannot be stored.
@@ -32,9 +30,6 @@
 FENCED_DELAY_SECONDS = 3.0
 # Seconds until the next poll after an internal error in handling a report.
 ERROR_DELAY_SECONDS = 0.5
-# Seconds within which a start order must reach its worker. Less than the 2 s for which
-# an order without an answer may still be executed.
-START_VALID_SECONDS = 1.8
 
 
 class WorkerLink:
@@ -48,7 +43,6 @@
         self,
         worker: Worker,
         client: WorkerClient,
-        token: LeaderToken,
         clock: Clock,
         rng: random.Random,
         metrics: Metrics,
@@ -57,7 +51,6 @@
     ) -> None:
         self.worker = worker
         self.client = client
-        self.token = token
         self.clock = clock
         self.rng = rng
         self.metrics = metrics
@@ -83,16 +76,24 @@
             self.client.close()
 
     def _wait_seconds(self) -> float:
-        first = self.worker.last_response_at is None
-        return 0.0 if first or self.worker.unstored_ends else LONG_POLL_SECONDS
+        """Return for how long the next poll may wait.
+
+        The first on a connection does not wait, since it may reach another process.
+        """
+        has_unstored_ends = bool(self.worker.process.unstored_ends)
+        if has_unstored_ends or not self.client.reaches_known_process():
+            return 0.0
+        return LONG_POLL_SECONDS
 
     async def poll_once(self, wait_seconds: float) -> None:
         """Poll the worker once and pass on its report; waits after a failure."""
         sent_at = self.clock.monotonic()
+        process = self.worker.process
+        token = process.token
         lease_end_ms = self._next_lease(sent_at)
         self.metrics.worker_orders.labels("hold").inc()
         result = await self.client.poll(
-            self.token, self.worker.acknowledged_sequence, lease_end_ms, wait_seconds
+            token, process.acknowledged_sequence, lease_end_ms, wait_seconds
         )
         if result.is_ok() and lease_end_ms is not None:
             self._check_granted_lease(result.ok, lease_end_ms, sent_at)
@@ -106,7 +107,9 @@
         if result.is_ok():
             self.on_report(self.worker, result.ok, sent_at)
         failure = OrderFailure.UNKNOWN if result.is_ok() else result.error
-        self._count_failure("hold", failure)
+        self._count_failure("hold", failure, token)
+        if self._was_overtaken(failure, token):
+            return
         if self.worker.silent_since is None:
             self.worker.silent_since = self.clock.monotonic()
         if self.reachable and failure is not OrderFailure.FENCED:
@@ -136,27 +139,38 @@
         """Request a report at once, beside the pending long poll."""
         sent_at = self.clock.monotonic()
         self.metrics.worker_orders.labels("look").inc()
-        lease_end_ms = self._next_lease(sent_at)
-        result = await self.client.fetch_report(self.token, lease_end_ms)
+        token = self.worker.process.token
+        result = await self.client.fetch_report(token)
         if result.is_ok():
-            if lease_end_ms is not None:
-                self._check_granted_lease(result.ok, lease_end_ms, sent_at)
             self.on_report(self.worker, result.ok, sent_at)
         else:
-            self._count_failure("look", result.error)
+            self._count_failure("look", result.error, token)
 
-    def _count_failure(self, order: str, failure: OrderFailure) -> None:
+    def _count_failure(
+        self, order: str, failure: OrderFailure, token: LeaderToken
+    ) -> None:
         self.metrics.order_failures.labels(order, failure.value).inc()
-        if failure is OrderFailure.FENCED:
+        if failure is OrderFailure.FENCED and not self._was_overtaken(failure, token):
             self.on_fenced(self.worker)
 
+    def _was_overtaken(self, failure: OrderFailure, token: LeaderToken) -> bool:
+        """Return whether a call was refused since this leader has raised the token."""
+        return failure is OrderFailure.FENCED and token < self.worker.process.token
+
     def _next_lease(self, now: float) -> int | None:
-        """Return the new lease end on the worker's clock, None to not renew it."""
-        if not self._is_responsive(now) or not self.may_renew_lease():
-            return None
-        lease_end_ms = self.worker.clock_now_ms(now) + int(WORKER_LEASE_SECONDS * 1000)
-        self.worker.lease_end_ms = max(self.worker.lease_end_ms, lease_end_ms)
-        return lease_end_ms
+        """Return the new lease end on the worker's clock, None to not renew it.
+
+        A connection that has not reported yet may lead to another process, whose clock
+        is another, too.
+        """
+        process = self.worker.process
+        may_renew = (
+            self._is_responsive(now)
+            and process.clock_known
+            and self.client.reaches_known_process()
+            and self.may_renew_lease()
+        )
+        return process.grant_lease(now) if may_renew else None
 
     def _is_responsive(self, now: float) -> bool:
         """Return whether the worker has responded recently enough to renew its lease.
@@ -169,7 +183,7 @@
 
     async def _wait_for_store(self) -> None:
         """Wait for reported ends to be stored, so that the next poll acknowledges."""
-        if not self.worker.unstored_ends:
+        if not self.worker.process.unstored_ends:
             return
         self.ends_stored.clear()
         try:
@@ -180,35 +194,36 @@
 
     async def start(self, run: Run, text: str, ticket: str) -> OrderFailure | None:
         """Order a start; return None if the run exists on the worker."""
-        now = self.clock.monotonic()
-        deadline_ms = self.worker.clock_now_ms(now) + int(START_VALID_SECONDS * 1000)
-        # The start order also extends the worker's lease to its deadline.
-        self.worker.lease_end_ms = max(self.worker.lease_end_ms, deadline_ms)
+        deadline_ms = self.worker.process.grant_start(self.clock.monotonic())
         order = StartOrder(
-            run.task, run.number, text, deadline_ms, self.token, run.checkpoint, ticket
+            run.task, run.number, text, deadline_ms, run.token, run.checkpoint, ticket
         )
         self.metrics.worker_orders.labels("start").inc()
         failure = await self.client.start(order)
-        self._count_result("start", failure)
+        self._count_result("start", failure, run.token)
         self.metrics.start_seconds.observe(self.clock.monotonic() - run.planned_at)
         return failure
 
     async def stop(self, order: StopRun) -> OrderFailure | None:
         """Order a stop; return None on success."""
         self.metrics.worker_orders.labels("stop").inc()
-        failure = await self.client.stop(order.task, order.number, self.token)
-        self._count_result("stop", failure)
+        token = self.worker.process.token
+        failure = await self.client.stop(order.task, order.number, token)
+        self._count_result("stop", failure, token)
         return failure
 
     async def throttle(self, order: ThrottleRun) -> OrderFailure | None:
         """Order a speed limit for a run; return None on success."""
         self.metrics.worker_orders.labels("pace").inc()
+        token = self.worker.process.token
         failure = await self.client.throttle(
-            order.task, order.number, order.percent, self.token
+            order.task, order.number, order.percent, token
         )
-        self._count_result("pace", failure)
+        self._count_result("pace", failure, token)
         return failure
 
-    def _count_result(self, order: str, failure: OrderFailure | None) -> None:
+    def _count_result(
+        self, order: str, failure: OrderFailure | None, token: LeaderToken
+    ) -> None:
         if failure is not None:
-            self._count_failure(order, failure)
+            self._count_failure(order, failure, token)
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -33,7 +33,10 @@
         """
         worker = self.workers.get(entry.worker)
         if worker is None:
-            worker = Worker(entry, born_ms=entry.born_ms, discovered_at=now)
+            worker = Worker(
+                entry, self.new_process(entry.worker, entry.born_ms, now),
+                discovered_at=now,
+            )  # fmt: skip
             self.workers[entry.worker] = worker
             log_event(
                 Event.WORKER_DISCOVERED, worker=entry.worker, service=entry.service,
@@ -54,6 +57,9 @@
             )  # fmt: skip
             self.services_to_plan.add(entry.service)
         worker.entry_seen_at = now if written_after is None else written_after
+        if entry.born_ms > worker.born_ms and worker.last_response_at is not None:
+            # The process has most likely restarted, which only its report proves.
+            self.outbox.append(FetchReport(entry.worker))
         worker.update_entry(entry)
         worker.deregistered = False
         worker.cordoned = entry.vm in self.cordoned_vms
@@ -135,7 +141,7 @@
             if cause is not None:
                 self.expire_worker(worker, cause, now, wall_ms)
         if worker.deregistered and not worker.runs and (unresponsive or worker.expired):
-            del self.workers[worker.worker_id]
+            self.forget_worker(worker, now)
             return
         for run in list(worker.runs.values()):
             if run.stop_reason is not None:
@@ -165,7 +171,7 @@
     def _request_overdue_report(self, worker: Worker, now: float) -> None:
         """Request a report if a run should have ended since the last one."""
         if is_report_overdue(worker, self.jobs, now):
-            worker.report_requested_at = now
+            worker.process.report_requested_at = now
             self.outbox.append(FetchReport(worker.worker_id))
 
     def _evict_long_running(self, run: Run, worker: Worker, now: float) -> None:
@@ -260,8 +266,8 @@
             job.stuck_verdicts[run.task] = verdicts + 1
         self.stop_run(run, StopReason.NO_PROGRESS, now)
         # After the second verdict it is the task that is in doubt, not the worker.
-        if not verdicts and not worker.health.is_quarantined(now):
-            worker.health.quarantine(now)
+        if not verdicts and not worker.process.health.is_quarantined(now):
+            worker.process.health.quarantine(now)
             self.log_quarantine(worker, "no_progress")
 
     def log_quarantine(self, worker: Worker, cause: str) -> None:
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -24,8 +24,9 @@
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources
 from ebonyhub.jobs.records import JobState, ProgressRecord
 from ebonyhub.scheduling.model import OrderFailure, StartOrder, WorkerEntry
-from ebonyhub.scheduling.orders import FetchReport, StartRun, StopRun
+from ebonyhub.scheduling.orders import FetchReport, RaiseToken, StartRun, StopRun
 from ebonyhub.scheduling.scheduler import Scheduler
+from ebonyhub.scheduling.worker_process import WORKER_LEASE_SECONDS
 from ebonyhub.scheduling.workspaces.policy import WorkspaceRules
 from standins.emulated_configuration import MAX_ATTEMPTS as MAX_ATTEMPTS
 from standins.emulated_configuration import QUEUE as QUEUE
@@ -38,9 +39,7 @@
 from standins.oracle import Oracle
 
 STEP_SECONDS = 0.05
-WORKER_LEASE_SECONDS = 6.0
 POLL_INTERVAL_SECONDS = 0.5
-START_DEADLINE_MS = 1800
 NO_WORKSPACE = WorkspaceName("")
 LEASE_EXTENSION_SECONDS = 5.0
 
@@ -120,6 +119,7 @@
         self.token = LeaderToken(self.revision)
         scheduler = Scheduler(WorkspaceRules(enforced=True))
         scheduler.records_loaded = True
+        scheduler.token = self.token
         scheduler.configure(self.configuration.known)
         scheduler.inherited_leases_until = (
             self.now + LEASE_EXTENSION_SECONDS + WORKER_LEASE_SECONDS * 1.03 + 0.5
@@ -272,19 +272,21 @@
             worker.last_response_at is not None
             and self.now - worker.last_response_at < 1.6
         ):
-            lease = worker.clock_now_ms(self.now) + int(WORKER_LEASE_SECONDS * 1000)
-            worker.lease_end_ms = max(worker.lease_end_ms, lease)
+            lease = worker.process.grant_lease(self.now)
         if not fake.up or fake.partitioned:
             if worker.silent_since is None:
                 worker.silent_since = self.now
             return
         # The first poll of a worker process by a leader acknowledges nothing.
         same_incarnation = self.connected.get(name) == (fake.born_ms, self.token)
-        acknowledged_sequence = worker.acknowledged_sequence if same_incarnation else 0
+        acknowledged_sequence = (
+            worker.process.acknowledged_sequence if same_incarnation else 0
+        )
         self.connected[name] = (fake.born_ms, self.token)
-        report = fake.poll(self.token, acknowledged_sequence, lease, self.now)
+        token = worker.process.token
+        report = fake.poll(token, acknowledged_sequence, lease, self.now)
         if isinstance(report, OrderFailure):
-            self.scheduler = None
+            self._handle_refused_token(scheduler)
             return
         self.oracle.record_acknowledgement(fake, fake.acknowledged_sequence)
         if self.rng.random() < self.faults.lost_answer_rate:
@@ -350,15 +352,31 @@
                 self._send_stop(scheduler, order)
             case FetchReport():
                 self.next_poll_at[order.worker] = self.now
+            case RaiseToken():
+                self._raise_token(scheduler, order.worker)
+
+    def _raise_token(self, scheduler: Scheduler, name: WorkerId) -> None:
+        """Issue a token as a commit to the store does; retries while that is down."""
+        if scheduler is not self.scheduler:
+            return
+        if not self.store_up:
+            self.run_later(0.5, lambda: self._raise_token(scheduler, name))
+            return
+        self.revision += 1
+        scheduler.set_process_token(name, LeaderToken(self.revision), self.now)
+
+    def _handle_refused_token(self, scheduler: Scheduler) -> None:
+        """End the term if another leader has raised the token."""
+        if scheduler is self.scheduler and int(scheduler.token) != int(self.token):
+            self.scheduler = None
 
     def _send_start(self, scheduler: Scheduler, order: StartRun) -> None:
         run = order.run
         worker = scheduler.workers.get(run.worker)
         if worker is None:
             return
-        deadline = worker.clock_now_ms(self.now) + START_DEADLINE_MS
-        worker.lease_end_ms = max(worker.lease_end_ms, deadline)
-        start = StartOrder(run.task, run.number, "", deadline, self.token)
+        deadline = worker.process.grant_start(self.now)
+        start = StartOrder(run.task, run.number, "", deadline, run.token)
         self._send_order(
             run.worker,
             lambda: self._deliver_start(run.worker, start),
@@ -370,7 +388,10 @@
         return self.workers[name].start(order, self.now, duration, outcome)
 
     def _send_stop(self, scheduler: Scheduler, order: StopRun) -> None:
-        token = self.token
+        worker = scheduler.workers.get(order.worker)
+        if worker is None:
+            return
+        token = worker.process.token
         self._send_order(
             order.worker,
             lambda: self.workers[order.worker].stop(
@@ -399,8 +420,6 @@
         if draw < self.faults.late_order_rate + self.faults.lost_answer_rate:
             on_result(OrderFailure.UNKNOWN)
             return
-        if result is OrderFailure.FENCED:
-            self.scheduler = None
         on_result(result)
 
     def _deliver_late(
--- a/standins/replayed_fleet.py
+++ b/standins/replayed_fleet.py
@@ -49,7 +49,6 @@
 POLL_INTERVAL_SECONDS = 1.0
 PLAN_INTERVAL_SECONDS = 0.2
 MOVE_DURATION_SECONDS = 1.5
-LEASE_MS = 6000
 # Seconds before the first job in which the pools reach their sizes.
 WARM_UP_SECONDS = 4.0
 # Seconds after the last arrival for which jobs may still run.
@@ -294,8 +293,7 @@
         if fake.vm in self.silent_vms:
             self.scheduler.handle_start_result(run, OrderFailure.UNKNOWN, self.now)
             return
-        deadline = worker.clock_now_ms(self.now) + LEASE_MS
-        worker.lease_end_ms = max(worker.lease_end_ms, deadline)
+        deadline = worker.process.grant_start(self.now)
         step = self.recorded[run.task.job].steps[run.task.step]
         duration = None
         if not step.spec.long_running:
@@ -319,8 +317,7 @@
         self.next_poll_at[fake.worker] = self.now + POLL_INTERVAL_SECONDS
         lease = None
         if worker.last_response_at is not None:
-            lease = worker.clock_now_ms(self.now) + LEASE_MS
-            worker.lease_end_ms = max(worker.lease_end_ms, lease)
+            lease = worker.process.grant_lease(self.now)
         report = fake.poll(TOKEN, 0, lease, self.now)
         if isinstance(report, OrderFailure):
             return
@@ -334,7 +331,7 @@
             self.scheduler.mark_stored(job, job.version)
         self.scheduler.release_starts(self.now)
         for worker in self.scheduler.workers.values():
-            if worker.unstored_ends:
+            if worker.process.unstored_ends:
                 self.scheduler.acknowledge_stored_ends(worker)
         while self.scheduler.outbox:
             order = self.scheduler.outbox.popleft()
--- a/tests/test_answer_fuzz.py
+++ b/tests/test_answer_fuzz.py
@@ -119,7 +119,7 @@
         assert all(isfinite(row.percent + row.usage) for row in report.running)
         now, worker = driver.now, driver.worker("w1")
         driver.scheduler.handle_report(worker, report, now, now, int(now * 1000))
-        survives(worker.clock_now_ms(now) + 6000)
+        survives(worker.process.clock_now_ms(now) + 6000)
         driver.tick()
         driver.scheduler.plan(driver.now)
     record = driver.scheduler.jobs[JOB].progress
--- a/tests/test_decoders_fuzz.py
+++ b/tests/test_decoders_fuzz.py
@@ -153,7 +153,7 @@
     client = WorkerClient(WorkerId("w"), "127.0.0.1:1", SystemClock())
     client.session = client.poll_session = LimitedSession(status, body)
     await client.poll(LeaderToken(1), 0, None, 0.0)
-    await client.fetch_report(LeaderToken(1), None)
+    await client.fetch_report(LeaderToken(1))
     await client.stop(TASK, 1, LeaderToken(1))
 
 
--- a/tests/test_foreign_answers.py
+++ b/tests/test_foreign_answers.py
@@ -101,7 +101,7 @@
 )
 async def test_unreadable_report_counts_as_lost(body):
     assert (await poll(body)).error is OrderFailure.UNKNOWN
-    fetched = await worker_client(body).fetch_report(TOKEN, None)
+    fetched = await worker_client(body).fetch_report(TOKEN)
     assert fetched.error is OrderFailure.UNKNOWN
 
 
@@ -134,7 +134,7 @@
 async def test_report_with_an_unreadable_row_is_incomplete(body):
     """Otherwise the run of the row would count as gone, see ``decode_report``."""
     assert not (await poll(body)).ok.complete
-    assert not (await worker_client(body).fetch_report(TOKEN, None)).ok.complete
+    assert not (await worker_client(body).fetch_report(TOKEN)).ok.complete
 
 
 async def test_ends_are_used_up_to_the_first_that_cannot_be_read():
@@ -154,7 +154,7 @@
     client = worker_client(running("x", 1))
     target, reports = worker("w"), []
     link = WorkerLink(
-        target, client, TOKEN, SystemClock(), random.Random(1), new_metrics(),
+        target, client, SystemClock(), random.Random(1), new_metrics(),
         lambda _, report, __: reports.append(report), lambda _: None,
     )  # fmt: skip
     await link.poll_once(0.0)
--- a/tests/test_lost_worker_evidence.py
+++ b/tests/test_lost_worker_evidence.py
@@ -114,7 +114,7 @@
         (second,) = driver.start_all()
     driver.report(run.worker, ended=[done(run)])
     assert job.progress.state is JobState.COMPLETED
-    assert driver.worker(run.worker).acknowledged_sequence == 0
+    assert driver.worker(run.worker).process.acknowledged_sequence == 0
     driver.scheduler.mark_stored(job, job.version)
     driver.scheduler.plan(driver.now)
     driver.scheduler.release_starts(driver.now)
@@ -149,7 +149,7 @@
     driver.report("w1", born=1, sent_at=driver.now - 0.9, ended=[done(run, 57)])
     driver.scheduler.mark_stored(job, job.version)
     driver.scheduler.acknowledge_stored_ends(driver.worker("w1"))
-    assert driver.worker("w1").acknowledged_sequence == 0
+    assert driver.worker("w1").process.acknowledged_sequence == 0
     assert driver.worker("w1").born_ms == 2
 
 
@@ -217,7 +217,7 @@
     known_at = worker.last_response_at
     worker.discovered_at = known_at - (10.0 if has_answered else 0.0)
     worker.last_response_at = known_at if has_answered else None
-    worker.lease_end_ms = int((driver.now + 60) * 1000)
+    worker.process.lease_end_ms = int((driver.now + 60) * 1000)
     worker.silent_since = known_at + 0.2
     driver.wait(1.0)
     vms = []
--- a/tests/test_overdue.py
+++ b/tests/test_overdue.py
@@ -58,7 +58,7 @@
 )
 def test_report_is_overdue(durations, reported_at, now, expected):
     target = worker("w")
-    target.clock_read_at = reported_at
+    target.process.clock_read_at = reported_at
     target.add(run_of(3))
     jobs = {JobId("j"): job_with(durations)}
     assert is_report_overdue(target, jobs, now) == expected
@@ -75,7 +75,7 @@
 def test_no_report_is_requested(phase, stop_reason, requested_at):
     """Runs not confirmed or being stopped, and a request just made."""
     target = worker("w")
-    target.report_requested_at = requested_at
+    target.process.report_requested_at = requested_at
     run = run_of(0, phase)
     run.stop_reason = stop_reason
     target.add(run)
--- a/tests/test_revision_clock.py
+++ b/tests/test_revision_clock.py
@@ -80,6 +80,7 @@
             await asyncio.sleep(0.01)
         worker = scheduler.workers[WORKER]
         worker.last_response_at = clock.monotonic()
+        worker.process.read_clock(1, clock.monotonic(), clock.monotonic())
         assert not scheduler.is_eligible(worker, clock.monotonic())
         core.put(f"servers/{WORKER}", ENTRY)
         while not scheduler.is_eligible(worker, clock.monotonic()):
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -115,7 +115,7 @@
     driver.report("w1", running=[RunningTask(task, 1, "", 0.0, 0.0)])
     assert [order.task for order in driver.orders(StopRun)] == [task]
     driver.report("w1", ended=[EndedTask(1, task, 1, RunOutcome.DONE, "")])
-    assert driver.worker("w1").acknowledged_sequence == 1
+    assert driver.worker("w1").process.acknowledged_sequence == 1
 
 
 def test_incomplete_report_is_evidence_of_its_ends_only():
@@ -133,7 +133,7 @@
     assert job.progress.occurrences[0][0].done == {first.task.position}
     assert second.key in driver.worker("w1").runs
     assert driver.worker("w1").last_response_at == answered_at
-    assert driver.worker("w1").clock_ms != 99
+    assert driver.worker("w1").process.clock_ms != 99
 
 
 def test_end_is_acknowledged_once_its_record_is_stored():
@@ -143,10 +143,10 @@
     end = EndedTask(1, run.task, run.number, RunOutcome.DONE, "")
     driver.report("w1", ended=[end])
     assert job.progress.state is JobState.COMPLETED
-    assert driver.worker("w1").acknowledged_sequence == 0
+    assert driver.worker("w1").process.acknowledged_sequence == 0
     driver.scheduler.mark_stored(job, job.version)
     driver.scheduler.acknowledge_stored_ends(driver.worker("w1"))
-    assert driver.worker("w1").acknowledged_sequence == 1
+    assert driver.worker("w1").process.acknowledged_sequence == 1
 
 
 def test_runs_of_an_unresponsive_worker_are_discarded_when_its_lease_ends():
@@ -154,7 +154,7 @@
     job = driver.submit(LONG_RUNNING_SPEC)
     runs = driver.start_all()
     victim = runs[0].worker
-    driver.worker(victim).lease_end_ms = int((driver.now + 6) * 1000)
+    driver.worker(victim).process.lease_end_ms = int((driver.now + 6) * 1000)
     driver.wait(5)
     driver.tick()
     assert driver.worker(victim).runs
@@ -178,7 +178,7 @@
     driver = Driver()
     driver.submit(LONG_RUNNING_SPEC)
     victim = driver.start_all()[0].worker
-    driver.worker(victim).lease_end_ms = int((driver.now + 60) * 1000)
+    driver.worker(victim).process.lease_end_ms = int((driver.now + 60) * 1000)
     driver.wait(RESPONSE_MAX_AGE_SECONDS + 0.1)
     vms = []
     if state is not None:
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -50,6 +50,7 @@
     size_class,
 )
 from ebonyhub.scheduling.state import RESPONSE_MAX_AGE_SECONDS
+from ebonyhub.scheduling.worker_process import WorkerProcess
 from ebonyhub.scheduling.workspaces.status import Standing
 
 from .test_removed_jobs_stay_removed import SETTINGS
@@ -202,7 +203,8 @@
         rack=RackId(""), capacity=Resources(8000, 8000), draining=draining,
         leaves_in=None, born_ms=1, vm=VmId(name),
     )  # fmt: skip
-    return Worker(entry, born_ms=1, entry_seen_at=NOW, last_response_at=NOW)
+    process = WorkerProcess(1, fenced_at=NOW)
+    return Worker(entry, process, entry_seen_at=NOW, last_response_at=NOW)
 
 
 def job(name, tasks=4, age=0.0, workspace=""):
@@ -227,13 +229,13 @@
     silent, cordoned, quarantined, slow = (worker(n) for n in ("a", "b", "c", "d"))
     silent.last_response_at = NOW - RESPONSE_MAX_AGE_SECONDS - 0.1
     cordoned.cordoned = True
-    quarantined.health.quarantine(NOW)
+    quarantined.process.health.quarantine(NOW)
     scheduler = scheduler_with(
         [worker("ok"), worker("leaving", draining=True), silent, cordoned, quarantined],
         [job("j")],
     )
     assert scheduler.service_loads({}, NOW)[SERVICE].cores == 8.0
-    slow.health.slowdown = SlowdownAverage(average=log(4.0), samples=9)
+    slow.process.health.slowdown = SlowdownAverage(average=log(4.0), samples=9)
     scheduler.workers[slow.worker_id] = slow
     assert scheduler.service_loads({}, NOW)[SERVICE].cores == pytest.approx(8.0 + 2.0)
 
--- a/tests/test_stuck_tasks.py
+++ b/tests/test_stuck_tasks.py
@@ -154,7 +154,7 @@
     simulation.run(30.0)
     workers = [simulation.driver.worker(name) for name in simulation.names]
     assert len(simulation.stops) > 1
-    assert sum(w.health.quarantined_until > 0 for w in workers) == 1
+    assert sum(w.process.health.quarantined_until > 0 for w in workers) == 1
 
 
 @pytest.mark.parametrize(
--- a/tests/test_unreadable_jobs.py
+++ b/tests/test_unreadable_jobs.py
@@ -97,14 +97,14 @@
     assert removed == JOB
     leader.controller.handle_job_change(JOB)
     leader.report(ended=[done()])
-    assert leader.worker.acknowledged_sequence == 1
+    assert leader.worker.process.acknowledged_sequence == 1
 
 
 def test_nothing_is_acknowledged_or_stopped_before_the_records_are_loaded():
     driver = Driver(("w1",))
     driver.scheduler.records_loaded = False
     driver.report("w1", running=[RUNNING], ended=[done(1, TASK._replace(position=1))])
-    assert driver.worker("w1").acknowledged_sequence == 0
+    assert driver.worker("w1").process.acknowledged_sequence == 0
     assert driver.orders(StopRun) == []
 
 
@@ -118,11 +118,11 @@
 async def test_end_is_stored_once_the_job_is_readable():
     leader = Leader()
     leader.report(ended=[done()])
-    assert leader.worker.acknowledged_sequence == 0
+    assert leader.worker.process.acknowledged_sequence == 0
     leader.make_readable()
     leader.report(ended=[done()])
     assert leader.scheduler.jobs[JOB].progress.state is JobState.COMPLETED
-    assert leader.worker.acknowledged_sequence == 0
+    assert leader.worker.process.acknowledged_sequence == 0
 
 
 async def test_loaded_job_survives_an_unreadable_record_that_a_caller_reads():
@@ -177,4 +177,4 @@
     driver = Driver(("w1",))
     driver.scheduler.abandon_job(JOB, UnreadableJob(cancelled=False))
     driver.report("w1", ended=[done(number) for number in range(1, count + 1)])
-    assert driver.worker("w1").acknowledged_sequence == acknowledged
+    assert driver.worker("w1").process.acknowledged_sequence == acknowledged
--- a/tests/test_worker_restarts.py
+++ b/tests/test_worker_restarts.py
@@ -21,7 +21,10 @@
 
 @pytest.mark.parametrize("clock_change_ms", [-DAY_MS, DAY_MS])
 def test_run_does_not_outlive_the_proof_that_its_worker_is_lost(clock_change_ms):
-    """A poll named a lease end of the former process's clock, so the lease was longer."""
+    """A poll named a lease end on the former process's clock, so the lease was longer.
+
+    Its run went on when the leader started the task again.
+    """
     emulator = Emulator(1, worker_count=2)
     for worker in emulator.workers.values():
         worker.clock_offset_ms += 2 * DAY_MS
--- a/tests/test_workspace_machine.py
+++ b/tests/test_workspace_machine.py
@@ -128,7 +128,7 @@
             int(self.driver.now * 1000),
         )
         self.store()
-        acknowledged = worker.acknowledged_sequence
+        acknowledged = worker.process.acknowledged_sequence
         node.ended = [end for end in node.ended if end.sequence > acknowledged]
 
     def store(self):
--- a/tests/test_workspace_open_faults.py
+++ b/tests/test_workspace_open_faults.py
@@ -79,7 +79,7 @@
     # end of the first run arrives.
     lost = driver.worker(str(first.worker))
     driver.scheduler.discard_run(first, lost)
-    lost.health.quarantine(driver.now)
+    lost.process.health.quarantine(driver.now)
     (second,) = driver.start_all()
     assert str(second.worker) == other
     driver.report(str(first.worker), ended=[end_of(first)])
--- a/tests/test_workspace_shares.py
+++ b/tests/test_workspace_shares.py
@@ -244,7 +244,7 @@
             Standing.WITHIN_SHARE if number < 5 else Standing.OVER_RATE
         )
         worker = driver.worker(run.worker)
-        sequence = worker.last_seen_sequence + 1
+        sequence = worker.process.last_seen_sequence + 1
         driver.report(run.worker, ended=[end_of(run, sequence)])
         assert job.progress.state is JobState.COMPLETED
     assert driver.policy.ledger._runs == {}
