--- a/tests/worker_process_driver.py
+++ b/tests/worker_process_driver.py
@@ -38,7 +38,7 @@
     WorkerId,
 )
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec
-from ebonyhub.jobs.records import JobState, accepted_key
+from ebonyhub.jobs.records import JobState, accepted_key, cancelled_key
 from ebonyhub.metrics import Metrics
 from ebonyhub.platform.workers import parse_task_name, task_name
 from ebonyhub.scheduling.controller import Controller
@@ -51,6 +51,8 @@
 
 # Unix time in seconds at the origin of the virtual clock.
 EPOCH_SECONDS = 1_700_000_000
+# Least difference of two readings of the virtual clock.
+CLOCK_STEP_SECONDS = 1e-7
 # Time of a call to its worker, and of the answer.
 TRANSIT_SECONDS = 0.001
 # Interval in which workers end runs that are due.
@@ -92,14 +94,16 @@
 
 
 class VirtualClock:
-    """The clock of a virtual loop."""
+    """The clock of a virtual loop; no two readings are equal, as on a real one."""
 
     def __init__(self, loop: VirtualTimeLoop) -> None:
         self.loop = loop
+        self.last = 0.0
 
     def monotonic(self) -> float:
         """Return the virtual time."""
-        return self.loop.time()
+        self.last = max(self.loop.time(), self.last + CLOCK_STEP_SECONDS)
+        return self.last
 
     def wall(self) -> float:
         """Return the virtual time as Unix time."""
@@ -508,6 +512,12 @@
         self.controller.handle_job_change(job)
         return job
 
+    def cancel(self, job: JobId) -> None:
+        """Cancel a job."""
+        self.core.put(cancelled_key(job), b"\x01")
+        self.controller.mirror.apply(self.core.items[cancelled_key(job)])
+        self.controller.handle_job_change(job)
+
     def state(self, job: JobId) -> JobState:
         """Return the state of a job as the leader knows it."""
         return self.controller.scheduler.jobs[job].progress.state
