Let a task wait while the next process may carry out its start

A start without an answer may be carried out up to 12 s later, also by the next process under the worker's id, which does not know the stop or the deadline that bound the former one. When the former process was taken for lost (its lease had ended, or its VM was listed as down), the task was started elsewhere at once, beside the late run.

Such a run is now kept until the next process refuses the token of its start, until the VM is listed with another worker, moved or gone, or until 12 s and the longest lease after the last call that could prolong it. So is a run whose start is still under way. A start that is answered on another clock than the known one counts as unanswered, since a process that is not known yet has answered. A stop that the former process confirmed proves nothing about the next one. A worker that comes back after it was removed keeps the token that it has seen, and needs a new one while calls to it may be under way.

--- a/src/ebonyhub/platform/workers.py
+++ b/src/ebonyhub/platform/workers.py
@@ -6,7 +6,7 @@
 from expression import Error, Ok, Result
 
 from ..clock import Clock
-from ..decoding import Name, try_decode
+from ..decoding import Count, Name, try_decode
 from ..events import Event
 from ..http_client import ExchangeError, SmallResponse
 from ..http_session import HttpSession
@@ -40,7 +40,14 @@
     reason: Name = msgspec.field(name="Reason", default="")
 
 
+class OrderAnswer(msgspec.Struct):
+    """Body of a 200 answer to an order."""
+
+    clock_ms: Count = msgspec.field(name="ClockMs")
+
+
 _decode_refusal = msgspec.json.Decoder(RefusalAnswer).decode
+_decode_order_answer = msgspec.json.Decoder(OrderAnswer).decode
 
 
 class WorkerClient:
@@ -76,8 +83,11 @@
             self.headers,
         )
 
-    async def start(self, order: StartOrder) -> OrderFailure | None:
-        """Start a run; None means that it is on the worker, also after a repeat."""
+    async def start(self, order: StartOrder) -> Result[int, OrderFailure]:
+        """Start a run; it is on the worker if this succeeds, also after a repeat.
+
+        Returns the worker's clock in ms. An answer without it counts as lost.
+        """
         body: dict[str, Any] = {
             "Task": task_name(order.task),
             "Run": order.number,
@@ -89,7 +99,12 @@
             body["Checkpoint"] = order.checkpoint
         if order.ticket:
             body["Ticket"] = order.ticket
-        return _order_failure(await self._send_order(b"/run-start", body))
+        result = await self._send_order(b"/run-start", body)
+        failure = _order_failure(result)
+        if failure is not None:
+            return Error(failure)
+        answer = try_decode(_decode_order_answer, result.ok.body)
+        return Ok(answer.ok.clock_ms) if answer.is_ok() else Error(OrderFailure.UNKNOWN)
 
     async def stop(
         self, task: TaskId, run_number: int, token: LeaderToken
--- a/src/ebonyhub/scheduling/advice_requests.py
+++ b/src/ebonyhub/scheduling/advice_requests.py
@@ -58,7 +58,7 @@
         now = self.clock.monotonic()
         service = self.scheduler.queues[queue_name].service
         workers = [
-            worker.worker_id
+            worker
             for worker in self.scheduler.workers.values()
             if worker.entry.service == service
             and self.scheduler.is_eligible(worker, now)
--- a/src/ebonyhub/scheduling/crash_attribution.py
+++ b/src/ebonyhub/scheduling/crash_attribution.py
@@ -27,11 +27,15 @@
     def expire_worker(
         self, worker: Worker, cause: LossCause, now: float, wall_ms: int
     ) -> None:
-        """Discard all runs of a worker whose lease has ended or whose VM is gone."""
+        """Discard the runs of a worker whose lease has ended or whose VM is gone.
+
+        Kept are the runs that the next process under the worker's id may still start.
+        """
         worker.expired = True
+        kept = self._unanswered_starts(worker, now) if cause.id_may_return else []
         log_event(
             Event.WORKER_EXPIRED, worker=worker.worker_id, vm=worker.entry.vm,
-            cause=cause.value, runs=len(worker.runs),
+            cause=cause.value, runs=len(worker.runs), kept=len(kept),
             lease=worker.process.lease_end_ms - worker.process.clock_ms,
             last_report=round(now - worker.process.clock_read_at, 3),
             youngest=youngest_runs(worker, now),
@@ -39,10 +43,36 @@
         self.on_worker_lost(cause, len(worker.runs))
         lost = [LostRun(run, run_age(run, worker, now)) for run in started_runs(worker)]
         for run in list(worker.runs.values()):
-            self.discard_run(run, worker)
+            if run not in kept:
+                self.discard_run(run, worker)
         if is_crash(cause, worker, worker.born_ms):
+            for run in kept:
+                run.crash_attributed = True
             self.attribute_crash(lost, now, wall_ms)
 
+    def _unanswered_starts(self, worker: Worker, now: float) -> list[Run]:
+        return [
+            run
+            for run in worker.runs.values()
+            if not run.step.allows_duplicates
+            and run.may_start_late(now, worker.process)
+        ]
+
+    def discard_unanswered_starts(
+        self, worker: Worker, now: float, id_may_return: bool = True
+    ) -> None:
+        """Discard the kept runs of a lost worker that can certainly not start any more.
+
+        That is the case for all of them if no process can return under the id.
+        """
+        kept = self._unanswered_starts(worker, now) if id_may_return else []
+        for run in [run for run in worker.runs.values() if run not in kept]:
+            log_event(
+                Event.RUN_LOST, job=run.task.job, task=short_name(run.task),
+                run=run.number, worker=worker.worker_id, phase=run.phase.value,
+            )  # fmt: skip
+            self.discard_run(run, worker)
+
     def attribute_crash(
         self, lost: Iterable[LostRun], now: float, wall_ms: int
     ) -> None:
--- a/src/ebonyhub/scheduling/losses.py
+++ b/src/ebonyhub/scheduling/losses.py
@@ -27,6 +27,16 @@
     # The worker answers, but its process has started again under the same id.
     RESTARTED = "restarted"
 
+    @property
+    def id_may_return(self) -> bool:
+        """Return whether a process may start again under the id of the worker."""
+        return self in _CAUSES_WITH_RETURN
+
+
+# A process may start again under the worker's id after such a loss.
+_CAUSES_WITH_RETURN = frozenset(
+    {LossCause.LEASE_ENDED, LossCause.VM_DOWN, LossCause.RESTARTED}
+)
 
 _CAUSE_BY_VM_STATE = {
     VmState.UP: LossCause.WORKER_REPLACED,
--- a/src/ebonyhub/scheduling/order_results.py
+++ b/src/ebonyhub/scheduling/order_results.py
@@ -38,7 +38,7 @@
                 self.discard_run(run, worker)
                 continue
             run.phase = RunPhase.ORDERED
-            run.token = worker.process.token
+            run.token, run.born_ms = worker.process.token, worker.born_ms
             key = (run.task.job, run.task.occurrence, run.task.step)
             advice = self.advice.get(key)
             ticket = advice.tickets.get(run.worker, "") if advice else ""
@@ -58,6 +58,7 @@
             run.phase = RunPhase.CONFIRMED
             run.confirmed_at = run.progress_changed_at = now
             worker.last_response_at = max(worker.last_response_at or now, now)
+            worker.expired = False
             log_event(
                 Event.RUN_STARTED,
                 job=run.task.job,
@@ -73,6 +74,7 @@
         )  # fmt: skip
         if failure is OrderFailure.UNKNOWN:
             run.phase = RunPhase.UNCERTAIN
+            run.unanswered_at = now
             run.report_requested = True
             self.outbox.append(FetchReport(run.worker))
             return
@@ -86,13 +88,15 @@
     def handle_stop_result(
         self, order: StopRun, failure: OrderFailure | None, now: float
     ) -> None:
-        """Record a confirmed stop: the run cannot start any more.
+        """Record a confirmed stop: the process does not start the run any more.
 
         If it was running, the worker reports its end.
         """
         worker = self.workers.get(order.worker)
         run = worker.runs.get((order.task, order.number)) if worker else None
-        if run is None or failure is not None:
+        if worker is None or run is None or failure is not None:
+            return
+        if order.born_ms != worker.born_ms:
             return
         run.stop_confirmed_at = now
         if run.phase is not RunPhase.CONFIRMED:
--- a/src/ebonyhub/scheduling/orders.py
+++ b/src/ebonyhub/scheduling/orders.py
@@ -16,11 +16,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRun:
-    """Stop a run, or prevent it from starting if its start is still under way."""
+    """Stop a run, or prevent it from starting if its start is still under way.
+
+    ``born_ms`` is the start of the process that is to confirm it.
+    """
 
     worker: WorkerId
     task: TaskId
     number: int
+    born_ms: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -109,6 +109,9 @@
         )  # fmt: skip
         self.on_worker_lost(LossCause.RESTARTED, len(worker.runs))
         worker.process = former.successor(report.born_ms, now)
+        for run in worker.runs.values():
+            # The former process confirmed the stop, and the next one knows nothing.
+            run.stop_confirmed_at, run.stop_sent_at = None, float("-inf")
         self.outbox.append(RaiseToken(worker.worker_id))
 
     def _handle_ends(
@@ -288,7 +291,11 @@
         wall_ms: int,
     ) -> None:
         """Attribute the crash of an earlier process under this id, if there was one."""
-        lost = [run for run in missing if run.born_ms not in (0, worker.born_ms)]
+        lost = [
+            run
+            for run in missing
+            if run.born_ms not in (0, worker.born_ms) and not run.crash_attributed
+        ]
         if lost and is_crash(LossCause.RESTARTED, worker, lost[0].born_ms):
             aged = [
                 LostRun(run, silent_since - (run.confirmed_at or run.planned_at))
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -58,6 +58,8 @@
     inherited: bool = False
     # Fencing token of the start order.
     token: LeaderToken = NO_TOKEN
+    # When it was found that the start order got no answer; None if it got one.
+    unanswered_at: float | None = None
     planned_at: float = 0.0
     confirmed_at: float = 0.0
     stop_reason: StopReason | None = None
@@ -78,12 +80,28 @@
     # The task may crash its workers: for so many seconds from its start nothing else
     # starts on the worker. None for other tasks.
     probation_seconds: float | None = None
+    # A crash of its worker was attributed already, although the run is kept.
+    crash_attributed: bool = False
 
     @property
     def key(self) -> tuple[TaskId, int]:
         """Return task and run number, which identify the run on its worker."""
         return (self.task, self.number)
 
+    def may_start_late(self, now: float, process: WorkerProcess) -> bool:
+        """Return whether the next process under the worker's id may still run it.
+
+        Its start order has no answer yet, or got none, so it may be carried out when
+        the present process has ended.
+        """
+        if self.phase is RunPhase.ORDERED:
+            return True
+        return (
+            self.phase is RunPhase.UNCERTAIN
+            and self.unanswered_at is not None
+            and now <= process.late_runs_end(self.unanswered_at)
+        )
+
 
 @dataclass(eq=False, slots=True)
 class Worker:
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -33,7 +33,7 @@
 from .orders import FetchReport, Order, RaiseToken, StopRun
 from .priority import Urgency, urgency
 from .runs import Job, Run, RunPhase, StopReason, Worker
-from .worker_process import LATE_CALL_SECONDS, NO_TOKEN, WorkerProcess
+from .worker_process import NO_TOKEN, FormerWorkers, WorkerProcess
 from .workspaces.limits import Room
 from .workspaces.policy import WorkspacePolicy, WorkspaceRules
 
@@ -124,8 +124,8 @@
         # Fencing token of the term, and the longest lease that workers grant.
         self.token = NO_TOKEN
         self.max_lease_seconds = DEFAULT_MAX_LEASE_SECONDS
-        # When workers were forgotten to which calls may still be under way.
-        self.forgotten_workers: dict[WorkerId, float] = {}
+        # Workers that have left, to whose ids calls may be under way.
+        self.former_workers = FormerWorkers()
         # Jobs whose progress record has changes that are not yet stored.
         self.dirty: dict[JobId, Job] = {}
         # Orders that the controller has yet to send to workers.
@@ -175,30 +175,19 @@
     def new_process(
         self, worker_id: WorkerId, born_ms: int, now: float
     ) -> WorkerProcess:
-        """Return the state of a process of which this leader knows only its entry.
-
-        Calls of the same token may be under way to a worker that was forgotten shortly
-        before, so its process needs another one.
-        """
+        """Return the state of a process of which this leader knows only its entry."""
         process = WorkerProcess(
             born_ms, self.token, max_lease_seconds=self.max_lease_seconds
         )
-        forgotten_at = self.forgotten_workers.pop(worker_id, None)
-        if forgotten_at is not None and now <= forgotten_at + LATE_CALL_SECONDS:
-            process.has_own_token = False
-            process.found_at = now
+        self.former_workers.restore_token(worker_id, process, now)
+        if not process.has_own_token:
             self.outbox.append(RaiseToken(worker_id))
         return process
 
     def forget_worker(self, worker: Worker, now: float) -> None:
         """Remove a worker that has no entry and no runs."""
         del self.workers[worker.worker_id]
-        self.forgotten_workers = {
-            worker_id: forgotten_at
-            for worker_id, forgotten_at in self.forgotten_workers.items()
-            if now <= forgotten_at + LATE_CALL_SECONDS
-        }
-        self.forgotten_workers[worker.worker_id] = now
+        self.former_workers.add(worker.worker_id, worker.process.token, now)
 
     def set_process_token(
         self, worker_id: WorkerId, token: LeaderToken, now: float
@@ -376,7 +365,8 @@
             and now - run.stop_sent_at >= STOP_REPEAT_SECONDS
         ):
             run.stop_sent_at = now
-            self.outbox.append(StopRun(run.worker, run.task, run.number))
+            born_ms = self.workers[run.worker].born_ms
+            self.outbox.append(StopRun(run.worker, run.task, run.number, born_ms))
 
 
 def is_serving(run: Run, now: float) -> bool:
--- a/src/ebonyhub/scheduling/worker_link.py
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -193,15 +193,24 @@
             return
 
     async def start(self, run: Run, text: str, ticket: str) -> OrderFailure | None:
-        """Order a start; return None if the run exists on the worker."""
-        deadline_ms = self.worker.process.grant_start(self.clock.monotonic())
+        """Order a start; return None if the run exists on the worker.
+
+        If a process answers that is not known yet, the outcome counts as unknown: its
+        clock is another, and its report must show the run.
+        """
+        process, sent_at = self.worker.process, self.clock.monotonic()
+        deadline_ms = process.grant_start(sent_at)
         order = StartOrder(
             run.task, run.number, text, deadline_ms, run.token, run.checkpoint, ticket
         )
         self.metrics.worker_orders.labels("start").inc()
-        failure = await self.client.start(order)
+        answer = await self.client.start(order)
+        now = self.clock.monotonic()
+        failure = answer.error if answer.is_error() else None
+        if answer.is_ok() and not process.has_clock(answer.ok, sent_at, now):
+            failure = OrderFailure.UNKNOWN
         self._count_result("start", failure, run.token)
-        self.metrics.start_seconds.observe(self.clock.monotonic() - run.planned_at)
+        self.metrics.start_seconds.observe(now - run.planned_at)
         return failure
 
     async def stop(self, order: StopRun) -> OrderFailure | None:
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -60,7 +60,6 @@
         if entry.born_ms > worker.born_ms and worker.last_response_at is not None:
             # The process has most likely restarted, which only its report proves.
             self.outbox.append(FetchReport(entry.worker))
-        worker.update_entry(entry)
         worker.deregistered = False
         worker.cordoned = entry.vm in self.cordoned_vms
 
@@ -103,11 +102,16 @@
         """
         by_id = {vm.vm_id: vm for vm in vms}
         asked_at = now if requested_at is None else requested_at
-        for worker in self.unresponsive_workers(now):
-            if not _can_list_show(worker, asked_at):
+        expired = [w for w in self.workers.values() if w.expired and w.runs]
+        for worker in [*self.unresponsive_workers(now), *expired]:
+            if not worker.entry.vm or not _can_list_show(worker, asked_at):
                 continue
             cause = loss_by_vm(worker, by_id.get(worker.entry.vm))
-            if cause is not None:
+            if cause is None:
+                continue
+            if worker.expired:
+                self.discard_unanswered_starts(worker, now, cause.id_may_return)
+            else:
                 self.expire_worker(worker, cause, now, wall_ms)
 
     def unresponsive_workers(self, now: float) -> list[Worker]:
@@ -136,9 +140,12 @@
 
     def _check_worker(self, worker: Worker, now: float, wall_ms: int) -> None:
         unresponsive = not self.is_responsive(worker, now)
-        if worker.runs and not worker.expired:
+        if worker.runs:
             cause = self._loss_by_silence(worker, unresponsive, now)
-            if cause is not None:
+            if worker.expired:
+                id_may_return = cause is None or cause.id_may_return
+                self.discard_unanswered_starts(worker, now, id_may_return)
+            elif cause is not None:
                 self.expire_worker(worker, cause, now, wall_ms)
         if worker.deregistered and not worker.runs and (unresponsive or worker.expired):
             self.forget_worker(worker, now)
--- a/src/ebonyhub/scheduling/worker_process.py
+++ b/src/ebonyhub/scheduling/worker_process.py
@@ -13,7 +13,7 @@
 
 from dataclasses import dataclass, field
 
-from ..ids import JobId, LeaderToken
+from ..ids import JobId, LeaderToken, WorkerId
 from ..node_settings import DEFAULT_MAX_LEASE_SECONDS
 from .health import WorkerHealth
 
@@ -21,6 +21,8 @@
 # slow, and CLOCK_MARGIN_MS covers the transit time of the response that was read.
 SLOW_CLOCK_FACTOR = 1.03
 CLOCK_MARGIN_MS = 100
+# Transit time of two answers, by which a clock may seem to be ahead or behind.
+CLOCK_TRANSIT_MS = 500
 # Seconds for which a poll renews the lease of all runs on the worker. Longer than a
 # change of leadership takes, and below the platform's limit.
 WORKER_LEASE_SECONDS = 6.0
@@ -30,6 +32,9 @@
 # Seconds after which a call without an answer is not carried out any more.
 LATE_CALL_SECONDS = 12.0
 
+# Workers that have left and whose tokens are kept.
+MAX_FORMER_WORKERS = 4096
+
 # Lower than the tokens of all leaders.
 NO_TOKEN = LeaderToken(0)
 
@@ -68,8 +73,10 @@
     clock_ms: int = 0
     clock_read_at: float = 0.0
     clock_known: bool = False
-    # Latest lease end that the process may have been given.
+    # Latest lease end that the process may have been given, and when the last call was
+    # sent that names one.
     lease_end_ms: int = 0
+    granted_at: float = float("-inf")
     # Number of ends in the last report.
     listed_ends: int = 0
     # Sequence numbers of the last run end that was processed and acknowledged.
@@ -145,8 +152,27 @@
     def _grant(self, now: float, seconds: float) -> int:
         end_ms = self.clock_now_ms(now) + int(seconds * 1000)
         self.lease_end_ms = max(self.lease_end_ms, end_ms)
+        self.granted_at = now
         return end_ms
 
+    def has_clock(self, clock_ms: int, sent_at: float, now: float) -> bool:
+        """Return whether a clock in an answer can be that of this process.
+
+        The call was sent at ``sent_at`` and answered at ``now``.
+        """
+        elapsed_ms = (sent_at - self.clock_read_at) * 1000 / SLOW_CLOCK_FACTOR
+        earliest = self.clock_ms + elapsed_ms - CLOCK_TRANSIT_MS
+        return earliest <= clock_ms <= self.clock_now_ms(now) + CLOCK_TRANSIT_MS
+
+    def late_runs_end(self, unanswered_at: float) -> float:
+        """Return until when the next process may run what was sent to this one.
+
+        A start without an answer was sent before ``unanswered_at``. Later calls extend
+        the lease under which the next process runs it.
+        """
+        sent_at = max(unanswered_at, self.granted_at, self.found_at)
+        return late_effects_end(sent_at, self.max_lease_seconds)
+
     def lease_has_ended(self, now: float) -> bool:
         """Return whether every lease of the process has certainly ended.
 
@@ -159,3 +185,36 @@
             return False
         elapsed_ms = (now - self.clock_read_at) * 1000 / SLOW_CLOCK_FACTOR
         return self.clock_ms + elapsed_ms > self.lease_end_ms + CLOCK_MARGIN_MS
+
+
+class FormerWorkers:
+    """The fencing tokens of workers that were removed during a term, by their ids."""
+
+    def __init__(self) -> None:
+        self.tokens: dict[WorkerId, LeaderToken] = {}
+        self.removed_at: dict[WorkerId, float] = {}
+
+    def add(self, worker_id: WorkerId, token: LeaderToken, now: float) -> None:
+        """Keep the token of a worker; the worker that left first is dropped."""
+        self.tokens.pop(worker_id, None)
+        self.tokens[worker_id] = token
+        self.removed_at[worker_id] = now
+        if len(self.tokens) > MAX_FORMER_WORKERS:
+            oldest = next(iter(self.tokens))
+            del self.tokens[oldest], self.removed_at[oldest]
+
+    def restore_token(
+        self, worker_id: WorkerId, process: WorkerProcess, now: float
+    ) -> None:
+        """Use at least the token that the worker may have seen.
+
+        Calls with that token may still be under way if it left a short time ago, so the
+        process needs one of its own.
+        """
+        token = self.tokens.pop(worker_id, None)
+        if token is None:
+            return
+        process.token = max(process.token, token)
+        if now <= self.removed_at.pop(worker_id) + LATE_CALL_SECONDS:
+            process.has_own_token = False
+            process.found_at = now
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -267,9 +267,12 @@
         if worker is None or not worker.entry.address:
             # A worker known only from job records has no address.
             return
+        # The first poll on a connection acknowledges nothing and renews no lease.
+        is_connected = self.connected.pop(name, None) == (fake.born_ms, self.token)
         lease = None
         if (
-            worker.last_response_at is not None
+            is_connected
+            and worker.last_response_at is not None
             and self.now - worker.last_response_at < 1.6
         ):
             lease = worker.process.grant_lease(self.now)
@@ -277,12 +280,9 @@
             if worker.silent_since is None:
                 worker.silent_since = self.now
             return
-        # The first poll of a worker process by a leader acknowledges nothing.
-        same_incarnation = self.connected.get(name) == (fake.born_ms, self.token)
         acknowledged_sequence = (
-            worker.process.acknowledged_sequence if same_incarnation else 0
+            worker.process.acknowledged_sequence if is_connected else 0
         )
-        self.connected[name] = (fake.born_ms, self.token)
         token = worker.process.token
         report = fake.poll(token, acknowledged_sequence, lease, self.now)
         if isinstance(report, OrderFailure):
@@ -291,6 +291,7 @@
         self.oracle.record_acknowledgement(fake, fake.acknowledged_sequence)
         if self.rng.random() < self.faults.lost_answer_rate:
             return
+        self.connected[name] = (fake.born_ms, self.token)
         scheduler.handle_report(worker, report, self.now, self.now, self._wall_ms())
 
     def _commit(self, scheduler: Scheduler) -> None:
--- a/tests/test_foreign_answers.py
+++ b/tests/test_foreign_answers.py
@@ -204,7 +204,7 @@
 async def test_refusal_without_a_readable_reason_is_a_refusal(body):
     worker = worker_client(body, 409)
     order = StartOrder(TASK, 1, "", 5, TOKEN)
-    assert await worker.start(order) is OrderFailure.REFUSED
+    assert (await worker.start(order)).error is OrderFailure.REFUSED
     assert await worker.stop(TASK, 1, TOKEN) is OrderFailure.REFUSED
     cloud = cloud_client(body, status=409)
     result = await cloud.start_maintenance(VmId("m"), WaveId(1), TOKEN)
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -125,16 +125,16 @@
     report = (await client.poll(token, 0, None, 0.0)).ok
     later = report.clock_ms + 5000
     order = StartOrder(TASK, 1, "100", later, token)
-    assert await client.start(order) is None
-    assert await client.start(order) is None
+    assert (await client.start(order)).is_ok()
+    assert (await client.start(order)).is_ok()
     ended = (await client.poll(token, 0, later, 2.0)).ok.ended
     assert [(end.task, end.number, end.outcome) for end in ended] == [
         (TASK, 1, RunOutcome.DONE)
     ]
     assert (await client.poll(token, ended[0].sequence, later, 0.0)).ok.ended == ()
-    assert await client.start(order) is OrderFailure.OLD_RUN
+    assert (await client.start(order)).error is OrderFailure.OLD_RUN
     stale = StartOrder(TASK, 2, "100", report.clock_ms - 1, token)
-    assert await client.start(stale) is OrderFailure.LATE
+    assert (await client.start(stale)).error is OrderFailure.LATE
     old = LeaderToken(4)
     assert (await client.poll(old, 0, None, 0.0)).error is OrderFailure.FENCED
     assert await client.stop(TASK, 3, old) is OrderFailure.FENCED
