Use a worker's entry only for the process that wrote it

After a restart under the id, the entry of the former process still named its capacity and labels, and tasks were placed by them, although the next process may be of another kind. Its drain was noted for the process that was known, not for the one that announced it. Nothing starts on a worker now until the entry names the process that answers.

--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -153,6 +153,16 @@
         """Return the start of the present process in ms since 1970."""
         return self.process.born_ms
 
+    @property
+    def entry_is_of_process(self) -> bool:
+        """Return whether the present process wrote the entry.
+
+        Another process under the id may have another capacity and other labels.
+        """
+        return 0 in (self.entry.born_ms, self.born_ms) or (
+            self.entry.born_ms == self.born_ms
+        )
+
     @property
     def poll_failed(self) -> bool:
         """Return whether the last poll got no response."""
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -307,6 +307,7 @@
             and not worker.cordoned
             and not worker.expired
             and worker.process.is_fenced
+            and worker.entry_is_of_process
             and now - worker.entry_seen_at <= self.max_entry_age_seconds
             and self.is_responsive(worker, now)
             and not worker.process.health.is_quarantined(now)
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -48,7 +48,7 @@
                 Event.WORKER_DRAINING, worker=entry.worker, leaves_in=entry.leaves_in
             )
         if entry.draining:
-            worker.draining_born_ms = worker.born_ms
+            worker.draining_born_ms = entry.born_ms or worker.born_ms
         if entry.capacity != worker.entry.capacity:
             log_event(
                 Event.WORKER_CAPACITY_CHANGED, worker=entry.worker,
@@ -57,7 +57,8 @@
             )  # fmt: skip
             self.services_to_plan.add(entry.service)
         worker.entry_seen_at = now if written_after is None else written_after
-        if entry.born_ms > worker.born_ms and worker.last_response_at is not None:
+        worker.update_entry(entry)
+        if not worker.entry_is_of_process and worker.last_response_at is not None:
             # The process has most likely restarted, which only its report proves.
             self.outbox.append(FetchReport(entry.worker))
         worker.deregistered = False
