Drop the tickets of a worker whose process has ended

A ticket of the placement advisor holds for one process. After a restart the first start of each step was refused, and the advice on all workers of the step was dropped with it.

--- a/src/ebonyhub/scheduling/advice_requests.py
+++ b/src/ebonyhub/scheduling/advice_requests.py
@@ -63,17 +63,25 @@
             if worker.entry.service == service
             and self.scheduler.is_eligible(worker, now)
         ][:MAX_WORKERS_PER_CALL]
+        processes = {worker.worker_id: worker.process for worker in workers}
         seconds = policy.decision_seconds + policy.seconds_per_worker * len(workers)
         # The advisor answers the calls of one entry one after another.
         seconds *= len(self.in_progress)
         try:
-            result = await self.advisor.advise(*key, workers, seconds)
+            result = await self.advisor.advise(*key, list(processes), seconds)
             if result.is_ok():
                 expires = (
                     self.clock.monotonic()
                     + policy.validity_seconds * TICKET_VALIDITY_SHARE
                 )
-                self.scheduler.advice[key] = Advice(result.ok, expires)
+                # A ticket holds for one process.
+                tickets = {
+                    worker.worker_id: result.ok[worker.worker_id]
+                    for worker in workers
+                    if worker.worker_id in result.ok
+                    and worker.process is processes[worker.worker_id]
+                }
+                self.scheduler.advice[key] = Advice(tickets, expires)
                 self.scheduler.services_to_plan.add(service)
             else:
                 await asyncio.sleep(RETRY_DELAY_SECONDS)
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -112,6 +112,9 @@
         for run in worker.runs.values():
             # The former process confirmed the stop, and the next one knows nothing.
             run.stop_confirmed_at, run.stop_sent_at = None, float("-inf")
+        for advice in self.advice.values():
+            # A ticket holds for one process.
+            advice.tickets.pop(worker.worker_id, None)
         self.outbox.append(RaiseToken(worker.worker_id))
 
     def _handle_ends(
