--- a/tests/test_worker_process_variants.py
+++ b/tests/test_worker_process_variants.py
@@ -298,11 +298,34 @@
     replace(LATE, label="late, VM down", back=None, started_by=GIVEN_UP_BY),
     replace(LATE, label="late, VM up", back=None, vm=None, started_by=GIVEN_UP_BY),
 )
+ENTRY_AWAY = with_clocks(
+    *(
+        replace(row, label=f"{row.label}, entry away", entry_away=(0.2, 3.0), back=back,
+                started_by=3.5)
+        for row in (LOST, DOUBLED, ANSWERED)
+        for back in (0.7, 2.5)
+    ),
+)
+# The run was listed, and is lost before its start is carried out for the second time.
+DOUBLED_LATER = with_clocks(
+    replace(DOUBLED, label="doubled later, cut", start_delay=11.9, crash=0.8, back=5.0,
+            cut=4.9, vm=None, late_starts=1, started_by=GIVEN_UP_BY),
+    replace(DOUBLED, label="doubled later, back just before", start_delay=11.9,
+            crash=0.8, back=11.89, late_starts=0, started_by=GIVEN_UP_BY),
+)
+STORE_AWAY += with_clocks(
+    replace(LATE, label="late by 11.9 s, store away, cut", start_delay=11.9,
+            store_away=(0.5, 4.0), cut=2.0, late_starts=1,
+            started_by=GIVEN_UP_BY + 2),
+)
 
 
 @pytest.mark.parametrize(
     "row",
-    UNANSWERED + TWO_RESTARTS + CUTS + TAKE_OVERS + STORE_AWAY + VM_LIST,
+    [
+        *UNANSWERED, *TWO_RESTARTS, *CUTS, *TAKE_OVERS, *STORE_AWAY, *VM_LIST,
+        *ENTRY_AWAY, *DOUBLED_LATER,
+    ],  # fmt: skip
     ids=lambda row: row.label,
 )
 def test_start_around_a_restart(row, monkeypatch):
