--- a/tests/test_worker_process_link.py
+++ b/tests/test_worker_process_link.py
@@ -1,7 +1,7 @@
 """The link to a worker that restarts, over HTTP against the stand-in worker.
 
-Guards against a call on a new connection that names clock or ends of the former process,
-and against an answer of the next process that counts as one of the former.
+Guards against a call on a new connection that names the clock or ends of the former
+process, and against an answer of the next process that counts as one of the former.
 """
 
 import random
