Wait for a listed run whose start had no answer, and slow down late starts

A start without an answer that the worker has listed counted as confirmed, so that the next process could carry it out a second time beside a new run. It is kept like one that was not listed. A start that is refused as late was planned again at once, 73 times in 0.3 s, when the clock of the next process was ahead; the worker is now left out for 0.5 s and asked for a report.

--- a/src/ebonyhub/scheduling/order_results.py
+++ b/src/ebonyhub/scheduling/order_results.py
@@ -10,6 +10,12 @@
 # Seconds of quarantine for a worker that refused a start or could not be reached.
 REFUSAL_QUARANTINE_SECONDS = 0.5
 
+# After these the next start would most likely fail, too. A start that is late on its
+# arrival was sent with the clock of another process.
+_FAILURES_OF_WORKERS = frozenset(
+    {OrderFailure.REFUSED, OrderFailure.NOT_SENT, OrderFailure.LATE}
+)
+
 
 class OrderResults(SchedulerState):
     """Releases planned starts, and applies the results of start and stop orders."""
@@ -81,8 +87,10 @@
         if failure is OrderFailure.TICKET:
             key = (run.task.job, run.task.occurrence, run.task.step)
             self.advice.pop(key, None)
-        if failure in (OrderFailure.REFUSED, OrderFailure.NOT_SENT):
+        if failure in _FAILURES_OF_WORKERS:
             worker.process.health.quarantine(now, REFUSAL_QUARANTINE_SECONDS)
+        if failure is OrderFailure.LATE:
+            self.outbox.append(FetchReport(run.worker))
         self.discard_run(run, worker)
 
     def handle_stop_result(
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -325,14 +325,18 @@
         for key, run in list(worker.runs.items()):
             if key in listed or run.phase in (RunPhase.PLANNED, RunPhase.ORDERED):
                 continue
+            refused = worker.process.refuses_token(run.token, sent_at)
             if run.phase is RunPhase.CONFIRMED:
-                is_gone = run.confirmed_at < sent_at
+                is_gone = run.confirmed_at < sent_at and (
+                    refused
+                    or run.born_ms == worker.born_ms
+                    or not run.may_start_late(now, worker.process)
+                )
             else:
                 stop_confirmed = (
                     run.stop_confirmed_at is not None
                     and run.stop_confirmed_at < sent_at
                 )
-                refused = worker.process.refuses_token(run.token, sent_at)
                 is_gone = run.inherited or refused or stop_confirmed
             if is_gone:
                 log_event(
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -92,14 +92,12 @@
         """Return whether the next process under the worker's id may still run it.
 
         Its start order has no answer yet, or got none, so it may be carried out when
-        the present process has ended.
+        the present process has ended, even if that has listed the run.
         """
         if self.phase is RunPhase.ORDERED:
             return True
-        return (
-            self.phase is RunPhase.UNCERTAIN
-            and self.unanswered_at is not None
-            and now <= process.late_runs_end(self.unanswered_at)
+        return self.unanswered_at is not None and (
+            now <= process.late_runs_end(self.unanswered_at)
         )
 
 
