--- a/tests/test_worker_process_calls.py
+++ b/tests/test_worker_process_calls.py
@@ -47,6 +47,38 @@
     return name
 
 
+@CLOCKS
+@pytest.mark.parametrize("restarts", [1, 2])
+@pytest.mark.parametrize("started_after", [0.3, 0.8])
+def test_run_on_the_next_process_when_that_is_cut_off(
+    started_after, restarts, clock, monkeypatch
+):
+    """The poll that found the restart gave a lease of 10 s by the former clock.
+
+    The run went on when the leader, which reckoned with 6 s, started the task again.
+    """
+
+    async def main(platform):
+        name = await free_worker(platform)
+        for _ in range(restarts):
+            platform.crash(name)
+            await platform.sleep(0.4)
+            platform.restart(name, clock)
+            platform.write_entry(name)
+        await platform.sleep(started_after)
+        job = platform.submit(TASK_SECONDS)
+        await platform.until(lambda: platform.starts(job), 1.0)
+        await platform.sleep(0.1)
+        platform.set_cut(name)
+        cut_at = platform.now
+        await platform.sleep(WATCH_SECONDS)
+        assert platform.network.violations == []
+        assert platform.starts(job)[-1].at - cut_at <= 11.0
+        assert platform.state(job) is JobState.COMPLETED
+
+    run_virtually(main, monkeypatch)
+
+
 @CLOCKS
 def test_start_that_a_process_answers_before_it_is_known(clock, monkeypatch):
     """The deadline was on the former clock, so the run had a lease of 10 s.
