Count the runs that an ended job left on a worker without an entry

Seen by callers: after a take-over a workspace ran 16 cores of its limit of 8, beside the runs of a cancelled job.

Cause: the record of an ended job names no runs. A new leader therefore counted all tasks of jobs that had just ended until each worker that it knew had reported. A worker whose entry has left the store is not known, and runs on for up to 11.7 s.

Change: the record that ends a job of a workspace names the runs that may still exist (`left_runs`). A new leader tracks them like the runs of active jobs, so the proofs that hold for those release them. The former rule remains for records of earlier versions, which do not name these runs. The stops of an ending job now precede the line that says that it has ended.

--- a/src/ebonyhub/jobs/model.py
+++ b/src/ebonyhub/jobs/model.py
@@ -112,6 +112,14 @@
             ends.append(start + step.estimate_ms / 1000)
         return max(ends, default=0.0)
 
+    def has_task(self, occurrence: int, step: int, position: int) -> bool:
+        """Return whether the job has this task."""
+        return (
+            0 <= occurrence < (self.repeat_count or 1)
+            and 0 <= step < len(self.steps)
+            and 0 <= position < self.steps[step].count
+        )
+
     def due_ms(self, occurrence: int) -> int:
         """Return the start of an occurrence in ms since 1970, 0 to start at once."""
         if not self.repeat_count:
--- a/src/ebonyhub/jobs/records.py
+++ b/src/ebonyhub/jobs/records.py
@@ -64,6 +64,15 @@
     late_crashes: dict[int, int] = msgspec.field(default_factory=dict)
 
 
+class LeftRun(msgspec.Struct, array_like=True):
+    """A run that may exist although its job has ended or its task is done."""
+
+    occurrence: int
+    step: int
+    position: int
+    run: RunRecord
+
+
 class ProgressRecord(msgspec.Struct, array_like=True):
     """Progress of a job, written only by the leader."""
 
@@ -73,6 +82,9 @@
     # All occurrences below this number are complete and not kept in ``occurrences``.
     next_occurrence: int = 0
     finished_ms: int = 0
+    # Runs that may exist beside those in ``occurrences``, of jobs with a workspace;
+    # None in records of earlier versions, which do not tell.
+    left_runs: list[LeftRun] | None = None
 
 
 def accepted_key(job: JobId) -> str:
--- a/src/ebonyhub/jobs/validation.py
+++ b/src/ebonyhub/jobs/validation.py
@@ -6,7 +6,7 @@
 from ..decoding import MAX_INTEGER
 from ..ids import JobId
 from .model import AcceptedJob, JobSpec, StepSpec, spec_problem
-from .records import ProgressRecord, StepProgress
+from .records import LeftRun, ProgressRecord, StepProgress
 
 # Callers use 16 hexadecimal digits; a dot would be ambiguous in the names of tasks.
 _JOB_ID = re.compile(r"[0-9A-Za-z_-]{1,64}")
@@ -57,6 +57,8 @@
         for number, (progress, step) in enumerate(zip(steps, spec.steps, strict=True)):
             if not _fits(progress, step):
                 return f"a position or number in step {number} is out of range"
+    if not all(_left_run_fits(left, spec) for left in record.left_runs or ()):
+        return "a position or number of a left run is out of range"
     return None
 
 
@@ -75,5 +77,13 @@
     )
 
 
+def _left_run_fits(left: LeftRun, spec: JobSpec) -> bool:
+    return (
+        spec.has_task(left.occurrence, left.step, left.position)
+        and 1 <= left.run.number <= MAX_INTEGER
+        and 0 <= left.run.born_ms <= MAX_INTEGER
+    )
+
+
 def _within(values: Iterable[int], highest: int) -> bool:
     return min(values, default=0) >= 0 and max(values, default=0) <= highest
--- a/src/ebonyhub/scheduling/intake.py
+++ b/src/ebonyhub/scheduling/intake.py
@@ -2,11 +2,12 @@
 
 from ..events import Event, log_event
 from ..fleet.demand import ArrivalMeter
-from ..ids import JobId, ServiceName, TaskId, VmId
+from ..ids import JobId, ServiceName, VmId
 from ..jobs.model import AcceptedJob, Resources
 from ..jobs.records import JobState, ProgressRecord
 from . import lifecycle
 from .crashes import probation_seconds
+from .left_runs import left_runs_of, recorded_runs
 from .model import WorkerEntry
 from .runs import Job, Run, RunPhase, StopReason, Worker
 from .state import Arrival, SchedulerState
@@ -47,7 +48,7 @@
         self.jobs[accepted.job] = job
         self.workspaces.job_accepted(job)
         if job.is_final:
-            self._hold_for_left_runs(job, wall_ms)
+            self._count_left_runs(job, now, wall_ms)
             return
         job.next_due_occurrence = job.progress.next_occurrence
         self.active[accepted.job] = job
@@ -57,25 +58,26 @@
                 job.has_suspects |= any(
                     s.crash_evidence or s.late_crashes for s in steps
                 )
-                self._adopt_runs(job, number, now)
                 lifecycle.refresh_pending(job, number)
+        self._adopt_runs(job, now)
         lifecycle.start_due_occurrences(job, wall_ms)
         if not accepted.spec.long_running:
             self._note_arrival(job)
         if cancelled:
             self.cancel(accepted.job, now, wall_ms)
 
-    def _hold_for_left_runs(self, job: Job, wall_ms: int) -> None:
+    def _count_left_runs(self, job: Job, now: float, wall_ms: int) -> None:
         """Count what a job that ended recently may still run for its workspace.
 
-        The runs of a cancelled or failed job may still be stopping. Those of a
-        completed one have ended, except a copy of a task that was considered lost. With
-        all their tasks counted, no workspace could start anything after a change of
-        leader until the last worker has reported.
+        Records of earlier versions do not name these runs, so all tasks of the job are
+        counted, unless it is completed: no workspace could start anything after a
+        change of leader until the last worker has reported.
         """
-        age_ms = wall_ms - job.progress.finished_ms
-        completed = job.progress.state is JobState.COMPLETED
-        if not completed and age_ms < LEFT_RUNS_MAX_AGE_MS:
+        if wall_ms - job.progress.finished_ms >= LEFT_RUNS_MAX_AGE_MS:
+            return
+        if job.progress.left_runs is not None:
+            self._adopt_runs(job, now)
+        elif job.progress.state is not JobState.COMPLETED:
             accepted = job.accepted
             self.workspaces.hold_for_unknown_runs(
                 accepted.job, accepted.workspace, accepted.spec
@@ -93,22 +95,19 @@
         arrival = Arrival(job.job_id, service, job.arrived_at, work)
         self.uncounted_arrivals.append(arrival)
 
-    def _adopt_runs(self, job: Job, occurrence: int, now: float) -> None:
+    def _adopt_runs(self, job: Job, now: float) -> None:
         """Track the recorded runs until their workers report on them."""
-        for step_number, step_progress in enumerate(
-            job.progress.occurrences[occurrence]
-        ):
-            step = job.accepted.spec.steps[step_number]
-            for position, record in step_progress.runs.items():
-                task = TaskId(job.job_id, occurrence, step_number, position)
-                run = Run(
-                    task, record.number, record.worker, record.born_ms, step.reserved,
-                    step, RunPhase.UNCERTAIN, inherited=True, planned_at=now,
-                    checkpoint=record.checkpoint,
-                    probation_seconds=probation_seconds(step_progress, position),
-                )  # fmt: skip
-                worker = self._worker_of_record(run, record.vm, job)
-                self.reserve_for_run(run, worker)
+        for task, record in recorded_runs(job):
+            step = lifecycle.step_of(job, task)
+            progress = lifecycle.step_progress_of(job, task)
+            probation = probation_seconds(progress, task.position) if progress else None
+            run = Run(
+                task, record.number, record.worker, record.born_ms, step.reserved,
+                step, RunPhase.UNCERTAIN, inherited=True, planned_at=now,
+                checkpoint=record.checkpoint, probation_seconds=probation,
+            )  # fmt: skip
+            worker = self._worker_of_record(run, record.vm, job)
+            self.reserve_for_run(run, worker)
 
     def _worker_of_record(self, run: Run, vm: VmId, job: Job) -> Worker:
         """Return the worker of an inherited run; a placeholder if its entry is gone."""
@@ -153,6 +152,18 @@
         """Stop the runs of a job with a final state, and drop its scheduling state."""
         self.active.pop(job.job_id, None)
         self.workspaces.job_closed(job.accepted)
+        holders = [
+            worker
+            for worker_id in self.workers_of_job.pop(job.job_id, ())
+            if (worker := self.workers.get(worker_id)) is not None
+        ]
+        for worker in holders:
+            for run in list(worker.runs.values()):
+                if run.task.job == job.job_id:
+                    self.stop_run(run, reason, now)
+        if job.accepted.workspace:
+            # After the stops, which release the runs that have not been ordered.
+            job.progress.left_runs = left_runs_of(job, holders)
         self.mark_dirty(job)
         for key in [k for k in self.advice if k[0] == job.job_id]:
             del self.advice[key]
@@ -164,8 +175,3 @@
             state=job.progress.state.name.lower(),
             after=round(now - job.arrived_at, 3),
         )
-        for worker_id in self.workers_of_job.pop(job.job_id, ()):
-            worker = self.workers.get(worker_id)
-            for run in list(worker.runs.values()) if worker else ():
-                if run.task.job == job.job_id:
-                    self.stop_run(run, reason, now)
--- a/src/ebonyhub/scheduling/lifecycle.py
+++ b/src/ebonyhub/scheduling/lifecycle.py
@@ -235,6 +235,7 @@
         state=state,
         next_occurrence=job.progress.next_occurrence,
         finished_ms=wall_ms,
+        left_runs=[],
     )
     job.pending.clear()
     job.workers_to_avoid.clear()
--- a/tests/test_foreign_job_records.py
+++ b/tests/test_foreign_job_records.py
@@ -14,6 +14,7 @@
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec
 from ebonyhub.jobs.records import (
     JobState,
+    LeftRun,
     ProgressRecord,
     RunRecord,
     StepProgress,
@@ -72,6 +73,11 @@
     progress(StepProgress(crash_evidence={9: 1}), StepProgress()),
     progress(StepProgress(late_crashes={9: 1}), StepProgress()),
     encode([1, {}, 0, -1]), progress(next_occurrence=2), progress(next_occurrence=-1),
+    progress(left_runs=[LeftRun(1, 0, 0, run())]),
+    progress(left_runs=[LeftRun(0, 2, 0, run())]),
+    progress(left_runs=[LeftRun(0, 1, 1, run())]),
+    progress(left_runs=[LeftRun(0, 0, 0, run(number=0))]),
+    progress(left_runs=[LeftRun(0, 0, 0, run(born_ms=-1))]),
     encode(ProgressRecord(JobState.RUNNING, {1: []})),
     encode(ProgressRecord(JobState.RUNNING, {-1: []})),
 ]  # fmt: skip
