Count copies of done tasks and members of done gangs after a take-over

Seen by callers: after a take-over a workspace ran one task above its limit, beside a copy of a task that was done.

Cause: when the run of a task that was taken for lost turns out to be done, the record drops the later run, which is still to be stopped. When one member completes a gang, it drops those of the others. A new leader counted neither.

Change: `left_runs` is brought up to date with each change of the record of a job of a workspace, not only when the job ends. The ledger counts the runs of each job, so that this searches the job's workers only if a run exists beside those of its tasks. Runs of tasks that the job does not have stay out, since the record would not be valid.

Two new tests cover jobs that go on; both fail without this change and pass with it.

--- a/src/ebonyhub/scheduling/left_runs.py
+++ b/src/ebonyhub/scheduling/left_runs.py
@@ -1,6 +1,7 @@
 """Runs that a job's record names although its tasks no longer wait for them.
 
-A run may exist for some time after its job has ended. A new leader must count it all
+A run may exist for some time after its job has ended, or after an earlier run of its
+task, which was taken for lost, turned out to be done. A new leader must count it all
 the same, also if its worker has no entry in the store any more.
 """
 
@@ -34,6 +35,18 @@
     return left
 
 
+def update_left_runs(job: Job, tracked: int, workers: Iterable[Worker]) -> None:
+    """Name the runs on ``workers`` in the record of a job that goes on.
+
+    ``tracked`` is the number of the job's runs. The runs of its tasks are among them,
+    so equal numbers spare the search.
+    """
+    recorded = sum(
+        len(step.runs) for steps in job.progress.occurrences.values() for step in steps
+    )
+    job.progress.left_runs = left_runs_of(job, workers) if tracked != recorded else []
+
+
 def recorded_runs(job: Job) -> Iterator[tuple[TaskId, RunRecord]]:
     """Yield all runs that the job's record names, with their tasks."""
     for occurrence, steps in job.progress.occurrences.items():
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -27,6 +27,7 @@
 from .crashes import Crash
 from .health import FLEET_AVERAGE_WEIGHT, SlowdownAverage
 from .kept_workers import KeptWorkers
+from .left_runs import update_left_runs
 from .losses import LossCause
 from .orders import Order, StopRun
 from .priority import Urgency, urgency
@@ -225,6 +226,11 @@
 
     def mark_dirty(self, job: Job) -> None:
         """Schedule storing of the job's record and planning of its service."""
+        if job.accepted.workspace and job.job_id in self.active:
+            holders = self.workers_of_job.get(job.job_id, ())
+            workers = (self.workers[w] for w in holders if w in self.workers)
+            tracked = self.workspaces.ledger.run_count_of_job(job.job_id)
+            update_left_runs(job, tracked, workers)
         self.dirty[job.job_id] = job
         self.services_to_plan.add(self.service_of(job))
 
--- a/src/ebonyhub/scheduling/workspaces/usage.py
+++ b/src/ebonyhub/scheduling/workspaces/usage.py
@@ -28,6 +28,7 @@
         self._used: dict[WorkspaceName, Resources] = {}
         self._run_counts: dict[WorkspaceName, int] = {}
         self._used_in: dict[ServiceName, dict[WorkspaceName, Resources]] = {}
+        self._job_run_counts: dict[JobId, int] = {}
         # Runs of jobs that were not known when the run was added.
         self._unknown: dict[JobId, set[RunKey]] = {}
         # What runs of jobs may have in use that no worker has reported yet.
@@ -50,6 +51,8 @@
             workspace = NO_WORKSPACE
         self._runs[key] = Reservation(workspace, service, amount)
         self._count(workspace, service, amount, 1)
+        job = key[1].job
+        self._job_run_counts[job] = self._job_run_counts.get(job, 0) + 1
 
     def remove(self, key: RunKey) -> None:
         """Stop counting a run; does nothing if it is not counted."""
@@ -58,11 +61,15 @@
             return
         amount = NOTHING - reservation.amount
         self._count(reservation.workspace, reservation.service, amount, -1)
-        unknown = self._unknown.get(key[1].job)
+        job = key[1].job
+        self._job_run_counts[job] -= 1
+        if not self._job_run_counts[job]:
+            del self._job_run_counts[job]
+        unknown = self._unknown.get(job)
         if unknown is not None:
             unknown.discard(key)
             if not unknown:
-                del self._unknown[key[1].job]
+                del self._unknown[job]
 
     def _count(
         self,
@@ -120,6 +127,10 @@
         """Return the number of runs of a workspace."""
         return self._run_counts.get(workspace, 0)
 
+    def run_count_of_job(self, job: JobId) -> int:
+        """Return the number of runs of a job."""
+        return self._job_run_counts.get(job, 0)
+
     def used_in(self, service: ServiceName, workspace: WorkspaceName) -> Resources:
         """Return what a workspace uses on the workers of a service."""
         return self._used_in.get(service, {}).get(workspace, NOTHING)
--- a/tests/test_workspace_open_faults.py
+++ b/tests/test_workspace_open_faults.py
@@ -4,11 +4,14 @@
 """
 
 from ebonyhub.configuration import Workspace
-from ebonyhub.jobs.model import Resources
+from ebonyhub.jobs.model import JobSpec, Resources, StepSpec
+from ebonyhub.jobs.validation import progress_problem
 from ebonyhub.scheduling.crashes import CrashEvidence
 from ebonyhub.scheduling.lifecycle import add_crash_evidence
+from ebonyhub.scheduling.model import RunningTask
 from tests.test_scheduler import listed
 from tests.workspace_driver import (
+    CORE,
     A,
     B,
     WorkspaceDriver,
@@ -94,6 +97,55 @@
     assert successor.start_all() == []
 
 
+def test_copy_of_a_done_task_counts_while_its_job_goes_on():
+    """A new leader counted only the run of the other task."""
+    driver = WorkspaceDriver(limited(2))
+    job = driver.submit(spec(2))
+    first, second = driver.start_all()
+    assert first.worker == second.worker
+    holder = driver.worker(str(first.worker))
+    driver.scheduler.discard_run(first, holder)
+    holder.health.quarantine(driver.now)
+    (copy,) = driver.start_all()
+    driver.report(str(first.worker), running=[listed(second)], ended=[end_of(first)])
+    assert not job.is_final
+    waiting = driver.submit(spec(1))
+    successor = driver.successor()
+    successor.report(str(first.worker), running=[listed(second)])
+    assert successor.start_all() == []
+    successor.report(str(copy.worker), ended=[end_of(copy)])
+    assert [run.task.job for run in successor.start_all()] == [waiting.job_id]
+
+
+def test_member_of_a_done_gang_counts_while_its_job_goes_on():
+    """One member that is done completes the gang before the others have ended."""
+    driver = WorkspaceDriver(limited(2))
+    gang = StepSpec(2, CORE, 1000, gang=True)
+    driver.submit(JobSpec("t", (gang, StepSpec(2, CORE, 1000, after=(0,)))))
+    first, second = driver.start_all()
+    assert first.worker == second.worker
+    driver.report(str(first.worker), running=[listed(second)], ended=[end_of(first)])
+    successor = driver.successor()
+    (other,) = {"w1", "w2"} - {str(first.worker)}
+    successor.report(other)
+    assert len(successor.start_all()) == 1
+
+
+def test_listed_task_that_a_job_does_not_have_leaves_its_record_valid():
+    """A new leader could not have read the record, nor started anything of the job."""
+    driver = WorkspaceDriver(limited(9))
+    job = driver.submit(spec(2))
+    (run, _) = driver.start_all()
+    odd = [run.task._replace(step=1), run.task._replace(position=2)]
+    rows = [listed(run), *[RunningTask(task, 1, "", 0.0, 0.0) for task in odd]]
+    driver.report(str(run.worker), running=rows)
+    driver.scheduler.mark_dirty(job)
+    assert progress_problem(job.progress, job.accepted.spec) is None
+    driver.scheduler.cancel(job.job_id, driver.now, int(driver.now * 1000))
+    assert len(job.progress.left_runs) == 2
+    assert progress_problem(job.progress, job.accepted.spec) is None
+
+
 def test_suspected_tasks_over_the_rate_hold_no_workers_of_others():
     driver = WorkspaceDriver(LEADING, OVER_RATE)
     job = driver.submit(spec(2), A)
--- a/tests/test_workspace_walks.py
+++ b/tests/test_workspace_walks.py
@@ -12,7 +12,7 @@
 from tests.test_workspace_machine import NAMES, NODES, Workspaces
 
 STEPS = 60
-SEEDS_PER_CASE = 50
+SEEDS_PER_CASE = 150
 FATES = ("ok", "ok", "ok", "lost", "late", "refused")
 
 
@@ -54,7 +54,7 @@
     take_over: 3,
     lambda machine, rng: machine.late_order_arrives(rng.randint(0, 99)): 2,
     lambda machine, rng: machine.cancel(rng.randint(0, 99)): 2,
-    end_leases: 1,
+    end_leases: 3,
     lambda machine, rng: machine.entry_leaves_or_returns(rng.choice(NODES)): 1,
     lambda machine, rng: machine.change_limit(rng.choice(NAMES), rng.randint(0, 9)): 1,
 }
