Let tasks start that smaller ones pass under their workspace's limit

Seen by callers: a task that alone exceeds the limit, which starts only while its workspace runs nothing, was passed by smaller tasks of the workspace and still waited after 100 s. So did a task of 4 of 4 cores, a gang, and a replica of a service.

Cause: the room that becomes free under a limit goes to the first waiting task that fits. It is never large enough for a larger task while smaller ones come.

Change: the policy looks once a second for the oldest job of each workspace with a task that needs more room than the end of any run frees, and that could start if all runs ended but the long-running ones. Once it has been passed for 5 s, the other tasks of the workspace are held back, for a quarter of the time that it has been passed at most, and not again for four times as long. Events E2626 and E2627 tell of each hold, and `explain` names the job for which a task waits.

The state machine waits longer between some reports, and checks each hold that it meets: its task waits, has been passed for 5 s, and the hold is no longer than it may be. Jobs that are held back are exempt from its check that nobody within the share waits beside room, since that is what a hold is.

--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -340,6 +340,15 @@
     WORKSPACE_WITHIN_SHARE = EventSpec(
         2625, _I, "no task of the workspace waits for its share any more", "None."
     )
+    WORKSPACE_HOLD_BEGUN = EventSpec(
+        2626,
+        _I,
+        "tasks of a workspace are held back for a larger one that they had passed",
+        "None; raise the limit if this happens often.",
+    )
+    WORKSPACE_HOLD_ENDED = EventSpec(
+        2627, _I, "tasks of a workspace are held back no longer", "None."
+    )
 
 
 # The absl logger takes the levels of the standard logging module.
--- a/src/ebonyhub/jobs/model.py
+++ b/src/ebonyhub/jobs/model.py
@@ -33,6 +33,12 @@
             self.accelerators - other.accelerators,
         )
 
+    def times(self, count: int) -> "Resources":
+        """Return what ``count`` equal tasks need."""
+        return Resources(
+            self.cpu * count, self.memory * count, self.accelerators * count
+        )
+
     def fits_into(self, free: "Resources") -> bool:
         """Return whether ``free`` has enough of every kind of resource."""
         return (
--- a/src/ebonyhub/scheduling/kept_workers.py
+++ b/src/ebonyhub/scheduling/kept_workers.py
@@ -131,8 +131,10 @@
     for good.
     """
     requirements = tasks.requirements
-    if requirements.step.gang and not _gang_fits(tasks, workers, rooms):
-        return
+    if requirements.step.gang:
+        pairs = ((worker, rooms[worker.worker_id]) for worker in workers)
+        if not _members_fit(requirements, tasks.count, pairs):
+            return
     cpu = max(1, requirements.step.reserved.cpu)
     missing = int(tasks.count * KEPT_FACTOR)
     for worker in workers:
@@ -151,15 +153,27 @@
         kept.add(worker.worker_id)
 
 
-def _gang_fits(
-    tasks: WaitingTasks, workers: Iterable[Worker], rooms: dict[WorkerId, Resources]
+def can_be_placed(
+    requirements: StepRequirements, members: int, workers: Iterable[Worker]
 ) -> bool:
-    """Return whether the workers have room for all members once other runs end."""
-    members = 0
-    for worker in workers:
-        room = rooms[worker.worker_id]
-        members += _tasks_that_fit(tasks.requirements, worker, room)
-        if members >= tasks.count:
+    """Return whether the workers have room for tasks that start together.
+
+    Runs that are not long-running are left out, since they end.
+    """
+    rooms = ((worker, _room_beside_long_runs(worker)) for worker in workers)
+    return _members_fit(requirements, members, rooms)
+
+
+def _members_fit(
+    requirements: StepRequirements,
+    members: int,
+    rooms: Iterable[tuple[Worker, Resources]],
+) -> bool:
+    """Return whether so many tasks fit into these rooms of workers at the same time."""
+    fitting = 0
+    for worker, room in rooms:
+        fitting += _tasks_that_fit(requirements, worker, room)
+        if fitting >= members:
             return True
     return False
 
--- a/src/ebonyhub/scheduling/planning.py
+++ b/src/ebonyhub/scheduling/planning.py
@@ -39,6 +39,7 @@
         """Assign ready tasks to workers in ``services``, in all if it is None."""
         if self.workspaces.ledger.holds_any and self.runs_are_known(now):
             self.workspaces.ledger.release_held()
+        self.end_limit_holds(now)
         by_service: dict[ServiceName, list[Job]] = {}
         for job in self.active.values():
             if not job.pending:
@@ -55,6 +56,9 @@
             if not workers:
                 continue
             self._plan_service(jobs, workers, now)
+        if self.workspaces.is_active:
+            # After the pass, which may have given the room to smaller tasks.
+            self.begin_limit_holds(now)
         for event, name in self.workspaces.take_changes(now):
             log_event(event, workspace=name)
 
--- a/src/ebonyhub/scheduling/share_order.py
+++ b/src/ebonyhub/scheduling/share_order.py
@@ -3,18 +3,23 @@
 from collections.abc import Iterator
 from heapq import heapify, heappop, heappush
 
+from ..events import Event, log_event
 from ..ids import ServiceName, WorkerId, WorkspaceName
+from ..jobs.model import StepSpec
 from .isolation import IsolatedStarts
 from .kept_workers import (
     KeptWorkers,
     OpenWorkers,
     Precedence,
     WaitingTasks,
+    can_be_placed,
     choose_kept_workers,
 )
+from .placement import StepRequirements
 from .priority import Rank, Urgency, order_key
 from .runs import Job, Worker
 from .workspaces.assessment import ServiceLoad
+from .workspaces.holds import CanBePlaced
 from .workspaces.limits import Room
 from .workspaces.status import Standing
 
@@ -47,6 +52,50 @@
         load = ServiceLoad(service, jobs, workers, unavailable, cores)
         self.workspaces.assess(load, now)
 
+    def end_limit_holds(self, now: float) -> None:
+        """Hold tasks back no longer for those that have started or waited enough."""
+        for ended in self.workspaces.holds.end_finished(now):
+            passed = ended.hold.passed
+            log_event(
+                Event.WORKSPACE_HOLD_ENDED, workspace=ended.workspace,
+                job=passed.job.job_id, started=passed.has_started_a_task,
+                after=round(ended.seconds, 3),
+            )  # fmt: skip
+
+    def begin_limit_holds(self, now: float) -> None:
+        """Hold tasks back for larger ones of their workspaces that they have passed."""
+        for name, hold in self.workspaces.begin_holds(self._placement_check(now), now):
+            step = hold.passed.step
+            log_event(
+                Event.WORKSPACE_HOLD_BEGUN, workspace=name,
+                job=hold.passed.job.job_id, step=hold.passed.number,
+                cpu=step.demand.cpu, memory=step.demand.memory,
+                most=round(hold.ends_at - now, 3),
+            )  # fmt: skip
+
+    def _placement_check(self, now: float) -> CanBePlaced:
+        """Return a check whether workers can run tasks once other runs have ended."""
+        workers: dict[ServiceName, list[Worker]] = {}
+        known: dict[tuple[ServiceName, StepSpec, int], bool] = {}
+
+        def check(job: Job, occurrence: int, number: int) -> bool:
+            service, step = self.service_of(job), job.accepted.spec.steps[number]
+            if service not in workers:
+                workers[service] = [
+                    worker
+                    for worker in self.workers.values()
+                    if worker.entry.service == service and self.is_eligible(worker, now)
+                ]
+            members = len(job.pending[occurrence, number]) if step.gang else 1
+            # Equal steps of many jobs are checked once.
+            key = (service, step, members)
+            if key not in known:
+                requirements = StepRequirements(job.job_id, occurrence, number, step)
+                known[key] = can_be_placed(requirements, members, workers[service])
+            return known[key]
+
+        return check
+
     def in_order_of_shares(
         self,
         service: ServiceName,
@@ -180,6 +229,8 @@
         for job in jobs:
             if is_over(job.job_id) or not job.pending:
                 continue
+            if policy.holds.holds_back_job(job):
+                continue
             name = job.accepted.workspace
             if name not in standings:
                 standings[name] = policy.share_standing(name, service)
--- a/src/ebonyhub/scheduling/workspaces/limits.py
+++ b/src/ebonyhub/scheduling/workspaces/limits.py
@@ -70,15 +70,15 @@
         """Return the most CPU that one task may need."""
         return inf if self._unused else self.cpu
 
-    def holds(self, demand: Resources) -> bool:
-        """Return whether one task may start."""
+    def holds(self, demand: Resources, members: int = 1) -> bool:
+        """Return whether one task may start, or ``members`` together."""
         if (
-            demand.cpu <= self.cpu
-            and demand.memory <= self.memory
-            and demand.accelerators <= self.accelerators
+            members * demand.cpu <= self.cpu
+            and members * demand.memory <= self.memory
+            and members * demand.accelerators <= self.accelerators
         ):
             return True
-        return self._unused and exceeds_alone(demand, self._limit)
+        return members == 1 and self._unused and exceeds_alone(demand, self._limit)
 
     def take(self, demand: Resources, wanted: int) -> int:
         """Return how many of the waiting tasks fit, and take the room that they need.
--- a/src/ebonyhub/scheduling/workspaces/policy.py
+++ b/src/ebonyhub/scheduling/workspaces/policy.py
@@ -16,6 +16,13 @@
 from ...node_settings import DEFAULT_RATE_WINDOW_SECONDS
 from ..runs import Job, Run
 from .assessment import Assessment, ServiceLoad, assess, valid_seconds
+from .holds import (
+    SEARCH_INTERVAL_SECONDS,
+    CanBePlaced,
+    Hold,
+    LimitHolds,
+    LimitUse,
+)
 from .limits import (
     NOTHING,
     Room,
@@ -63,6 +70,9 @@
         self._jobs: dict[WorkspaceName, dict[JobId, Job]] = {}
         self._assessments: dict[ServiceName, Assessment] = {}
         self._waiting_claims: WaitingClaims | None = None
+        # Tasks that start before all others of their workspaces.
+        self.holds = LimitHolds()
+        self._next_search_at = -inf
         self._notices = Notices()
         self._next_notices_at = -inf
         # Workspaces recently held back by their limit or share.
@@ -96,6 +106,7 @@
         """Forget a job that has ended; its runs count until they are released."""
         if accepted.workspace:
             self._jobs.get(accepted.workspace, {}).pop(accepted.job, None)
+            self.holds.forget_job(accepted.workspace, accepted.job)
             self.rates.forget(accepted.job)
 
     def hold_for_unknown_runs(
@@ -117,7 +128,8 @@
         if workspace == "" and not self.rules.enforced:
             return
         key = (run.worker, *run.key)
-        self.ledger.add(key, service, workspace, run.step.demand)
+        step = run.step
+        self.ledger.add(key, service, workspace, step.demand, step.long_running)
 
     def run_released(self, run: Run) -> None:
         """Stop counting a run that certainly does not exist."""
@@ -151,6 +163,8 @@
         limit = self.limit_of(name)
         if limit == NOTHING:
             return wanted
+        if self.holds.holds_back(job, step):
+            return 0
         if exceeds_alone(step.demand, limit) and self.ledger.run_count(name):
             allowed = 0
         else:
@@ -173,6 +187,8 @@
         """Return whether there is room for any ready task of the job."""
         if room is None:
             return True
+        if self.holds.holds_back_job(job):
+            return False
         if job.min_pending_cpu <= room.largest_cpu:
             steps = job.accepted.spec.steps
             for _, number in job.pending:
@@ -181,6 +197,28 @@
         self._at_limit.add(job.accepted.workspace)
         return False
 
+    def begin_holds(
+        self, can_be_placed: CanBePlaced, now: float
+    ) -> list[tuple[WorkspaceName, Hold]]:
+        """Hold back others for tasks that they have passed for too long.
+
+        Returns the new holds.
+        """
+        if now < self._next_search_at:
+            return []
+        self._next_search_at = now + SEARCH_INTERVAL_SECONDS
+        begun: list[tuple[WorkspaceName, Hold]] = []
+        for name, smallest_run in self.ledger.smallest_runs().items():
+            room, jobs = self.room_of(name), self._jobs.get(name)
+            if room is None or not jobs:
+                continue
+            long_running = self.ledger.used_by_long_running(name)
+            use = LimitUse(self.limit_of(name), room, smallest_run, long_running)
+            hold = self.holds.update(name, jobs.values(), use, can_be_placed, now)
+            if hold is not None:
+                begun.append((name, hold))
+        return begun
+
     def may_order(self, run: Run) -> bool:
         """Return whether a planned run may still be ordered.
 
@@ -303,6 +341,12 @@
             return None
         limit, used = self.limit_of(name), self.ledger.used(name)
         wanted = step.count if step.gang else 1
+        hold = self.holds.of(name)
+        if hold is not None and self.holds.holds_back(job, step):
+            return (
+                f"job {hold.passed.job.job_id} of workspace {name} has waited for room "
+                "under its limit for long; the other tasks of the workspace wait for it"
+            )
         if not self.tasks_allowed(job, step, wanted):
             return _limit_sentence(name, step, used, limit)
         standing = self.standing(job)
--- a/src/ebonyhub/scheduling/workspaces/usage.py
+++ b/src/ebonyhub/scheduling/workspaces/usage.py
@@ -18,6 +18,7 @@
     workspace: WorkspaceName
     service: ServiceName
     amount: Resources
+    long_running: bool = False
 
 
 class UsageLedger:
@@ -28,6 +29,8 @@
         self._used: dict[WorkspaceName, Resources] = {}
         self._run_counts: dict[WorkspaceName, int] = {}
         self._used_in: dict[ServiceName, dict[WorkspaceName, Resources]] = {}
+        # The part of long-running tasks.
+        self._long_running: dict[WorkspaceName, Resources] = {}
         self._job_run_counts: dict[JobId, int] = {}
         # Runs of jobs that were not known when the run was added.
         self._unknown: dict[JobId, set[RunKey]] = {}
@@ -40,6 +43,7 @@
         service: ServiceName,
         workspace: WorkspaceName | None,
         amount: Resources,
+        long_running: bool = False,
     ) -> None:
         """Count a run in place of an earlier entry of it.
 
@@ -49,8 +53,9 @@
         if workspace is None:
             self._unknown.setdefault(key[1].job, set()).add(key)
             workspace = NO_WORKSPACE
-        self._runs[key] = Reservation(workspace, service, amount)
-        self._count(workspace, service, amount, 1)
+        reservation = Reservation(workspace, service, amount, long_running)
+        self._runs[key] = reservation
+        self._count(reservation, amount, 1)
         job = key[1].job
         self._job_run_counts[job] = self._job_run_counts.get(job, 0) + 1
 
@@ -60,7 +65,7 @@
         if reservation is None:
             return
         amount = NOTHING - reservation.amount
-        self._count(reservation.workspace, reservation.service, amount, -1)
+        self._count(reservation, amount, -1)
         job = key[1].job
         self._job_run_counts[job] -= 1
         if not self._job_run_counts[job]:
@@ -71,17 +76,15 @@
             if not unknown:
                 del self._unknown[job]
 
-    def _count(
-        self,
-        workspace: WorkspaceName,
-        service: ServiceName,
-        amount: Resources,
-        runs: int,
-    ) -> None:
+    def _count(self, reservation: Reservation, amount: Resources, runs: int) -> None:
+        workspace = reservation.workspace
         self._used[workspace] = self._used.get(workspace, NOTHING) + amount
         self._run_counts[workspace] = self._run_counts.get(workspace, 0) + runs
-        used_in = self._used_in.setdefault(service, {})
+        used_in = self._used_in.setdefault(reservation.service, {})
         used_in[workspace] = used_in.get(workspace, NOTHING) + amount
+        if reservation.long_running:
+            before = self._long_running.get(workspace, NOTHING)
+            self._long_running[workspace] = before + amount
 
     def attribute(
         self, job: JobId, workspace: WorkspaceName, steps: Sequence[StepSpec] = ()
@@ -92,9 +95,10 @@
         """
         for key in self._unknown.pop(job, ()):
             reservation, number = self._runs[key], key[1].step
-            known = number < len(steps)
-            amount = steps[number].demand if known else reservation.amount
-            self.add(key, reservation.service, workspace, amount)
+            amount, long_running = reservation.amount, reservation.long_running
+            if number < len(steps):
+                amount, long_running = steps[number].demand, steps[number].long_running
+            self.add(key, reservation.service, workspace, amount, long_running)
 
     def hold(self, job: JobId, workspace: WorkspaceName, amount: Resources) -> None:
         """Count what a job's unknown runs may use, until ``release_held``."""
@@ -123,6 +127,22 @@
         """Return what a workspace uses over all services, including what is held."""
         return self._used.get(workspace, NOTHING)
 
+    def used_by_long_running(self, workspace: WorkspaceName) -> Resources:
+        """Return what the long-running tasks of a workspace use."""
+        return self._long_running.get(workspace, NOTHING)
+
+    def smallest_runs(self) -> dict[WorkspaceName, Resources]:
+        """Return the least of each resource that a run of each workspace uses."""
+        smallest: dict[WorkspaceName, Resources] = {}
+        for run in self._runs.values():
+            amount, least = run.amount, smallest.get(run.workspace, run.amount)
+            smallest[run.workspace] = Resources(
+                min(amount.cpu, least.cpu),
+                min(amount.memory, least.memory),
+                min(amount.accelerators, least.accelerators),
+            )
+        return smallest
+
     def run_count(self, workspace: WorkspaceName) -> int:
         """Return the number of runs of a workspace."""
         return self._run_counts.get(workspace, 0)
--- a/tests/test_workspace_machine.py
+++ b/tests/test_workspace_machine.py
@@ -113,9 +113,12 @@
         self.accepted[job] = record
         self.driver.load(record)
 
-    @rule(nodes=st.sets(st.sampled_from(NODES)))
-    def wait_and_report(self, nodes):
-        self.driver.wait(0.3)
+    @rule(
+        nodes=st.sets(st.sampled_from(NODES)),
+        seconds=st.sampled_from((0.3, 0.3, 1.5)),
+    )
+    def wait_and_report(self, nodes, seconds):
+        self.driver.wait(seconds)
         for name in sorted(nodes):
             if self.nodes[name].is_polled:
                 self.report(name)
@@ -293,6 +296,10 @@
         for job in self.scheduler.active.values():
             if policy.standing(job) is not Standing.WITHIN_SHARE:
                 continue
+            hold = policy.holds.of(job.accepted.workspace)
+            if hold is not None and hold.passed.job is not job:
+                self.check_hold(hold)
+                continue
             for (_, number), positions in job.pending.items():
                 step = job.accepted.spec.steps[number]
                 if step.gang or not self.fits_limit(job.accepted.workspace, step):
@@ -305,6 +312,15 @@
                 ]
                 assert not (free and positions), (job.job_id, step, free)
 
+    def check_hold(self, hold):
+        """Check that others wait for a task that waits, and not for too long."""
+        job, now = hold.passed.job, self.driver.now
+        assert job.job_id in self.scheduler.active
+        assert job.pending
+        waited = hold.begun_at - job.arrived_at
+        assert waited >= 5.0
+        assert now - hold.begun_at < waited / 4
+
     def fits_limit(self, name, step):
         limit = self.limits[name] * 1000
         used = self.driver.policy.ledger.used(name).cpu
--- a/tests/test_workspace_walks.py
+++ b/tests/test_workspace_walks.py
@@ -22,7 +22,8 @@
 
 
 def wait_and_report(machine, rng):
-    machine.wait_and_report({name for name in NODES if rng.random() < 0.7})
+    nodes = {name for name in NODES if rng.random() < 0.7}
+    machine.wait_and_report(nodes, rng.choice((0.3, 0.3, 1.5)))
 
 
 def plan(machine, rng):
