--- a/tests/test_workspace_open_faults.py
+++ b/tests/test_workspace_open_faults.py
@@ -105,7 +105,7 @@
     assert first.worker == second.worker
     holder = driver.worker(str(first.worker))
     driver.scheduler.discard_run(first, holder)
-    holder.health.quarantine(driver.now)
+    holder.process.health.quarantine(driver.now)
     (copy,) = driver.start_all()
     driver.report(str(first.worker), running=[listed(second)], ended=[end_of(first)])
     assert not job.is_final
