--- a/tests/test_worker_process_calls.py
+++ b/tests/test_worker_process_calls.py
@@ -223,8 +223,8 @@
     return rule.fate.value if isinstance(rule, FateRule) else ""
 
 
-async def poll_from(platform, name, rule):
-    """Wait until a call has the fate of a rule; return when."""
+async def await_call(platform, name, rule):
+    """Wait until a call to a worker has the fate of a rule; return when."""
     rule = replace(rule, worker=name)
     platform.network.rules.append(rule)
     await platform.until(lambda: not rule.count, 2.0)
@@ -242,7 +242,7 @@
 
     async def main(platform):
         name = await free_worker(platform)
-        sent_at = await poll_from(platform, name, rule)
+        sent_at = await await_call(platform, name, rule)
         await platform.sleep(0.05)
         platform.crash(name, dark=True)
         await platform.sleep(sent_at + back - platform.now)
@@ -280,7 +280,7 @@
         await platform.sleep(0.5)
         (name,) = {s.worker for s in platform.starts(done)}
         rule = FateRule("/hold", fate, 2.5, count=1)
-        sent_at = await poll_from(platform, name, rule)
+        sent_at = await await_call(platform, name, rule)
         assert platform.hosts[name].fake.acknowledged_sequence == 3
         await platform.sleep(0.05)
         platform.crash(name, dark=True)
@@ -306,10 +306,8 @@
         name = await free_worker(platform, busy_seconds=60.0)
         job = platform.submit(TASK_SECONDS)
         await platform.until(lambda: platform.starts(job), 1.0)
-        platform.network.rules.append(rule)
-        rule.worker = name
         platform.cancel(job)
-        await platform.until(lambda: not rule.count, 1.0)
+        await await_call(platform, name, rule)
         platform.crash(name, dark=True)
         await platform.sleep(0.5)
         platform.restart(name, clock)
--- a/tests/worker_process_driver.py
+++ b/tests/worker_process_driver.py
@@ -89,7 +89,7 @@
     def _add_host(self, name: str, address: str) -> None:
         fake = FakeWorker(
             WorkerId(name), SERVICE, Resources(1000, 8000, 0), RackId("r"),
-            self.wall_ms, clock_offset_ms=100_000_000,
+            self.wall_ms, clock_offset_ms=10_000_000_000,
         )  # fmt: skip
         oracle, guard = self.oracle, self.network.guard
         fake.on_start = guard(oracle.check_start)
