Emulator: calls that the next process of a worker carries out

Cause: the stand-in worker's clock was always 1.2 s ahead after a restart, and late orders were dropped when their worker had restarted, so no fuzzer saw tasks that run twice after a restart. Change: the clock of a next process is drawn behind or ahead of the former one, by up to 5 hours. Late orders go to the process that is up under the id. Polls can be late, calls lost or doubled, and calls to a worker that is down or cut off held back; these faults are drawn from a generator of their own. A cursor forgets only ends that are there when the call is carried out. New fuzz seeds 2000 to 2059 restart workers under their ids and cut them off soon after.

--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -23,10 +23,17 @@
 )
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources
 from ebonyhub.jobs.records import JobState, ProgressRecord
-from ebonyhub.scheduling.model import OrderFailure, StartOrder, WorkerEntry
+from ebonyhub.scheduling.model import (
+    OrderFailure,
+    StartOrder,
+    WorkerEntry,
+    WorkerReport,
+)
 from ebonyhub.scheduling.orders import FetchReport, StartRun, StopRun
 from ebonyhub.scheduling.scheduler import Scheduler
 from ebonyhub.scheduling.workspaces.policy import WorkspaceRules
+from standins.call_faults import CallFate
+from standins.call_faults import Faults as Faults
 from standins.emulated_configuration import MAX_ATTEMPTS as MAX_ATTEMPTS
 from standins.emulated_configuration import QUEUE as QUEUE
 from standins.emulated_configuration import SERVICE as SERVICE
@@ -34,7 +41,7 @@
 from standins.emulated_configuration import (
     one_queue_configuration as one_queue_configuration,
 )
-from standins.fake_worker import FakeWorker
+from standins.fake_worker import FIRST_CLOCK_MS, FakeWorker
 from standins.oracle import Oracle
 
 STEP_SECONDS = 0.05
@@ -45,16 +52,6 @@
 LEASE_EXTENSION_SECONDS = 5.0
 
 
-@dataclass(slots=True)
-class Faults:
-    """Probabilities of each fault, from 0 to 1."""
-
-    lost_answer_rate: float = 0.0
-    late_order_rate: float = 0.0
-    failed_commit_rate: float = 0.0
-    late_commit_rate: float = 0.0
-
-
 @dataclass
 class Emulator:
     """One service with its workers, the stored records and the current leader."""
@@ -73,6 +70,9 @@
     def __post_init__(self) -> None:
         """Create workers and the first leader."""
         self.rng = random.Random(self.seed)
+        # Draws which calls are lost, late or doubled, so that the other draws of a seed
+        # stay as they are without these faults.
+        self.call_rng = random.Random(f"{self.seed}/calls")
         self.oracle = Oracle(lambda: self.now, MAX_ATTEMPTS)
         self.configuration = EmulatedConfiguration()
         self.accepted: dict[JobId, AcceptedJob] = {}
@@ -105,7 +105,8 @@
             rack=RackId(f"r{number % 2}"),
             born_ms=int(self.now * 1000) + number,
             clock_rate=self.rng.choice([1.0, 0.98]),
-            clock_offset_ms=self.rng.randrange(10**6),
+            clock_offset_ms=FIRST_CLOCK_MS + self.rng.randrange(10**6),
+            clock_rng=random.Random(f"{self.seed}/{name}/clock"),
         )
         worker.on_start = self.oracle.check_start
         worker.on_end = self.oracle.record_end
@@ -251,7 +252,7 @@
         """Write the worker's entry at its time, unless the store is down."""
         name = worker.worker
         first = self.now + self.rng.uniform(0, self.heartbeat_seconds)
-        if self.now < self.next_heartbeat_at.setdefault(name, first):
+        if self.now < self.next_heartbeat_at.setdefault(name, first) or not worker.up:
             return
         self.next_heartbeat_at[name] += self.heartbeat_seconds
         if not self.store_up:
@@ -274,7 +275,17 @@
         ):
             lease = worker.clock_now_ms(self.now) + int(WORKER_LEASE_SECONDS * 1000)
             worker.lease_end_ms = max(worker.lease_end_ms, lease)
-        if not fake.up or fake.partitioned:
+        same_leader = self.connected.get(name, (0, 0))[1] == self.token
+        late_cursor = worker.acknowledged_sequence if same_leader else 0
+        token = self.token
+        fate = self._draw_fate(fake, self.faults.late_poll_rate)
+        if fate.is_late:
+            self._deliver_late(
+                name, lambda: self._deliver_poll(name, token, late_cursor, lease)
+            )
+        if not fate.arrives:
+            # The next poll uses a new connection, and so acknowledges nothing.
+            self.connected.pop(name, None)
             if worker.silent_since is None:
                 worker.silent_since = self.now
             return
@@ -282,15 +293,32 @@
         same_incarnation = self.connected.get(name) == (fake.born_ms, self.token)
         acknowledged_sequence = worker.acknowledged_sequence if same_incarnation else 0
         self.connected[name] = (fake.born_ms, self.token)
-        report = fake.poll(self.token, acknowledged_sequence, lease, self.now)
+        report = self._deliver_poll(name, token, acknowledged_sequence, lease)
         if isinstance(report, OrderFailure):
             self.scheduler = None
             return
-        self.oracle.record_acknowledgement(fake, fake.acknowledged_sequence)
-        if self.rng.random() < self.faults.lost_answer_rate:
+        if self.rng.random() < self.faults.lost_answer_rate or fate.is_late:
             return
         scheduler.handle_report(worker, report, self.now, self.now, self._wall_ms())
 
+    def _deliver_poll(
+        self,
+        name: WorkerId,
+        token: LeaderToken,
+        acknowledged_sequence: int,
+        lease_end_ms: int | None,
+    ) -> WorkerReport | OrderFailure:
+        """Carry out a poll on the process that is up now under a worker's id."""
+        fake = self.workers[name]
+        report = fake.poll(token, acknowledged_sequence, lease_end_ms, self.now)
+        if not isinstance(report, OrderFailure):
+            self.oracle.record_acknowledgement(fake, fake.forgotten_sequence)
+        return report
+
+    def _draw_fate(self, fake: FakeWorker, late_rate: float) -> CallFate:
+        reachable = fake.up and not fake.partitioned
+        return self.faults.draw_fate(self.call_rng, reachable, late_rate)
+
     def _commit(self, scheduler: Scheduler) -> None:
         for job in list(scheduler.dirty.values()):
             draw = self.rng.random()
@@ -385,42 +413,49 @@
         action: Callable[[], OrderFailure | None],
         on_result: Callable[[OrderFailure | None], None],
     ) -> None:
-        """Deliver an order at once, late, or with its answer lost."""
-        fake = self.workers[name]
-        if not fake.up or fake.partitioned:
+        """Deliver an order at once, late or twice, or with its answer lost."""
+        fate = self._draw_fate(self.workers[name], self.faults.late_call_rate)
+        if fate.is_late:
+            self._deliver_late(name, action)
+        if not fate.arrives:
             on_result(OrderFailure.UNKNOWN)
             return
         draw = self.rng.random()
         if draw < self.faults.late_order_rate:
-            self._deliver_late(fake, action)
+            self._deliver_late(name, action)
             on_result(OrderFailure.UNKNOWN)
             return
         result = action()
-        if draw < self.faults.late_order_rate + self.faults.lost_answer_rate:
+        lost_rate = self.faults.late_order_rate + self.faults.lost_answer_rate
+        if draw < lost_rate or fate.is_late:
             on_result(OrderFailure.UNKNOWN)
             return
         if result is OrderFailure.FENCED:
             self.scheduler = None
         on_result(result)
 
-    def _deliver_late(
-        self, fake: FakeWorker, action: Callable[[], OrderFailure | None]
-    ) -> None:
-        """Deliver an order 2 to 12 s later, unless the worker has restarted by then."""
-        born = fake.born_ms
+    def _deliver_late(self, name: WorkerId, action: Callable[[], object]) -> None:
+        """Carry out a call 2 to 12 s later, on the process under the id by then."""
 
         def carry_out() -> None:
-            if fake.up and fake.born_ms == born:
+            fake = self.workers.get(name)
+            if fake is not None and fake.up:
                 action()
 
         self.run_later(self.rng.uniform(2, 12), carry_out)
 
     # Faults
 
-    def crash_worker(self, name: WorkerId) -> None:
-        """Crash a worker and remove its entry; its connections break at once."""
+    def crash_worker(self, name: WorkerId, entry_stays: bool = False) -> None:
+        """Crash a worker and remove its entry; its connections break at once.
+
+        ``entry_stays`` leaves the entry in the store, where the platform removes it
+        only after some seconds, and leaves the connections open.
+        """
         self.oracle.record_crash(self.workers[name])
         self.workers[name].crash()
+        if entry_stays:
+            return
         self.next_poll_at[name] = self.now
         self.workers[name].registered = False
 
--- a/standins/fake_worker.py
+++ b/standins/fake_worker.py
@@ -1,5 +1,6 @@
 """In-memory worker that follows the platform's rules for leases, fencing and runs."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -17,6 +18,11 @@
 
 # Upper bound of a lease from now; the worker shortens longer ones.
 MAX_LEASE_MS = 10_000
+# Clock of the first process at time 0; the clocks of later ones may be behind it.
+FIRST_CLOCK_MS = 6 * 3_600_000
+# Largest differences of the clock of a next process from that of the former one: less
+# than a lease, a few leases, minutes, hours.
+CLOCK_CHANGES_MS = (6_000, 30_000, 600_000, 5 * 3_600_000)
 NO_TOKEN = LeaderToken(0)
 NO_VM = VmId("")
 
@@ -55,7 +61,9 @@
     partitioned: bool = False
     registered: bool = True
     draining: bool = False
-    clock_offset_ms: int = 0
+    clock_offset_ms: int = FIRST_CLOCK_MS
+    # Draws the origin of the clock of each next process.
+    clock_rng: random.Random = field(default_factory=lambda: random.Random(1))
     token: LeaderToken = NO_TOKEN
     lease_end_ms: int = 0
     runs: dict[TaskId, FakeRun] = field(default_factory=dict)
@@ -64,7 +72,9 @@
     highest_closed_run: dict[TaskId, int] = field(default_factory=dict)
     ended: list[EndedTask] = field(default_factory=list)
     sequence: int = 0
+    # Highest number that a call has acknowledged, and highest one of a forgotten end.
     acknowledged_sequence: int = 0
+    forgotten_sequence: int = 0
     # VM that hosts the worker; if empty, ``vm-`` and the worker's id.
     vm: VmId = NO_VM
     on_start: Callable[["FakeWorker", TaskId, int], None] = lambda *_: None
@@ -179,7 +189,11 @@
         lease_end_ms: int | None,
         now: float,
     ) -> WorkerReport | OrderFailure:
-        """Extend the lease, drop acknowledged ends and return the current report."""
+        """Extend the lease, drop acknowledged ends and return the current report.
+
+        Only ends that are there when the call is carried out are dropped; later ones
+        are not, even if their numbers are lower than that of the call.
+        """
         if token < self.token:
             return OrderFailure.FENCED
         self.token = token
@@ -189,8 +203,10 @@
         self.acknowledged_sequence = max(
             self.acknowledged_sequence, acknowledged_sequence
         )
-        while self.ended and self.ended[0].sequence <= self.acknowledged_sequence:
-            self.on_acknowledge(self, self.ended.pop(0), token)
+        while self.ended and self.ended[0].sequence <= acknowledged_sequence:
+            end = self.ended.pop(0)
+            self.forgotten_sequence = end.sequence
+            self.on_acknowledge(self, end, token)
         running = tuple(
             RunningTask(task, run.number, "", run.progress_percent(clock), 0.0)
             for task, run in self.runs.items()
@@ -210,7 +226,10 @@
         self.runs.clear()
 
     def restart(self, born_ms: int) -> None:
-        """Start a new worker process under the same id, without the old one's state."""
+        """Start a new worker process under the same id, without the old one's state.
+
+        Its clock is behind that of the old one or ahead of it, by up to hours.
+        """
         self.up, self.partitioned, self.draining, self.registered = (
             True,
             False,
@@ -222,5 +241,13 @@
         self.lease_end_ms = 0
         self.highest_closed_run.clear()
         self.ended.clear()
-        self.sequence = self.acknowledged_sequence = 0
-        self.clock_offset_ms += 1234
+        self.sequence = self.acknowledged_sequence = self.forgotten_sequence = 0
+        self._draw_clock_origin()
+
+    def _draw_clock_origin(self) -> None:
+        change = self.clock_rng.randint(1, self.clock_rng.choice(CLOCK_CHANGES_MS))
+        is_behind = self.clock_rng.random() < 0.5
+        # The clock stays positive.
+        if is_behind and change <= self.clock_offset_ms:
+            change = -change
+        self.clock_offset_ms += change
--- a/tests/test_scheduler_fuzz.py
+++ b/tests/test_scheduler_fuzz.py
@@ -3,7 +3,8 @@
 Guards against tasks that run twice, before the steps they depend on, beyond a worker's
 capacity or after cancellation, while answers are lost, orders and commits are late,
 workers are cut off or restarted, and leadership changes. In some seeds, also against
-workspaces that run more than their limits.
+workspaces that run more than their limits; in others, workers restart under their ids
+and are cut off, while calls to their former processes are still carried out.
 """
 
 import random
@@ -36,6 +37,16 @@
 # Longest time until the entries know a new limit, so that orders of the time before
 # have ended or are too late within the platform's 3 s.
 MAX_ANNOUNCEMENT_SECONDS = 1.0
+# Seeds in which workers restart under their ids, and the longest time in which all of
+# their jobs end: tasks that may have crashed their workers run alone, for up to 40 s each.
+RESTART_SEEDS = range(2000, 2060)
+RESTART_RECOVERY_SECONDS = 400.0
+# Estimates of long tasks, which outlast the lease of a worker that is cut off.
+LONG_ESTIMATES_MS = (8_000, 14_000, 20_000)
+# Seconds for which a restarting worker is down, until it is cut off, and of the cut.
+DOWN_SECONDS = (0.1, 1.6)
+CUT_AFTER_SECONDS = (0.2, 2.6)
+CUT_SECONDS = (2.0, 14.0)
 # Seconds by which the leader's wall clock jumps.
 CLOCK_JUMP = 2.4
 
@@ -211,6 +222,99 @@
     play_faults(seed, with_limits=True)
 
 
+def long_spec(rng: random.Random) -> JobSpec:
+    demand = Resources(rng.choice([500, 1500]), 500, 0)
+    estimate = rng.choice(LONG_ESTIMATES_MS)
+    return JobSpec("text", (StepSpec(rng.randint(1, 3), demand, estimate),))
+
+
+def draw_call_faults(rng: random.Random) -> Faults:
+    """Draw faults of the calls to workers, many of them to former processes."""
+    return Faults(
+        lost_answer_rate=rng.choice([0.0, 0.05]),
+        late_commit_rate=rng.choice([0.0, 0.0, 0.1]),
+        late_poll_rate=rng.choice([0.0, 0.05, 0.2]),
+        late_call_rate=rng.choice([0.0, 0.05, 0.2]),
+        lost_call_rate=rng.choice([0.0, 0.05]),
+        doubled_call_rate=rng.choice([0.0, 0.1]),
+        held_call_rate=rng.choice([0.2, 0.6, 1.0]),
+    )
+
+
+@dataclass
+class Restarts:
+    """Restarts workers under their ids and cuts them off soon after, under load."""
+
+    emulator: Emulator
+    rng: random.Random
+    jobs: list[JobId]
+
+    def submit(self) -> None:
+        """Submit short and long tasks."""
+        for draw_spec in (random_spec, long_spec):
+            self.jobs.append(self.emulator.submit(draw_spec(self.rng)))
+
+    def run(self, shortest: float, longest: float) -> None:
+        """Let time pass; a leader that has ended its term has a successor."""
+        self.emulator.run(self.rng.uniform(shortest, longest))
+        if self.emulator.scheduler is None or self.rng.random() < 0.1:
+            self.emulator.elect_leader()
+
+    def restart_and_cut(self) -> None:
+        """Restart a worker once or twice, then cut it off for a time."""
+        name = self.rng.choice(list(self.emulator.workers))
+        worker = self.emulator.workers[name]
+        self.emulator.store_up = self.rng.random() < 0.8
+        for _ in range(self.rng.choice([1, 1, 2])):
+            self.emulator.crash_worker(name, entry_stays=self.rng.random() < 0.7)
+            self.run(*DOWN_SECONDS)
+            self.emulator.restart_worker(name)
+            self.run(0.1, 0.6)
+            self.emulator.store_up = self.emulator.store_up or self.rng.random() < 0.5
+            self.submit()
+            self.run(*CUT_AFTER_SECONDS)
+        worker.partitioned = True
+        self.emulator.store_up = True
+        self.run(*CUT_SECONDS)
+        worker.partitioned = False
+
+
+def play_restarts(seed: int) -> None:
+    """Restart workers under their ids and cut them off, then heal and check."""
+    rng = random.Random(f"{seed}/restarts")
+    emulator = Emulator(
+        seed,
+        worker_count=rng.choice([2, 3, 4]),
+        faults=draw_call_faults(rng),
+        heartbeat_seconds=rng.choice([0.0, 1.0]),
+    )
+    restarts = Restarts(emulator, rng, [emulator.submit(long_running_spec(rng))])
+    for _ in range(4):
+        restarts.submit()
+        restarts.run(0.5, 4.0)
+        restarts.restart_and_cut()
+    heal(emulator)
+    end = emulator.now + RESTART_RECOVERY_SECONDS
+    while emulator.now < end and not has_recovered(emulator, restarts.jobs):
+        emulator.run(5.0)
+    check_states(emulator, restarts.jobs)
+
+
+def has_recovered(emulator: Emulator, jobs: list[JobId]) -> bool:
+    """Return whether check_states holds."""
+    try:
+        check_states(emulator, jobs)
+    except AssertionError:
+        return False
+    return True
+
+
+@pytest.mark.parametrize("seed", RESTART_SEEDS)
+def test_guarantees_hold_when_calls_reach_the_next_process(seed: int):
+    """Leases, cursors and starts that were meant for a former process do no harm."""
+    play_restarts(seed)
+
+
 def test_job_whose_tasks_always_fail_is_failed():
     emulator = Emulator(1)
     job = emulator.submit(JobSpec("t", (StepSpec(2, Resources(500, 100), 300),)))
