--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,11 +21,15 @@
 
 from .key_checks import KeyedCall, KeyMonitor
 from .scopes import CallerScope, ScopePlan
-from .workload import DrawnJob, JobKind, draw_job, draw_lasting_job
+from .workload import DrawnJob, JobKind, draw_job, draw_lasting_job, draw_long_job
 
 # Range of the seconds between two submissions, for this number of workers.
 JOB_INTERVAL_SECONDS = (0.05, 0.3)
 REFERENCE_WORKERS = 4
+# The same between two jobs of long tasks, and the number of these after each restart of
+# a worker that will be cut off. Each of their tasks may have to run alone later.
+LONG_JOB_INTERVAL_SECONDS = (0.1, 0.6)
+LONG_JOBS = 3
 RETRY_DELAY_SECONDS = 0.2
 # Seconds between two calls on a persistent connection; there is one of each to every
 # entry.
@@ -73,6 +77,8 @@
     # Draws who leaves; apart from ``rng``, which draws the jobs.
     leaving_rng: random.Random = field(default_factory=lambda: random.Random(1))
     plan: ScopePlan = field(default_factory=ScopePlan)
+    # Set when a worker has restarted that will be cut off.
+    long_jobs_wanted: asyncio.Event = field(default_factory=asyncio.Event)
     # Checks the answers to calls with keys; None without workspaces.
     key_monitor: KeyMonitor | None = None
 
@@ -108,6 +114,18 @@
                 pause = self.rng.uniform(*JOB_INTERVAL_SECONDS)
                 await asyncio.sleep(pause / scale)
 
+    async def submit_long_jobs(self, rng: random.Random) -> None:
+        """Submit jobs of long tasks when they are wanted, until it is cancelled."""
+        # The first scope has no limit.
+        scope = self.plan.scopes()[0]
+        async with asyncio.TaskGroup() as group:
+            while True:
+                await self.long_jobs_wanted.wait()
+                self.long_jobs_wanted.clear()
+                for _ in range(LONG_JOBS):
+                    group.create_task(self._run_job(draw_long_job(rng), scope))
+                    await asyncio.sleep(rng.uniform(*LONG_JOB_INTERVAL_SECONDS))
+
     def _register(self, drawn: DrawnJob, scope: CallerScope) -> None:
         """Record a job that will be submitted in a scope."""
         spec = decode_submission(json.dumps(drawn.body).encode())
@@ -132,9 +150,10 @@
             self.reported_outcomes[job] = previous
         return self.reported_outcomes[job]
 
-    async def _run_job(self, drawn: DrawnJob) -> None:
+    async def _run_job(self, drawn: DrawnJob, scope: CallerScope | None = None) -> None:
+        """Submit a job until it is accepted, in a drawn scope if none is given."""
         job, body = drawn.job, drawn.body
-        self._register(drawn, self.plan.assign(drawn))
+        self._register(drawn, scope or self.plan.assign(drawn))
         while self.reported_outcomes[job] is not ReportedOutcome.ACCEPTED:
             entry = self.rng.choice(self.cluster.names)
             previous, self.reported_outcomes[job] = (
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,6 +4,9 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
+from time import monotonic
+from typing import Any
 
 from ebonyhub.ids import JobId, LeaderToken, TaskId
 from ebonyhub.platform.workers import task_name
@@ -55,6 +58,7 @@
                 fake.on_acknowledge, self._check_acknowledgement
             )
             worker.on_crash = self._after(worker.on_crash, self._record_crash)
+            worker.late_calls.on_call = partial(self._write_late_call, fake)
 
     def _check_start(self, worker: FakeWorker, task: TaskId, number: int) -> None:
         name = task_name(task)
@@ -76,6 +80,15 @@
         self.timeline.write(f"worker {worker.worker} crashes or leaves")
         self.oracle.record_crash(worker)
 
+    def _write_late_call(
+        self, worker: FakeWorker, name: str, body: dict[str, Any]
+    ) -> None:
+        arguments = {key: body[key] for key in body if key != "Spec"}
+        self.timeline.write(
+            f"late {name} {arguments} worker={worker.worker} born={worker.born_ms} "
+            f"clock={worker.clock_ms(monotonic())} up={worker.up}"
+        )
+
     def _check_acknowledgement(
         self, worker: FakeWorker, end: EndedTask, token: LeaderToken
     ) -> None:
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from standins.job_cluster import JobCluster
@@ -34,6 +35,8 @@
     foreign_writer: ForeignWriter
     timeline: Timeline
     impairments: Impairments = field(default_factory=Impairments)
+    # Called when a worker has restarted that will be cut off.
+    on_worker_restart: Callable[[], None] = lambda: None
 
     @property
     def configuration_version(self) -> int:
@@ -67,12 +70,11 @@
                 with recorded_in(self.impairments.refusal(entry)):
                     await self._impair_link(self.store_links[entry], fault)
             case FaultKind.WORKER_LINK:
-                link = self.worker_links[worker.fake.worker]
-                worker.fake.partitioned = True
-                await self._impair_link(link, fault)
-                worker.fake.partitioned = link.mode is not LinkMode.PASS
+                await self._cut_off(worker, fault)
             case FaultKind.WORKER_CRASH:
                 await self._crash_worker(worker, fault.seconds)
+            case FaultKind.WORKER_RECUT:
+                await self._recut_worker(worker, fault)
             case FaultKind.WORKER_ENTRY:
                 self.cluster.platform.core.delete(f"servers/{worker.fake.worker}")
                 await asyncio.sleep(fault.seconds)
@@ -133,6 +135,47 @@
         worker.fake.restart(int(time.time() * 1000))
         worker.register()
 
+    async def _cut_off(self, worker: WorkerServer, fault: Fault) -> None:
+        """Impair the link to a worker for a time."""
+        link = self.worker_links[worker.fake.worker]
+        worker.fake.partitioned = True
+        await self._impair_link(link, fault)
+        worker.fake.partitioned = link.mode is not LinkMode.PASS
+
+    async def _recut_worker(self, worker: WorkerServer, fault: Fault) -> None:
+        """Restart a worker under its id, and cut it off soon after.
+
+        The calls from shortly before the crash until the restart have no answers. They
+        are carried out 2 to 12 s later, by the process that is up then.
+        """
+        recut = fault.recut
+        if recut is None or not worker.fake.up:
+            return
+        for down_seconds, up_seconds in recut.restarts:
+            worker.late_calls.active = True
+            await asyncio.sleep(recut.hold_seconds)
+            # Another fault may have ended the process in the meantime.
+            if worker.fake.up:
+                worker.crash()
+            if recut.resets_links:
+                self.worker_links[worker.fake.worker].reset()
+            await asyncio.sleep(down_seconds)
+            worker.late_calls.active = False
+            if not worker.fake.up:
+                worker.fake.restart(int(time.time() * 1000))
+            worker.register()
+            self._write_restart(worker)
+            self.on_worker_restart()
+            await asyncio.sleep(up_seconds)
+        await self._cut_off(worker, fault)
+
+    def _write_restart(self, worker: WorkerServer) -> None:
+        clock = worker.fake.clock_ms(time.monotonic())
+        self.timeline.write(
+            f"worker {worker.fake.worker} is up: born={worker.fake.born_ms} "
+            f"clock={clock} offset={worker.fake.clock_offset_ms}"
+        )
+
     async def _drain_worker(self, worker: WorkerServer, seconds: float) -> None:
         """Let a worker drain and leave, and start anew under the same id."""
         if not worker.fake.up or worker.fake.draining:
@@ -213,6 +256,7 @@
         for worker in self.cluster.platform.workers:
             worker.fake.partitioned = False
             worker.odd_report = None
+            worker.late_calls.active = False
             if not worker.fake.up:
                 worker.fake.restart(int(time.time() * 1000))
             worker.register()
--- a/soak/run.py
+++ b/soak/run.py
@@ -23,7 +23,7 @@
 from .key_calls import KeyCalls
 from .key_checks import KeyMonitor
 from .proxy import Proxy
-from .schedule import draw_faults
+from .schedule import Fault, draw_faults
 from .scopes import Play, draw_play, plan_scopes
 from .stored_progress import StoredProgressCheck
 from .timeline import Timeline
@@ -69,16 +69,14 @@
     return store_links, worker_links
 
 
-async def inject(injector: Injector, seed: int, seconds: float) -> int:
-    """Inject the faults of a seed; return their number."""
-    faults = draw_faults(seed, seconds)
+async def inject(injector: Injector, faults: list[Fault]) -> None:
+    """Inject faults at their times; return once all have ended."""
     loop = asyncio.get_running_loop()
     started = loop.time()
     async with asyncio.TaskGroup() as group:
         for fault in faults:
             await asyncio.sleep(max(0.0, started + fault.at - loop.time()))
             group.create_task(injector.inject_fault(fault))
-    return len(faults)
 
 
 async def check_configuration(injector: Injector, cluster: JobCluster) -> list[str]:
@@ -123,9 +121,11 @@
             *map(asyncio.create_task, self.key_calls.calls()),
         ]
 
-    def start_load(self) -> list[asyncio.Task[None]]:
+    def start_load(self, seed: int) -> list[asyncio.Task[None]]:
         """Start the submissions and changes, which end with the faults."""
         tasks = [asyncio.create_task(self.callers.submit_jobs())]
+        rng = random.Random(f"{seed}/long")
+        tasks.append(asyncio.create_task(self.callers.submit_long_jobs(rng)))
         if self.key_calls.plan.play is Play.WORKSPACES:
             tasks.append(asyncio.create_task(self.key_calls.change_configurations()))
         return tasks
@@ -174,6 +174,10 @@
     stored_progress = StoredProgressCheck(cluster.platform.core, oracle)
     monitor = GuaranteeMonitor(cluster, oracle, stored_progress, timeline)
     store_links, worker_links = await start_proxies(cluster)
+    for worker in cluster.platform.workers:
+        name = worker.fake.worker
+        worker.fake.clock_rng = random.Random(f"{seed}/{name}/clock")
+        worker.late_calls.rng = random.Random(f"{seed}/{name}/late")
     await cluster.platform.start()
     monitor.attach()
     callers.finished_jobs = store_finished_jobs(
@@ -182,6 +186,7 @@
     injector = Injector(
         cluster, store_links, worker_links, ForeignWriter(cluster), timeline
     )
+    injector.on_worker_restart = callers.long_jobs_wanted.set
     key_monitor = KeyMonitor(injector.impairments)
     if play is Play.WORKSPACES:
         callers.key_monitor = key_monitor
@@ -208,8 +213,9 @@
             run.cluster.start_entry(name)
         await wait_until_ready(run.cluster)
         tasks = run.start_tasks()
-        load_tasks = run.start_load()
-        fault_count = await inject(run.injector, seed, seconds)
+        faults = draw_faults(seed, seconds)
+        load_tasks = run.start_load(seed)
+        await inject(run.injector, faults)
         await run.end_load(load_tasks)
         problems = await run.final_problems()
         watched = [*load_tasks, *tasks, *run.cluster.platform.clock_tasks]
@@ -220,7 +226,7 @@
             save_logs(run.cluster, seed, problems)
         jobs = len(run.callers.reported_outcomes)
         answers = frozenset(run.key_calls.monitor.seen)
-        return SeedReport(seed, fault_count, jobs, starts, tuple(problems), answers)
+        return SeedReport(seed, len(faults), jobs, starts, tuple(problems), answers)
     finally:
         for task in tasks:
             task.cancel()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -51,6 +51,7 @@
     ODD_REPORTS = "odd_reports"
     WORKER_LEAVES = "worker_leaves"
     STORE_WRITES_LATE = "store_writes_late"
+    WORKER_RECUT = "worker_recut"
 
 
 # By kind: weight, shortest and longest duration in seconds.
@@ -89,6 +90,22 @@
     FaultKind.STORE_DROPS_HISTORY, FaultKind.WORKER_CRASH, FaultKind.WORKER_LEAVES,
 ]  # fmt: skip
 SERIES_WEIGHT = 3
+# Range of the seconds between two restarts of workers that are cut off soon after.
+RECUT_INTERVAL_SECONDS = (4.0, 12.0)
+# Ranges of the seconds for which calls are held back before the crash, the worker is
+# down, and its next process can be reached; and of the cut, which outlasts a lease.
+HOLD_SECONDS = (0.1, 1.2)
+DOWN_SECONDS = (0.3, 1.8)
+CUT_AFTER_SECONDS = (0.3, 3.0)
+CUT_SECONDS = (7.0, 12.0)
+# Share of such workers that restart twice.
+TWICE_SHARE = 0.2
+# Share of seeds in which two workers do so after the other faults, when no change of the
+# leader delays the loss of a worker, and the seconds until then.
+CALM_RECUT_SHARE = 0.4
+CALM_RECUTS = 2
+CALM_SECONDS = (2.0, 4.0)
+CUT_MODES = [LinkMode.HOLD, LinkMode.SILENT, LinkMode.RESET]
 LINK_MODES = [mode for mode in LinkMode if mode is not LinkMode.PASS]
 
 
@@ -107,6 +124,17 @@
     permanent: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Recut:
+    """How a worker restarts before it is cut off."""
+
+    hold_seconds: float
+    # For each restart: seconds for which the worker is down, and up after that.
+    restarts: tuple[tuple[float, float], ...]
+    # Whether the crash resets the connections; else they stay open.
+    resets_links: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """One fault; ``at`` and ``seconds`` count from the start of the load."""
@@ -120,11 +148,16 @@
     at_leader: bool
     mode: LinkMode
     foreign: ForeignChange | None = None
+    recut: Recut | None = None
 
 
 def draw_faults(seed: int, seconds: float) -> list[Fault]:
     """Return the faults of a run of the given length, in order of their start."""
-    faults = [*_draw_outages(seed, seconds), *_draw_foreign_faults(seed, seconds)]
+    faults = [
+        *_draw_outages(seed, seconds),
+        *_draw_foreign_faults(seed, seconds),
+        *_draw_recuts(seed, seconds),
+    ]
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -198,3 +231,36 @@
         drawn.at, kind, drawn.seconds, drawn.target, drawn.at_leader, drawn.mode,
         foreign,
     )  # fmt: skip
+
+
+def _draw_recuts(seed: int, seconds: float) -> list[Fault]:
+    """Return restarts of workers under their ids that are soon followed by a cut.
+
+    A sequence of its own, as the faults of other writers.
+    """
+    rng = random.Random(f"{seed}/recuts")
+    faults: list[Fault] = []
+    if rng.random() < CALM_RECUT_SHARE:
+        times = [seconds + rng.uniform(*CALM_SECONDS) for _ in range(CALM_RECUTS)]
+        faults += [_draw_recut(rng, at) for at in times]
+    at = rng.uniform(*RECUT_INTERVAL_SECONDS)
+    while at < seconds:
+        faults.append(_draw_recut(rng, at))
+        at += rng.uniform(*RECUT_INTERVAL_SECONDS)
+    return faults
+
+
+def _draw_recut(rng: random.Random, at: float) -> Fault:
+    restarts = 2 if rng.random() < TWICE_SHARE else 1
+    recut = Recut(
+        hold_seconds=rng.uniform(*HOLD_SECONDS),
+        restarts=tuple(
+            (rng.uniform(*DOWN_SECONDS), rng.uniform(*CUT_AFTER_SECONDS))
+            for _ in range(restarts)
+        ),
+        resets_links=rng.random() < 0.5,
+    )
+    return Fault(
+        at, FaultKind.WORKER_RECUT, rng.uniform(*CUT_SECONDS), rng.randrange(1000),
+        False, rng.choice(CUT_MODES), recut=recut,
+    )  # fmt: skip
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -18,6 +18,10 @@
 MAX_ADDED_LONG_RUNNING_TASKS = 2
 # Run time of the tasks of timed and flaky jobs in the stand-in.
 SHORT_TASK_MS = 200
+# Run time of tasks that outlast the lease of a worker that is cut off.
+LONG_TASK_MS = 9_000
+LONG_TASK_CPU = 100
+MAX_LONG_TASKS = 3
 # Time until the first occurrence of a timed job, between its occurrences, and how many.
 FIRST_RUN_MS = (200, 1500)
 INTERVAL_MS = (200, 1000)
@@ -96,6 +100,16 @@
     return DrawnJob(f"{rng.getrandbits(64):016x}", JobKind.STEPS, body, None, False)
 
 
+def draw_long_job(rng: random.Random) -> DrawnJob:
+    """Return a job of long tasks that its caller does not cancel."""
+    step = {
+        "Count": rng.randint(1, MAX_LONG_TASKS), "Cpu": LONG_TASK_CPU, "MemMb": 100,
+        "EstimatedMs": LONG_TASK_MS,
+    }  # fmt: skip
+    body = {"Spec": str(LONG_TASK_MS), "Steps": [step]}
+    return DrawnJob(f"{rng.getrandbits(64):016x}", JobKind.STEPS, body, None, False)
+
+
 def _draw_body(rng: random.Random, kind: JobKind) -> dict[str, Any]:
     match kind:
         case JobKind.STEPS:
--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -9,7 +9,7 @@
 import json
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from blacksheep import Application, Content, Request, Response, Router
@@ -22,6 +22,7 @@
 from ebonyhub.servers import HttpServer, build_server, run_server
 from ebonyhub.settings import Listener
 from standins.fake_worker import FakeWorker
+from standins.late_calls import LateCalls
 from standins.memory_store import StoreCore
 from standins.platform_documents import PlatformOptions
 from standins.platform_documents import demo_configuration as demo_configuration
@@ -53,6 +54,8 @@
 }
 
 Handler = Callable[[Request], Any]
+# Handler of a call to a worker, which gets the decoded body.
+WorkerHandler = Callable[[dict[str, Any]], Awaitable[Response]]
 
 
 def reply(status: int, data: Any) -> Response:
@@ -246,28 +249,44 @@
         self.on_crash: Callable[[FakeWorker], None] = lambda _: None
         # Body that is sent in place of a report, if not None.
         self.odd_report: bytes | None = None
-        handlers: dict[str, Handler] = {
+        # Calls that no process answers, and a later one may carry out.
+        self.late_calls = LateCalls()
+        handlers: dict[str, WorkerHandler] = {
             "POST /run-start": self.start,
             "POST /run-stop": self.stop,
             "POST /hold": self.poll,
         }
         wrapped_handlers = {
-            name: self._with_faults(handler) for name, handler in handlers.items()
+            name: self._with_faults(name, handler) for name, handler in handlers.items()
         }
         self.server = build_server(JsonApp(wrapped_handlers), listener)
 
-    def _with_faults(self, handler: Handler) -> Handler:
-        """Leave a call unanswered if the worker is down or restarts meanwhile."""
+    def _with_faults(self, name: str, handler: WorkerHandler) -> Handler:
+        """Leave a call unanswered if it is late, or the worker down or restarted."""
 
         async def with_faults(request: Request) -> Any:
+            data = await request.json()
+            if self.late_calls.active:
+                self.late_calls.hold(
+                    name, data, lambda: self._call_if_up(handler, data)
+                )
+                if self.late_calls.draw_doubled():
+                    await self._call_if_up(handler, data)
+                await asyncio.sleep(LOST_ANSWER_DELAY_SECONDS)
+                return reply(503, {})
             born = self.fake.born_ms
-            response = await handler(request) if self.fake.up else None
+            response = await self._call_if_up(handler, data)
             if response is None or not self.fake.up or self.fake.born_ms != born:
                 await asyncio.sleep(LOST_ANSWER_DELAY_SECONDS)
             return response or reply(503, {})
 
         return with_faults
 
+    async def _call_if_up(
+        self, handler: WorkerHandler, data: dict[str, Any]
+    ) -> Response | None:
+        return await handler(data) if self.fake.up else None
+
     def _record_end(
         self, _: FakeWorker, task: Any, number: int, outcome: RunOutcome
     ) -> None:
@@ -307,9 +326,8 @@
             return reply(200, {"ClockMs": clock})
         return reply(409, {"ClockMs": clock, "Reason": _REASON_BY_FAILURE[failure]})
 
-    async def start(self, request: Request) -> Response:
+    async def start(self, data: dict[str, Any]) -> Response:
         """Start a run; the job's text gives its run time in ms."""
-        data = await request.json()
         order = StartOrder(
             task=parse_task_name(data["Task"]),
             number=data["Run"],
@@ -338,17 +356,19 @@
         self.on_crash(self.fake)
         self.fake.crash()
 
-    async def stop(self, request: Request) -> Response:
+    async def stop(self, data: dict[str, Any]) -> Response:
         """Stop a run."""
-        data = await request.json()
         task = parse_task_name(data["Task"])
         token = LeaderToken(data["FencingToken"])
         now = time.monotonic()
         return self._answer(self.fake.stop(task, data["Run"], token, now))
 
-    async def poll(self, request: Request) -> Response:
-        """Answer a poll once a run has ended or the waiting time is over."""
-        data = await request.json()
+    async def poll(self, data: dict[str, Any]) -> Response:
+        """Answer a poll once a run has ended or the waiting time is over.
+
+        Its lease end and its cursor count when it arrives, not while it waits.
+        """
+        cursor, lease_end_ms = data["AckCursor"], data.get("DeadlineMs")
         token = LeaderToken(data["FencingToken"])
         deadline = time.monotonic() + data.get("WaitMs", 0) / 1000
         born = self.fake.born_ms
@@ -356,9 +376,8 @@
             now = time.monotonic()
             if not self.fake.up or self.fake.born_ms != born:
                 return reply(503, {})
-            report = self.fake.poll(
-                token, data["AckCursor"], data.get("DeadlineMs"), now
-            )
+            report = self.fake.poll(token, cursor, lease_end_ms, now)
+            cursor, lease_end_ms = 0, None
             if isinstance(report, OrderFailure):
                 return self._answer(report)
             if report.ended or now >= deadline:
@@ -435,6 +454,8 @@
 
     async def stop(self) -> None:
         """Stop the servers and free their ports."""
+        for worker in self.workers:
+            worker.late_calls.close()
         for server in [self.store.server, *(w.server for w in self.workers)]:
             server.should_exit = server.force_exit = True
         for task in self.clock_tasks:
--- a/tests/test_scheduler_fuzz.py
+++ b/tests/test_scheduler_fuzz.py
@@ -38,7 +38,7 @@
 # have ended or are too late within the platform's 3 s.
 MAX_ANNOUNCEMENT_SECONDS = 1.0
 # Seeds in which workers restart under their ids, and the longest time in which all of
-# their jobs end: tasks that may have crashed their workers run alone, for up to 40 s each.
+# their jobs end: tasks that may have crashed their workers run alone, for up to 40 s.
 RESTART_SEEDS = range(2000, 2060)
 RESTART_RECOVERY_SECONDS = 400.0
 # Estimates of long tasks, which outlast the lease of a worker that is cut off.
