--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -100,8 +100,8 @@
 CUT_SECONDS = (7.0, 12.0)
 # Share of such workers that restart twice.
 TWICE_SHARE = 0.2
-# Share of seeds in which two workers do so after the other faults, when no change of the
-# leader delays the loss of a worker, and the seconds until then.
+# Share of seeds in which two workers do so after the other faults, when no change of
+# the leader delays the loss of a worker, and the seconds until then.
 CALM_RECUT_SHARE = 0.4
 CALM_RECUTS = 2
 CALM_SECONDS = (2.0, 4.0)
