--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -9,45 +9,43 @@
 from collections.abc import Callable
 
 from ..clock import Clock
+from ..cluster.fencing import FencingTokens
 from ..cluster.leadership import LEADER_KEY, Term
-from ..cluster.metadata_store import Item, MetadataStore
+from ..cluster.metadata_store import Item, MetadataStore, StoreFailure
 from ..cluster.mirror import JobMirror, MirroredJob
 from ..cluster.revision_clock import RevisionClock
-from ..configuration import AdvisorPolicy, Configuration
+from ..configuration import Configuration
 from ..events import Event, log_event
 from ..fleet.controller import FleetController
 from ..fleet.model import Wave
-from ..ids import JobId, PoolName, QueueName, ServiceName
+from ..ids import JobId, PoolName, QueueName, ServiceName, WorkerId
 from ..jobs.model import AcceptedJob
 from ..metrics import Metrics
+from ..node_settings import DEFAULT_MAX_LEASE_SECONDS
 from ..platform.cloud import AdvisorClient, CloudClient
+from .advice_requests import AdviceRequests
 from .committer import Committer
 from .losses import LossCause
 from .model import OrderFailure, WorkerReport
-from .orders import FetchReport, Order, StartRun, StopRun, ThrottleRun
+from .orders import FetchReport, Order, RaiseToken, StartRun, StopRun, ThrottleRun
 from .overload import Forecast
 from .retention import Retention
-from .runs import SLOW_CLOCK_FACTOR, Worker
+from .runs import Worker
 from .scheduler import Scheduler
 from .shedding.leader import LeaderShedding
 from .shedding.service_load import ServiceLoad
-from .state import Advice, StepKey, UnreadableJob
+from .state import UnreadableJob
 from .waiting import NOT_WAITING, WaitCause
 from .worker_directory import LEASE_EXTENSION_SECONDS, WorkerDirectory
-from .worker_link import WORKER_LEASE_SECONDS
+from .worker_process import SLOW_CLOCK_FACTOR, WORKER_LEASE_SECONDS
 from .workspaces.policy import WorkspaceRules
 
 # Seconds between calls of the scheduler's time-dependent checks.
 TICK_INTERVAL_SECONDS = 0.1
 # Seconds between two checks of what ready tasks wait for.
 WAIT_CHECK_INTERVAL_SECONDS = 0.2
-RETRY_DELAY_SECONDS = 0.2
-# The platform's limits on the advisor: pending calls, and workers named in one call.
-MAX_ADVISOR_CALLS = 32
-MAX_WORKERS_PER_CALL = 100
-# Share of a ticket's validity after which it is no longer used, which leaves time for
-# the start order to reach the worker.
-TICKET_VALIDITY_SHARE = 0.7
+# Seconds until the next attempt to get a fencing token.
+TOKEN_RETRY_SECONDS = 0.5
 
 
 class Controller:
@@ -71,6 +69,7 @@
         on_stored: Callable[[], None],
         revision_clock: RevisionClock | None = None,
         workspace_rules: WorkspaceRules | None = None,
+        max_lease_seconds: float = DEFAULT_MAX_LEASE_SECONDS,
     ) -> None:
         self.term = term
         self.store = store
@@ -81,6 +80,7 @@
         self.metrics = metrics
         self.notify_stored = on_stored
         self.scheduler = self._new_scheduler(capacity_valid_seconds, workspace_rules)
+        self.scheduler.max_lease_seconds = max_lease_seconds
         self.committer = Committer(
             store, self.scheduler, term, clock, metrics, self._on_stored
         )
@@ -96,14 +96,20 @@
             revision_clock or RevisionClock(), self._on_report, self._on_fenced,
             self.wake.set,
         )  # fmt: skip
+        self.fencing = FencingTokens(store, term)
+        # Workers for which a higher token is being issued.
+        self.raising_tokens: set[WorkerId] = set()
         self.order_tasks: set[asyncio.Task[None]] = set()
         self.checking_leadership = False
         self.next_tick = 0.0
         self.next_wait_check = 0.0
         # What the ready tasks of each service waited for when last logged.
         self.wait_causes: dict[ServiceName, WaitCause] = {}
-        # Steps with a pending call to the advisor.
-        self.advice_in_progress: set[StepKey] = set()
+        self.advice = (
+            AdviceRequests(advisor, self.scheduler, clock, self._track_order)
+            if advisor is not None
+            else None
+        )
 
     def _new_fleet(self, cloud: CloudClient) -> FleetController:
         scheduler, clock = self.scheduler, self.clock
@@ -126,6 +132,7 @@
         self, capacity_valid_seconds: float, rules: WorkspaceRules | None
     ) -> Scheduler:
         scheduler = Scheduler(rules)
+        scheduler.token = self.term.token
         scheduler.on_worker_lost = self._count_lost_worker
         scheduler.on_job_given_up = self._count_job_given_up
         scheduler.max_entry_age_seconds = capacity_valid_seconds
@@ -299,7 +306,8 @@
                 self.workers.close_removed_links()
             if self.term.is_valid(now) and self.committer.healthy:
                 self.scheduler.plan_changed(now)
-                self._request_advice()
+                if self.advice is not None:
+                    self.advice.request_missing()
             if self.scheduler.dirty:
                 self.committer.work_available.set()
             self._dispatch_orders()
@@ -336,9 +344,12 @@
         """Send the queued orders; ``_start`` checks that the term is still valid."""
         while self.scheduler.outbox:
             order = self.scheduler.outbox.popleft()
-            task = asyncio.create_task(self._execute(order))
-            self.order_tasks.add(task)
-            task.add_done_callback(self._order_done)
+            self._track_order(asyncio.create_task(self._execute(order)))
+
+    def _track_order(self, task: asyncio.Task[None]) -> None:
+        """Keep a task until it ends; the end of the term cancels it."""
+        self.order_tasks.add(task)
+        task.add_done_callback(self._order_done)
 
     def _order_done(self, task: asyncio.Task[None]) -> None:
         self.order_tasks.discard(task)
@@ -366,6 +377,32 @@
                 link = self.workers.links.get(order.worker)
                 if link is not None:
                     await link.fetch_report()
+            case RaiseToken():
+                await self._raise_token(order.worker)
+
+    async def _raise_token(self, worker_id: WorkerId) -> None:
+        """Get a higher token for calls to a worker; retries while the term lasts."""
+        if worker_id in self.raising_tokens:
+            return
+        self.raising_tokens.add(worker_id)
+        try:
+            while not self.term.ended:
+                worker = self.scheduler.workers.get(worker_id)
+                if worker is None:
+                    return
+                process = worker.process
+                issued = await self.fencing.issue()
+                # A token for an earlier process may have been sent to it already.
+                if issued.is_ok() and worker.process is process:
+                    now = self.clock.monotonic()
+                    self.scheduler.set_process_token(worker_id, issued.ok, now)
+                    return
+                if issued.is_error():
+                    if issued.error is StoreFailure.CONFLICT:
+                        self._end_term("fencing token")
+                    await asyncio.sleep(TOKEN_RETRY_SECONDS)
+        finally:
+            self.raising_tokens.discard(worker_id)
 
     async def _start(self, order: StartRun) -> None:
         run = order.run
@@ -384,53 +421,6 @@
             outcome = OrderFailure.UNKNOWN
         self.scheduler.handle_start_result(run, outcome, self.clock.monotonic())
 
-    def _request_advice(self) -> None:
-        """Call the advisor for steps that cannot be placed without its advice."""
-        if self.advisor is None or not self.scheduler.steps_without_advice:
-            return
-        steps = self.scheduler.steps_without_advice
-        self.scheduler.steps_without_advice = {}
-        for key, queue_name in steps.items():
-            policy = self.scheduler.queues[queue_name].advisor
-            if policy is None or key in self.advice_in_progress:
-                continue
-            if len(self.advice_in_progress) >= MAX_ADVISOR_CALLS:
-                return
-            self.advice_in_progress.add(key)
-            task = asyncio.create_task(self._fetch_advice(key, queue_name, policy))
-            self.order_tasks.add(task)
-            task.add_done_callback(self._order_done)
-
-    async def _fetch_advice(
-        self, key: StepKey, queue_name: QueueName, policy: AdvisorPolicy
-    ) -> None:
-        """Get advice on one step; the advisor takes time for each worker named."""
-        assert self.advisor is not None
-        now = self.clock.monotonic()
-        service = self.scheduler.queues[queue_name].service
-        workers = [
-            worker.worker_id
-            for worker in self.scheduler.workers.values()
-            if worker.entry.service == service
-            and self.scheduler.is_eligible(worker, now)
-        ][:MAX_WORKERS_PER_CALL]
-        seconds = policy.decision_seconds + policy.seconds_per_worker * len(workers)
-        # The advisor answers the calls of one entry one after another.
-        seconds *= len(self.advice_in_progress)
-        try:
-            result = await self.advisor.advise(*key, workers, seconds)
-            if result.is_ok():
-                expires = (
-                    self.clock.monotonic()
-                    + policy.validity_seconds * TICKET_VALIDITY_SHARE
-                )
-                self.scheduler.advice[key] = Advice(result.ok, expires)
-                self.scheduler.services_to_plan.add(service)
-            else:
-                await asyncio.sleep(RETRY_DELAY_SECONDS)
-        finally:
-            self.advice_in_progress.discard(key)
-
     # Results
 
     def _on_report(self, worker: Worker, report: WorkerReport, sent_at: float) -> None:
@@ -456,15 +446,14 @@
         if self.term.ended or self.checking_leadership:
             return
         self.checking_leadership = True
-        task = asyncio.create_task(self._check_leadership(worker))
-        self.order_tasks.add(task)
-        task.add_done_callback(self._order_done)
+        self._track_order(asyncio.create_task(self._check_leadership(worker)))
 
     async def _check_leadership(self, worker: Worker) -> None:
         """End the term if another entry leads, as a worker that refuses the token says.
 
         A worker that refuses the token of the present leader is alone in this; ending
-        the term for it would end that of each successor, too.
+        the term for it would end that of each successor, too. It has seen a token of
+        this term that was forgotten with its entry, and gets a higher one.
         """
         try:
             found = await self.store.get(LEADER_KEY)
@@ -472,12 +461,15 @@
             self.checking_leadership = False
         item = found.ok if found.is_ok() else None
         if item is not None and int(item.revision) == int(self.term.token):
+            await self._raise_token(worker.worker_id)
             return
+        self._end_term("fenced", worker=worker.worker_id)
+
+    def _end_term(self, cause: str, **details: object) -> None:
         if not self.term.ended:
             log_event(
-                Event.LEADERSHIP_LOST, cause="fenced", token=self.term.token,
-                worker=worker.worker_id,
-            )  # fmt: skip
+                Event.LEADERSHIP_LOST, cause=cause, token=self.term.token, **details
+            )
         self.term.ended = True
         self.wake.set()
 
@@ -493,7 +485,7 @@
                 continue
             self.scheduler.acknowledge_stored_ends(worker)
             link = self.workers.links.get(worker_id)
-            if link is not None and not worker.unstored_ends:
+            if link is not None and not worker.process.unstored_ends:
                 link.ends_stored.set()
         self._dispatch_orders()
         self.wake.set()
--- a/src/ebonyhub/scheduling/order_results.py
+++ b/src/ebonyhub/scheduling/order_results.py
@@ -10,6 +10,12 @@
 # Seconds of quarantine for a worker that refused a start or could not be reached.
 REFUSAL_QUARANTINE_SECONDS = 0.5
 
+# After these the next start would most likely fail, too. A start that is late on its
+# arrival was sent with the clock of another process.
+_FAILURES_OF_WORKERS = frozenset(
+    {OrderFailure.REFUSED, OrderFailure.NOT_SENT, OrderFailure.LATE}
+)
+
 
 class OrderResults(SchedulerState):
     """Releases planned starts, and applies the results of start and stop orders."""
@@ -38,6 +44,7 @@
                 self.discard_run(run, worker)
                 continue
             run.phase = RunPhase.ORDERED
+            run.token, run.born_ms = worker.process.token, worker.born_ms
             key = (run.task.job, run.task.occurrence, run.task.step)
             advice = self.advice.get(key)
             ticket = advice.tickets.get(run.worker, "") if advice else ""
@@ -57,13 +64,14 @@
             run.phase = RunPhase.CONFIRMED
             run.confirmed_at = run.progress_changed_at = now
             worker.last_response_at = max(worker.last_response_at or now, now)
+            worker.expired = False
             log_event(
                 Event.RUN_STARTED,
                 job=run.task.job,
                 task=short_name(run.task),
                 run=run.number,
                 worker=run.worker,
-                contact_age=round(now - worker.clock_read_at, 3),
+                contact_age=round(now - worker.process.clock_read_at, 3),
             )
             return
         log_event(
@@ -72,26 +80,31 @@
         )  # fmt: skip
         if failure is OrderFailure.UNKNOWN:
             run.phase = RunPhase.UNCERTAIN
+            run.unanswered_at = now
             run.report_requested = True
             self.outbox.append(FetchReport(run.worker))
             return
         if failure is OrderFailure.TICKET:
             key = (run.task.job, run.task.occurrence, run.task.step)
             self.advice.pop(key, None)
-        if failure in (OrderFailure.REFUSED, OrderFailure.NOT_SENT):
-            worker.health.quarantine(now, REFUSAL_QUARANTINE_SECONDS)
+        if failure in _FAILURES_OF_WORKERS:
+            worker.process.health.quarantine(now, REFUSAL_QUARANTINE_SECONDS)
+        if failure is OrderFailure.LATE:
+            self.outbox.append(FetchReport(run.worker))
         self.discard_run(run, worker)
 
     def handle_stop_result(
         self, order: StopRun, failure: OrderFailure | None, now: float
     ) -> None:
-        """Record a confirmed stop: the run cannot start any more.
+        """Record a confirmed stop: the process does not start the run any more.
 
         If it was running, the worker reports its end.
         """
         worker = self.workers.get(order.worker)
         run = worker.runs.get((order.task, order.number)) if worker else None
-        if run is None or failure is not None:
+        if worker is None or run is None or failure is not None:
+            return
+        if order.born_ms != worker.born_ms:
             return
         run.stop_confirmed_at = now
         if run.phase is not RunPhase.CONFIRMED:
--- a/src/ebonyhub/scheduling/orders.py
+++ b/src/ebonyhub/scheduling/orders.py
@@ -16,11 +16,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRun:
-    """Stop a run, or prevent it from starting if its start is still under way."""
+    """Stop a run, or prevent it from starting if its start is still under way.
+
+    ``born_ms`` is the start of the process that is to confirm it.
+    """
 
     worker: WorkerId
     task: TaskId
     number: int
+    born_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,4 +44,11 @@
     worker: WorkerId
 
 
-Order = StartRun | StopRun | ThrottleRun | FetchReport
+@dataclass(frozen=True, slots=True)
+class RaiseToken:
+    """Get a higher fencing token for the present process of a worker."""
+
+    worker: WorkerId
+
+
+Order = StartRun | StopRun | ThrottleRun | FetchReport | RaiseToken
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -3,16 +3,11 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ..ids import JobId, QueueName, ServiceName, TaskId, WorkerId
+from ..ids import JobId, LeaderToken, QueueName, ServiceName, TaskId, WorkerId
 from ..jobs.model import AcceptedJob, Resources, StepSpec
 from ..jobs.records import JobState, ProgressRecord
-from .health import WorkerHealth
 from .model import WorkerEntry
-
-# Bounds for converting elapsed local time to a worker's clock: that clock may run 2%
-# slow, and CLOCK_MARGIN_MS covers the transit time of the response that was read.
-SLOW_CLOCK_FACTOR = 1.03
-CLOCK_MARGIN_MS = 100
+from .worker_process import NO_TOKEN, WorkerProcess
 
 
 class RunPhase(Enum):
@@ -61,6 +56,10 @@
     job_version: int = 0
     # Started by an earlier leader, whose pending orders the worker's fencing rejects.
     inherited: bool = False
+    # Fencing token of the start order.
+    token: LeaderToken = NO_TOKEN
+    # When it was found that the start order got no answer; None if it got one.
+    unanswered_at: float | None = None
     planned_at: float = 0.0
     confirmed_at: float = 0.0
     stop_reason: StopReason | None = None
@@ -81,20 +80,37 @@
     # The task may crash its workers: for so many seconds from its start nothing else
     # starts on the worker. None for other tasks.
     probation_seconds: float | None = None
+    # A crash of its worker was attributed already, although the run is kept.
+    crash_attributed: bool = False
 
     @property
     def key(self) -> tuple[TaskId, int]:
         """Return task and run number, which identify the run on its worker."""
         return (self.task, self.number)
 
+    def may_start_late(self, now: float, process: WorkerProcess) -> bool:
+        """Return whether the next process under the worker's id may still run it.
+
+        Its start order has no answer yet, or got none, so it may be carried out when
+        the present process has ended, even if that has listed the run.
+        """
+        if self.phase is RunPhase.ORDERED:
+            return True
+        return self.unanswered_at is not None and (
+            now <= process.late_runs_end(self.unanswered_at)
+        )
+
 
 @dataclass(eq=False, slots=True)
 class Worker:
-    """The latest known state of one worker; times are monotonic seconds."""
+    """The latest known state of one worker; times are monotonic seconds.
+
+    What holds for one process only is in ``process``; the rest holds for the worker's
+    id and address, also across restarts.
+    """
 
     entry: WorkerEntry
-    # Start of the worker process in ms since 1970; differs after a restart.
-    born_ms: int = 0
+    process: WorkerProcess = field(default_factory=WorkerProcess)
     # The process that announced that it drains, by its start time; 0 if none has.
     draining_born_ms: int = 0
     # Service in which a later worker of the same VM has registered.
@@ -114,27 +130,8 @@
     silent_since: float | None = None
     # Time of the last response to this leader; None before the first.
     last_response_at: float | None = None
-    # The worker's clock in its last report, and when that report was received.
-    clock_ms: int = 0
-    clock_read_at: float = 0.0
-    # Latest lease end that was sent, in ms on the worker's clock.
-    lease_end_ms: int = 0
-    # When a report of the present process, which restarted under the id, was received.
-    restarted_at: float = float("-inf")
     # Whether its reports name the start of the process.
     reports_born: bool = False
-    # Number of ends in the last report.
-    listed_ends: int = 0
-    # Sequence numbers of the last run end that was processed and acknowledged.
-    last_seen_sequence: int = 0
-    acknowledged_sequence: int = 0
-    # Ends that cannot be acknowledged yet: sequence number, and for each affected job
-    # the version of its record that must be stored first.
-    unstored_ends: list[tuple[int, dict[JobId, int]]] = field(default_factory=list)
-    health: WorkerHealth = field(default_factory=WorkerHealth)
-    throttled_at: float = float("-inf")
-    # When a report was last requested since the end of a run was overdue.
-    report_requested_at: float = float("-inf")
     # Its runs were discarded because its lease had ended or its VM was gone.
     expired: bool = False
     # Capacity that no run has reserved.
@@ -149,6 +146,21 @@
         """Return the id under which the worker is registered in the store."""
         return self.entry.worker
 
+    @property
+    def born_ms(self) -> int:
+        """Return the start of the present process in ms since 1970."""
+        return self.process.born_ms
+
+    @property
+    def entry_is_of_process(self) -> bool:
+        """Return whether the present process wrote the entry.
+
+        Another process under the id may have another capacity and other labels.
+        """
+        return 0 in (self.entry.born_ms, self.born_ms) or (
+            self.entry.born_ms == self.born_ms
+        )
+
     @property
     def poll_failed(self) -> bool:
         """Return whether the last poll got no response."""
@@ -164,10 +176,6 @@
         self.entry = entry
         self.free = entry.capacity - self.used
 
-    def clock_now_ms(self, now: float) -> int:
-        """Return an upper bound of the worker's clock at ``now``."""
-        return self.clock_ms + int((now - self.clock_read_at) * 1000)
-
     def lease_has_ended(self, now: float, inherited_until: float) -> bool:
         """Return whether every lease of the worker has certainly ended.
 
@@ -176,8 +184,7 @@
         """
         if self.last_response_at is None:
             return now > inherited_until
-        elapsed_ms = (now - self.clock_read_at) * 1000 / SLOW_CLOCK_FACTOR
-        return self.clock_ms + elapsed_ms > self.lease_end_ms + CLOCK_MARGIN_MS
+        return self.process.lease_has_ended(now)
 
     def add(self, run: Run) -> None:
         """Reserve capacity for a run, in place of an earlier entry of it."""
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -33,7 +33,10 @@
         """
         worker = self.workers.get(entry.worker)
         if worker is None:
-            worker = Worker(entry, born_ms=entry.born_ms, discovered_at=now)
+            worker = Worker(
+                entry, self.new_process(entry.worker, entry.born_ms, now),
+                discovered_at=now,
+            )  # fmt: skip
             self.workers[entry.worker] = worker
             log_event(
                 Event.WORKER_DISCOVERED, worker=entry.worker, service=entry.service,
@@ -45,7 +48,7 @@
                 Event.WORKER_DRAINING, worker=entry.worker, leaves_in=entry.leaves_in
             )
         if entry.draining:
-            worker.draining_born_ms = worker.born_ms
+            worker.draining_born_ms = entry.born_ms or worker.born_ms
         if entry.capacity != worker.entry.capacity:
             log_event(
                 Event.WORKER_CAPACITY_CHANGED, worker=entry.worker,
@@ -55,6 +58,9 @@
             self.services_to_plan.add(entry.service)
         worker.entry_seen_at = now if written_after is None else written_after
         worker.update_entry(entry)
+        if not worker.entry_is_of_process and worker.last_response_at is not None:
+            # The process has most likely restarted, which only its report proves.
+            self.outbox.append(FetchReport(entry.worker))
         worker.deregistered = False
         worker.cordoned = entry.vm in self.cordoned_vms
 
@@ -97,11 +103,16 @@
         """
         by_id = {vm.vm_id: vm for vm in vms}
         asked_at = now if requested_at is None else requested_at
-        for worker in self.unresponsive_workers(now):
-            if not _can_list_show(worker, asked_at):
+        expired = [w for w in self.workers.values() if w.expired and w.runs]
+        for worker in [*self.unresponsive_workers(now), *expired]:
+            if not worker.entry.vm or not _can_list_show(worker, asked_at):
                 continue
             cause = loss_by_vm(worker, by_id.get(worker.entry.vm))
-            if cause is not None:
+            if cause is None:
+                continue
+            if worker.expired:
+                self.discard_unanswered_starts(worker, now, cause.id_may_return)
+            else:
                 self.expire_worker(worker, cause, now, wall_ms)
 
     def unresponsive_workers(self, now: float) -> list[Worker]:
@@ -130,12 +141,15 @@
 
     def _check_worker(self, worker: Worker, now: float, wall_ms: int) -> None:
         unresponsive = not self.is_responsive(worker, now)
-        if worker.runs and not worker.expired:
+        if worker.runs:
             cause = self._loss_by_silence(worker, unresponsive, now)
-            if cause is not None:
+            if worker.expired:
+                id_may_return = cause is None or cause.id_may_return
+                self.discard_unanswered_starts(worker, now, id_may_return)
+            elif cause is not None:
                 self.expire_worker(worker, cause, now, wall_ms)
         if worker.deregistered and not worker.runs and (unresponsive or worker.expired):
-            del self.workers[worker.worker_id]
+            self.forget_worker(worker, now)
             return
         for run in list(worker.runs.values()):
             if run.stop_reason is not None:
@@ -165,7 +179,7 @@
     def _request_overdue_report(self, worker: Worker, now: float) -> None:
         """Request a report if a run should have ended since the last one."""
         if is_report_overdue(worker, self.jobs, now):
-            worker.report_requested_at = now
+            worker.process.report_requested_at = now
             self.outbox.append(FetchReport(worker.worker_id))
 
     def _evict_long_running(self, run: Run, worker: Worker, now: float) -> None:
@@ -260,8 +274,8 @@
             job.stuck_verdicts[run.task] = verdicts + 1
         self.stop_run(run, StopReason.NO_PROGRESS, now)
         # After the second verdict it is the task that is in doubt, not the worker.
-        if not verdicts and not worker.health.is_quarantined(now):
-            worker.health.quarantine(now)
+        if not verdicts and not worker.process.health.is_quarantined(now):
+            worker.process.health.quarantine(now)
             self.log_quarantine(worker, "no_progress")
 
     def log_quarantine(self, worker: Worker, cause: str) -> None:
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -29,8 +29,9 @@
     WorkerEntry,
     WorkerReport,
 )
-from ebonyhub.scheduling.orders import FetchReport, StartRun, StopRun
+from ebonyhub.scheduling.orders import FetchReport, RaiseToken, StartRun, StopRun
 from ebonyhub.scheduling.scheduler import Scheduler
+from ebonyhub.scheduling.worker_process import WORKER_LEASE_SECONDS
 from ebonyhub.scheduling.workspaces.policy import WorkspaceRules
 from standins.call_faults import CallFate
 from standins.call_faults import Faults as Faults
@@ -45,10 +46,9 @@
 from standins.oracle import Oracle
 
 STEP_SECONDS = 0.05
-WORKER_LEASE_SECONDS = 6.0
 POLL_INTERVAL_SECONDS = 0.5
-START_DEADLINE_MS = 1800
 NO_WORKSPACE = WorkspaceName("")
+NO_TOKEN = LeaderToken(0)
 LEASE_EXTENSION_SECONDS = 5.0
 
 
@@ -121,6 +121,7 @@
         self.token = LeaderToken(self.revision)
         scheduler = Scheduler(WorkspaceRules(enforced=True))
         scheduler.records_loaded = True
+        scheduler.token = self.token
         scheduler.configure(self.configuration.known)
         scheduler.inherited_leases_until = (
             self.now + LEASE_EXTENSION_SECONDS + WORKER_LEASE_SECONDS * 1.03 + 0.5
@@ -268,37 +269,36 @@
         if worker is None or not worker.entry.address:
             # A worker known only from job records has no address.
             return
+        # The first poll on a connection acknowledges nothing and renews no lease.
+        connection = self.connected.pop(name, (0, NO_TOKEN))
+        is_connected = connection[1] == self.token
         lease = None
         if (
-            worker.last_response_at is not None
+            is_connected
+            and worker.last_response_at is not None
             and self.now - worker.last_response_at < 1.6
         ):
-            lease = worker.clock_now_ms(self.now) + int(WORKER_LEASE_SECONDS * 1000)
-            worker.lease_end_ms = max(worker.lease_end_ms, lease)
-        same_leader = self.connected.get(name, (0, 0))[1] == self.token
-        late_cursor = worker.acknowledged_sequence if same_leader else 0
-        token = self.token
-        fate = self._draw_fate(fake, self.faults.late_poll_rate)
+            lease = worker.process.grant_lease(self.now)
+        cursor = worker.process.acknowledged_sequence if is_connected else 0
+        token = worker.process.token
+        # On a connection to a former process, no process answers.
+        is_stale = is_connected and connection[0] != fake.born_ms
+        fate = self._draw_fate(fake, self.faults.late_poll_rate, is_stale)
         if fate.is_late:
             self._deliver_late(
-                name, lambda: self._deliver_poll(name, token, late_cursor, lease)
+                name, lambda: self._deliver_poll(name, token, cursor, lease)
             )
         if not fate.arrives:
-            # The next poll uses a new connection, and so acknowledges nothing.
-            self.connected.pop(name, None)
             if worker.silent_since is None:
                 worker.silent_since = self.now
             return
-        # The first poll of a worker process by a leader acknowledges nothing.
-        same_incarnation = self.connected.get(name) == (fake.born_ms, self.token)
-        acknowledged_sequence = worker.acknowledged_sequence if same_incarnation else 0
-        self.connected[name] = (fake.born_ms, self.token)
-        report = self._deliver_poll(name, token, acknowledged_sequence, lease)
+        report = self._deliver_poll(name, token, cursor, lease)
         if isinstance(report, OrderFailure):
-            self.scheduler = None
+            self._handle_refused_token(scheduler)
             return
         if self.rng.random() < self.faults.lost_answer_rate or fate.is_late:
             return
+        self.connected[name] = (fake.born_ms, self.token)
         scheduler.handle_report(worker, report, self.now, self.now, self._wall_ms())
 
     def _deliver_poll(
@@ -315,8 +315,10 @@
             self.oracle.record_acknowledgement(fake, fake.forgotten_sequence)
         return report
 
-    def _draw_fate(self, fake: FakeWorker, late_rate: float) -> CallFate:
-        reachable = fake.up and not fake.partitioned
+    def _draw_fate(
+        self, fake: FakeWorker, late_rate: float, is_stale: bool = False
+    ) -> CallFate:
+        reachable = fake.up and not fake.partitioned and not is_stale
         return self.faults.draw_fate(self.call_rng, reachable, late_rate)
 
     def _commit(self, scheduler: Scheduler) -> None:
@@ -378,15 +380,31 @@
                 self._send_stop(scheduler, order)
             case FetchReport():
                 self.next_poll_at[order.worker] = self.now
+            case RaiseToken():
+                self._raise_token(scheduler, order.worker)
+
+    def _raise_token(self, scheduler: Scheduler, name: WorkerId) -> None:
+        """Issue a token as a commit to the store does; retries while that is down."""
+        if scheduler is not self.scheduler:
+            return
+        if not self.store_up:
+            self.run_later(0.5, lambda: self._raise_token(scheduler, name))
+            return
+        self.revision += 1
+        scheduler.set_process_token(name, LeaderToken(self.revision), self.now)
+
+    def _handle_refused_token(self, scheduler: Scheduler) -> None:
+        """End the term if another leader has raised the token."""
+        if scheduler is self.scheduler and int(scheduler.token) != int(self.token):
+            self.scheduler = None
 
     def _send_start(self, scheduler: Scheduler, order: StartRun) -> None:
         run = order.run
         worker = scheduler.workers.get(run.worker)
         if worker is None:
             return
-        deadline = worker.clock_now_ms(self.now) + START_DEADLINE_MS
-        worker.lease_end_ms = max(worker.lease_end_ms, deadline)
-        start = StartOrder(run.task, run.number, "", deadline, self.token)
+        deadline = worker.process.grant_start(self.now)
+        start = StartOrder(run.task, run.number, "", deadline, run.token)
         self._send_order(
             run.worker,
             lambda: self._deliver_start(run.worker, start),
@@ -398,7 +416,10 @@
         return self.workers[name].start(order, self.now, duration, outcome)
 
     def _send_stop(self, scheduler: Scheduler, order: StopRun) -> None:
-        token = self.token
+        worker = scheduler.workers.get(order.worker)
+        if worker is None:
+            return
+        token = worker.process.token
         self._send_order(
             order.worker,
             lambda: self.workers[order.worker].stop(
@@ -430,8 +451,6 @@
         if draw < lost_rate or fate.is_late:
             on_result(OrderFailure.UNKNOWN)
             return
-        if result is OrderFailure.FENCED:
-            self.scheduler = None
         on_result(result)
 
     def _deliver_late(self, name: WorkerId, action: Callable[[], object]) -> None:
@@ -456,6 +475,7 @@
         self.workers[name].crash()
         if entry_stays:
             return
+        self.connected.pop(name, None)
         self.next_poll_at[name] = self.now
         self.workers[name].registered = False
 
--- a/tests/test_foreign_answers.py
+++ b/tests/test_foreign_answers.py
@@ -101,7 +101,7 @@
 )
 async def test_unreadable_report_counts_as_lost(body):
     assert (await poll(body)).error is OrderFailure.UNKNOWN
-    fetched = await worker_client(body).fetch_report(TOKEN, None)
+    fetched = await worker_client(body).fetch_report(TOKEN)
     assert fetched.error is OrderFailure.UNKNOWN
 
 
@@ -134,7 +134,7 @@
 async def test_report_with_an_unreadable_row_is_incomplete(body):
     """Otherwise the run of the row would count as gone, see ``decode_report``."""
     assert not (await poll(body)).ok.complete
-    assert not (await worker_client(body).fetch_report(TOKEN, None)).ok.complete
+    assert not (await worker_client(body).fetch_report(TOKEN)).ok.complete
 
 
 async def test_ends_are_used_up_to_the_first_that_cannot_be_read():
@@ -154,7 +154,7 @@
     client = worker_client(running("x", 1))
     target, reports = worker("w"), []
     link = WorkerLink(
-        target, client, TOKEN, SystemClock(), random.Random(1), new_metrics(),
+        target, client, SystemClock(), random.Random(1), new_metrics(),
         lambda _, report, __: reports.append(report), lambda _: None,
     )  # fmt: skip
     await link.poll_once(0.0)
@@ -204,7 +204,7 @@
 async def test_refusal_without_a_readable_reason_is_a_refusal(body):
     worker = worker_client(body, 409)
     order = StartOrder(TASK, 1, "", 5, TOKEN)
-    assert await worker.start(order) is OrderFailure.REFUSED
+    assert (await worker.start(order)).error is OrderFailure.REFUSED
     assert await worker.stop(TASK, 1, TOKEN) is OrderFailure.REFUSED
     cloud = cloud_client(body, status=409)
     result = await cloud.start_maintenance(VmId("m"), WaveId(1), TOKEN)
