Soak: workers that restart under their ids, late calls, and a cut soon after

Cause: a stand-in worker took no calls of its former process, and its clock went on after a restart, so the soak could not see a lease that such a call extends.

--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -241,16 +241,18 @@
     rng = random.Random(f"{seed}/recuts")
     faults: list[Fault] = []
     if rng.random() < CALM_RECUT_SHARE:
-        times = [seconds + rng.uniform(*CALM_SECONDS) for _ in range(CALM_RECUTS)]
-        faults += [_draw_recut(rng, at) for at in times]
+        first = rng.randrange(1000)
+        for target in range(first, first + CALM_RECUTS):
+            at = seconds + rng.uniform(*CALM_SECONDS)
+            faults.append(_draw_recut(rng, at, target))
     at = rng.uniform(*RECUT_INTERVAL_SECONDS)
     while at < seconds:
-        faults.append(_draw_recut(rng, at))
+        faults.append(_draw_recut(rng, at, rng.randrange(1000)))
         at += rng.uniform(*RECUT_INTERVAL_SECONDS)
     return faults
 
 
-def _draw_recut(rng: random.Random, at: float) -> Fault:
+def _draw_recut(rng: random.Random, at: float, target: int) -> Fault:
     restarts = 2 if rng.random() < TWICE_SHARE else 1
     recut = Recut(
         hold_seconds=rng.uniform(*HOLD_SECONDS),
@@ -261,6 +263,6 @@
         resets_links=rng.random() < 0.5,
     )
     return Fault(
-        at, FaultKind.WORKER_RECUT, rng.uniform(*CUT_SECONDS), rng.randrange(1000),
-        False, rng.choice(CUT_MODES), recut=recut,
+        at, FaultKind.WORKER_RECUT, rng.uniform(*CUT_SECONDS), target, False,
+        rng.choice(CUT_MODES), recut=recut,
     )  # fmt: skip
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,6 +50,10 @@
     # of ended terms went on to acknowledge ends that no record held: the tasks started
     # again. Failed 5 of 5 times.
     12,
+    # Calls to the former process of a worker were carried out by the next one, which
+    # was then cut off: a poll gave it a lease of 10 s on its own clock, and the leader
+    # started its tasks again after 6 s.
+    19,
 ]
 SHORT_SECONDS = 6.0
 # Seeds of runs with two queues, and with workspaces whose keys and limits change.
@@ -148,6 +152,17 @@
     assert len(overlapping) == len(runs)
 
 
+def test_cuts_after_restarts_outlast_a_lease_and_some_follow_all_other_faults():
+    runs = {seed: draw_faults(seed, SHORT_SECONDS) for seed in range(1, 51)}
+    kind = FaultKind.WORKER_RECUT
+    recuts = {s: [f for f in run if f.kind is kind] for s, run in runs.items()}
+    assert all(f.recut and f.seconds > 6.0 for run in recuts.values() for f in run)
+    calm = {s for s, run in recuts.items() if any(f.at > SHORT_SECONDS for f in run)}
+    assert 0 < len(calm) < len(runs)
+    # The short runs include one.
+    assert 19 in calm
+
+
 def test_fifty_seeds_draw_every_kind_of_foreign_entry():
     """Entries that stay, and entries that come and go many times a second."""
     faults = [fault for seed in range(1, 51) for fault in draw_faults(seed, 15.0)]
