--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -48,7 +48,6 @@
 STEP_SECONDS = 0.05
 POLL_INTERVAL_SECONDS = 0.5
 NO_WORKSPACE = WorkspaceName("")
-NO_TOKEN = LeaderToken(0)
 LEASE_EXTENSION_SECONDS = 5.0
 
 
@@ -270,8 +269,8 @@
             # A worker known only from job records has no address.
             return
         # The first poll on a connection acknowledges nothing and renews no lease.
-        connection = self.connected.pop(name, (0, NO_TOKEN))
-        is_connected = connection[1] == self.token
+        born_ms, leader_token = self.connected.pop(name, (0, None))
+        is_connected = leader_token == self.token
         lease = None
         if (
             is_connected
@@ -282,7 +281,7 @@
         cursor = worker.process.acknowledged_sequence if is_connected else 0
         token = worker.process.token
         # On a connection to a former process, no process answers.
-        is_stale = is_connected and connection[0] != fake.born_ms
+        is_stale = is_connected and born_ms != fake.born_ms
         fate = self._draw_fate(fake, self.faults.late_poll_rate, is_stale)
         if fate.is_late:
             self._deliver_late(
