--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -91,18 +91,18 @@
 ]  # fmt: skip
 SERIES_WEIGHT = 3
 # Range of the seconds between two restarts of workers that are cut off soon after.
-RECUT_INTERVAL_SECONDS = (4.0, 12.0)
+RECUT_INTERVAL_SECONDS = (6.5, 14.0)
 # Ranges of the seconds for which calls are held back before the crash, the worker is
 # down, and its next process can be reached; and of the cut, which outlasts a lease.
 HOLD_SECONDS = (0.1, 1.2)
 DOWN_SECONDS = (0.3, 1.8)
 CUT_AFTER_SECONDS = (0.3, 3.0)
-CUT_SECONDS = (7.0, 12.0)
+CUT_SECONDS = (7.0, 11.0)
 # Share of such workers that restart twice.
 TWICE_SHARE = 0.2
 # Share of seeds in which two workers do so after the other faults, when no change of
 # the leader delays the loss of a worker, and the seconds until then.
-CALM_RECUT_SHARE = 0.4
+CALM_RECUT_SHARE = 0.35
 CALM_RECUTS = 2
 CALM_SECONDS = (2.0, 4.0)
 CUT_MODES = [LinkMode.HOLD, LinkMode.SILENT, LinkMode.RESET]
