Open workers held for later suspects to tasks that come first at once

A task within its share waited beside a worker that was held for a suspected task over the rate.

Cause: the held worker opened only with the next choice of kept workers, up to 0.1 s later, or 60 us for each waiting job. Room under a limit may appear before that.

Change: after the pass, tasks that come first and have found no other worker start on workers that are held for later suspects. Jobs with long-running tasks are among those that come first, whatever their standing.

Tests: the state machine no longer exempts workers held for later suspects.

--- a/src/ebonyhub/scheduling/isolation.py
+++ b/src/ebonyhub/scheduling/isolation.py
@@ -90,6 +90,18 @@
         if held:
             self.held_for_later[service] = held
 
+    def workers_held_for_later(
+        self, service: ServiceName, workers: list[Worker], now: float
+    ) -> list[Worker]:
+        """Return the workers that are held for later suspects only."""
+        held = self.held_for_later.get(service, set())
+        held = held - self.held_workers.get(service, set())
+        return [
+            worker
+            for worker in workers
+            if worker.worker_id in held and not is_isolating(worker, now)
+        ]
+
     def _start_or_hold(
         self,
         suspected: list[SuspectedTasks],
--- a/src/ebonyhub/scheduling/planning.py
+++ b/src/ebonyhub/scheduling/planning.py
@@ -99,6 +99,9 @@
             if job.min_pending_cpu <= allowed.max_free(starts):
                 self._plan_job(job, allowed.workers, now)
         if later_suspects:
+            held = OpenWorkers(self.workers_held_for_later(service, workers, now))
+            for job in self.before_later_suspects(service, jobs, held, now):
+                self._plan_job(job, held.workers, now)
             kept = self.kept_from_suspects(service, jobs, workers, now)
             self.plan_later_suspects(service, later_suspects, workers, kept, now)
 
--- a/src/ebonyhub/scheduling/share_order.py
+++ b/src/ebonyhub/scheduling/share_order.py
@@ -60,11 +60,16 @@
         return [
             job
             for job in jobs
-            if job.has_suspects
-            and not job.accepted.spec.long_running
-            and self.workspaces.standing(job, service) is not Standing.WITHIN_SHARE
+            if job.has_suspects and not self._comes_first(job, service)
         ]
 
+    def _comes_first(self, job: Job, service: ServiceName) -> bool:
+        """Return whether a job comes before lent work and work over the rate."""
+        return (
+            job.accepted.spec.long_running
+            or self.workspaces.standing(job, service) is Standing.WITHIN_SHARE
+        )
+
     def plan_first_suspects(
         self,
         service: ServiceName,
@@ -83,12 +88,29 @@
         later_ids = {job.job_id for job in later}
         first = [j for j in jobs if j.has_suspects and j.job_id not in later_ids]
         open_workers = self.plan_suspects(service, first, workers, now)
-        held = self.held_for_later.get(service)
-        if not held:
-            return open_workers
-        # Tasks that come first may have arrived since the workers were held.
-        closed = held - self.kept_from_suspects(service, jobs, workers, now)
-        return [w for w in open_workers if w.worker_id not in closed]
+        held = self.held_for_later.get(service, set())
+        return [w for w in open_workers if w.worker_id not in held]
+
+    def before_later_suspects(
+        self, service: ServiceName, jobs: list[Job], held: OpenWorkers, now: float
+    ) -> Iterator[Job]:
+        """Yield the jobs that may use workers held for later suspects, in order.
+
+        These are the jobs that come first whose tasks have found no other worker.
+        """
+        starts = len(self.planned_runs)
+        waiting = [
+            (self._order_key(service, job, Standing.WITHIN_SHARE, now), number, job)
+            for number, job in enumerate(jobs)
+            if job.pending
+            and job.min_pending_cpu <= held.max_free(starts)
+            and self._comes_first(job, service)
+        ]
+        for _, _, job in sorted(waiting, key=lambda item: item[:2]):
+            if job.min_pending_cpu > held.max_free(len(self.planned_runs)):
+                continue
+            if self._comes_first(job, service):
+                yield job
 
     def kept_from_suspects(
         self, service: ServiceName, jobs: list[Job], workers: list[Worker], now: float
--- a/tests/test_workspace_machine.py
+++ b/tests/test_workspace_machine.py
@@ -330,28 +330,23 @@
                     for worker in self.scheduler.workers.values()
                     if self.scheduler.is_eligible(worker, self.driver.now)
                     and step.demand.fits_into(worker.free)
-                    and not self.is_closed(worker, job)
+                    and not self.is_closed(worker)
                 ]
                 assert not (free and positions), (job.job_id, step, free)
 
-    def is_closed(self, worker, job):
-        """Return whether a suspected task may keep the worker from the job's tasks.
-
-        One that comes later may do so only until the kept workers are chosen anew.
-        """
+    def is_closed(self, worker):
+        """Return whether a suspected task within its share may keep the worker."""
         scheduler, now = self.scheduler, self.driver.now
         if is_isolating(worker, now):
             return True
-        if worker.worker_id in scheduler.held_workers.get(SERVICE, ()):
-            return any(
-                suspects_among(other, *key, positions)
-                for other in scheduler.active.values()
-                if self.driver.policy.standing(other) is Standing.WITHIN_SHARE
-                for key, positions in other.pending.items()
-            )
-        kept = scheduler.kept_workers.get(SERVICE)
-        is_later = worker.worker_id in scheduler.held_for_later.get(SERVICE, ())
-        return is_later and kept.chosen_at == now and job.arrived_at >= now
+        if worker.worker_id not in scheduler.held_workers.get(SERVICE, ()):
+            return False
+        return any(
+            suspects_among(other, *key, positions)
+            for other in scheduler.active.values()
+            if self.driver.policy.standing(other) is Standing.WITHIN_SHARE
+            for key, positions in other.pending.items()
+        )
 
     def check_hold(self, hold):
         """Check that others wait for a task that waits, and not for too long."""
