--- a/src/ebonyhub/cluster/fencing.py
+++ b/src/ebonyhub/cluster/fencing.py
@@ -37,6 +37,7 @@
             if self.commits_begun > begun_before and self.last_result is not None:
                 return self.last_result
             self.commits_begun += 1
+            self.last_result = None
             self.last_result = await self._commit()
             return self.last_result
 
--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -197,7 +197,10 @@
     WORKER_DRAINING = EventSpec(2302, _I, "worker is draining", "None.")
     WORKER_ENTRY_REMOVED = EventSpec(2303, _I, "worker's store entry removed", "None.")
     WORKER_EXPIRED = EventSpec(
-        2304, _W, "worker considered lost; its runs are discarded", "Check the worker."
+        2304,
+        _W,
+        "worker considered lost; the runs that cannot go on or start are discarded",
+        "Check the worker.",
     )
     WORKER_RESTARTED = EventSpec(
         2305, _W, "worker process restarted", "Check the worker."
--- a/src/ebonyhub/scheduling/crash_attribution.py
+++ b/src/ebonyhub/scheduling/crash_attribution.py
@@ -32,7 +32,7 @@
         Kept are the runs that the next process under the worker's id may still start.
         """
         worker.expired = True
-        kept = self._unanswered_starts(worker, now) if cause.id_may_return else []
+        kept = self._runs_that_may_start(worker, cause, now)
         log_event(
             Event.WORKER_EXPIRED, worker=worker.worker_id, vm=worker.entry.vm,
             cause=cause.value, runs=len(worker.runs), kept=len(kept),
@@ -50,22 +50,33 @@
                 run.crash_attributed = True
             self.attribute_crash(lost, now, wall_ms)
 
-    def _unanswered_starts(self, worker: Worker, now: float) -> list[Run]:
+    def _runs_that_may_start(
+        self, worker: Worker, cause: LossCause | None, now: float
+    ) -> list[Run]:
+        """Return the runs of a lost worker that a next process may still start.
+
+        The tasks of long-running steps have to be at work again within seconds, so they
+        do not wait for the process of a VM that is down.
+        """
+        if cause is not None and not cause.id_may_return:
+            return []
+        is_down = cause is LossCause.VM_DOWN
         return [
             run
             for run in worker.runs.values()
             if not run.step.allows_duplicates
+            and not (is_down and run.step.long_running)
             and run.may_start_late(now, worker.process)
         ]
 
-    def discard_unanswered_starts(
-        self, worker: Worker, now: float, id_may_return: bool = True
+    def discard_kept_runs(
+        self, worker: Worker, cause: LossCause | None, now: float
     ) -> None:
-        """Discard the kept runs of a lost worker that can certainly not start any more.
+        """Discard the kept runs of a lost worker that do not have to wait any more.
 
-        That is the case for all of them if no process can return under the id.
+        ``cause`` is what is known of the worker now, None if nothing is.
         """
-        kept = self._unanswered_starts(worker, now) if id_may_return else []
+        kept = self._runs_that_may_start(worker, cause, now)
         for run in [run for run in worker.runs.values() if run not in kept]:
             log_event(
                 Event.RUN_LOST, job=run.task.job, task=short_name(run.task),
--- a/src/ebonyhub/scheduling/crashes.py
+++ b/src/ebonyhub/scheduling/crashes.py
@@ -179,4 +179,7 @@
     responded_at = worker.last_response_at
     if run.phase is not RunPhase.CONFIRMED or responded_at is None:
         return False
+    if run.born_ms not in (0, worker.born_ms):
+        # The process of the run has ended, and another one responds.
+        return False
     return responded_at - run.confirmed_at >= (run.probation_seconds or 0.0)
--- a/src/ebonyhub/scheduling/worker_link.py
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -80,8 +80,8 @@
 
         The first on a connection does not wait, since it may reach another process.
         """
-        has_unstored_ends = bool(self.worker.process.unstored_ends)
-        if has_unstored_ends or not self.client.reaches_known_process():
+        process = self.worker.process
+        if process.unstored_ends or not self.client.reaches_process(process.born_ms):
             return 0.0
         return LONG_POLL_SECONDS
 
@@ -92,9 +92,9 @@
         token = process.token
         lease_end_ms = self._next_lease(sent_at)
         self.metrics.worker_orders.labels("hold").inc()
-        result = await self.client.poll(
-            token, process.acknowledged_sequence, lease_end_ms, wait_seconds
-        )
+        is_connected = self.client.reaches_process(process.born_ms)
+        acknowledged = process.acknowledged_sequence if is_connected else 0
+        result = await self.client.poll(token, acknowledged, lease_end_ms, wait_seconds)
         if result.is_ok() and lease_end_ms is not None:
             self._check_granted_lease(result.ok, lease_end_ms, sent_at)
         if result.is_ok() and result.ok.complete:
@@ -103,6 +103,9 @@
                 log_event(Event.WORKER_REACHABLE, worker=self.worker.worker_id)
             self.on_report(self.worker, result.ok, sent_at)
             await self._wait_for_store()
+            if not self.client.reaches_known_process():
+                # The connection is closed, so the next poll does not wait, either.
+                await asyncio.sleep(RETRY_DELAY_SECONDS)
             return
         if result.is_ok():
             self.on_report(self.worker, result.ok, sent_at)
@@ -167,7 +170,7 @@
         may_renew = (
             self._is_responsive(now)
             and process.clock_known
-            and self.client.reaches_known_process()
+            and self.client.reaches_process(process.born_ms)
             and self.may_renew_lease()
         )
         return process.grant_lease(now) if may_renew else None
@@ -199,6 +202,9 @@
         clock is another, and its report must show the run.
         """
         process, sent_at = self.worker.process, self.clock.monotonic()
+        if run.token != process.token or not process.clock_known:
+            # The worker has restarted since the start was decided.
+            return OrderFailure.NOT_SENT
         deadline_ms = process.grant_start(sent_at)
         order = StartOrder(
             run.task, run.number, text, deadline_ms, run.token, run.checkpoint, ticket
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -111,7 +111,7 @@
             if cause is None:
                 continue
             if worker.expired:
-                self.discard_unanswered_starts(worker, now, cause.id_may_return)
+                self.discard_kept_runs(worker, cause, now)
             else:
                 self.expire_worker(worker, cause, now, wall_ms)
 
@@ -144,8 +144,7 @@
         if worker.runs:
             cause = self._loss_by_silence(worker, unresponsive, now)
             if worker.expired:
-                id_may_return = cause is None or cause.id_may_return
-                self.discard_unanswered_starts(worker, now, id_may_return)
+                self.discard_kept_runs(worker, cause, now)
             elif cause is not None:
                 self.expire_worker(worker, cause, now, wall_ms)
         if worker.deregistered and not worker.runs and (unresponsive or worker.expired):
@@ -172,7 +171,8 @@
         if successor is not None and is_silent:
             moved = successor != worker.entry.service
             return LossCause.VM_MOVED if moved else LossCause.WORKER_REPLACED
-        if unresponsive and worker.lease_has_ended(now, self.inherited_leases_until):
+        inherited_until = max(self.inherited_leases_until, self.inherited_starts_until)
+        if unresponsive and worker.lease_has_ended(now, inherited_until):
             return LossCause.LEASE_ENDED
         return None
 
--- a/src/ebonyhub/scheduling/worker_process.py
+++ b/src/ebonyhub/scheduling/worker_process.py
@@ -29,7 +29,8 @@
 # Seconds within which a start order must reach its worker. Less than the 2 s for which
 # an order without an answer may still be executed.
 START_VALID_SECONDS = 1.8
-# Seconds after which a call without an answer is not carried out any more.
+# Seconds after which a call without an answer is not carried out any more. The
+# platform's pages only say "seconds later" (docs/questions.md, 22).
 LATE_CALL_SECONDS = 12.0
 
 # Workers that have left and whose tokens are kept.
@@ -134,8 +135,7 @@
             if sent_at < self.token_set_at:
                 return
             self.fenced_at = now
-            longest = clock_ms + int(self.max_lease_seconds * 1000)
-            self.lease_end_ms = max(self.lease_end_ms, longest)
+            self.lease_end_ms = clock_ms + int(self.max_lease_seconds * 1000)
 
     def clock_now_ms(self, now: float) -> int:
         """Return an upper bound of the worker's clock at ``now``."""
@@ -164,14 +164,17 @@
         earliest = self.clock_ms + elapsed_ms - CLOCK_TRANSIT_MS
         return earliest <= clock_ms <= self.clock_now_ms(now) + CLOCK_TRANSIT_MS
 
-    def late_runs_end(self, unanswered_at: float) -> float:
-        """Return until when the next process may run what was sent to this one.
+    def next_may_start(self, unanswered_at: float, now: float) -> bool:
+        """Return whether the next process may still run what was sent to this one.
 
-        A start without an answer was sent before ``unanswered_at``. Later calls extend
-        the lease under which the next process runs it.
+        A start without an answer was sent before ``unanswered_at``. If this process has
+        reported after the time in which the start may be carried out, no next one is
+        left to do so. Otherwise later calls may extend the lease of the late run.
         """
+        if self.clock_known and self.clock_read_at > unanswered_at + LATE_CALL_SECONDS:
+            return False
         sent_at = max(unanswered_at, self.granted_at, self.found_at)
-        return late_effects_end(sent_at, self.max_lease_seconds)
+        return now <= late_effects_end(sent_at, self.max_lease_seconds)
 
     def lease_has_ended(self, now: float) -> bool:
         """Return whether every lease of the process has certainly ended.
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -23,11 +23,21 @@
 )
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources
 from ebonyhub.jobs.records import JobState, ProgressRecord
-from ebonyhub.scheduling.model import OrderFailure, StartOrder, WorkerEntry
+from ebonyhub.scheduling.model import (
+    OrderFailure,
+    StartOrder,
+    WorkerEntry,
+    WorkerReport,
+)
 from ebonyhub.scheduling.orders import FetchReport, RaiseToken, StartRun, StopRun
 from ebonyhub.scheduling.scheduler import Scheduler
-from ebonyhub.scheduling.worker_process import WORKER_LEASE_SECONDS
+from ebonyhub.scheduling.worker_process import (
+    WORKER_LEASE_SECONDS,
+    late_effects_end,
+)
 from ebonyhub.scheduling.workspaces.policy import WorkspaceRules
+from standins.call_faults import CallFate
+from standins.call_faults import Faults as Faults
 from standins.emulated_configuration import MAX_ATTEMPTS as MAX_ATTEMPTS
 from standins.emulated_configuration import QUEUE as QUEUE
 from standins.emulated_configuration import SERVICE as SERVICE
@@ -35,7 +45,7 @@
 from standins.emulated_configuration import (
     one_queue_configuration as one_queue_configuration,
 )
-from standins.fake_worker import FakeWorker
+from standins.fake_worker import FIRST_CLOCK_MS, FakeWorker
 from standins.oracle import Oracle
 
 STEP_SECONDS = 0.05
@@ -44,16 +54,6 @@
 LEASE_EXTENSION_SECONDS = 5.0
 
 
-@dataclass(slots=True)
-class Faults:
-    """Probabilities of each fault, from 0 to 1."""
-
-    lost_answer_rate: float = 0.0
-    late_order_rate: float = 0.0
-    failed_commit_rate: float = 0.0
-    late_commit_rate: float = 0.0
-
-
 @dataclass
 class Emulator:
     """One service with its workers, the stored records and the current leader."""
@@ -72,6 +72,9 @@
     def __post_init__(self) -> None:
         """Create workers and the first leader."""
         self.rng = random.Random(self.seed)
+        # Draws which calls are lost, late or doubled, so that the other draws of a seed
+        # stay as they are without these faults.
+        self.call_rng = random.Random(f"{self.seed}/calls")
         self.oracle = Oracle(lambda: self.now, MAX_ATTEMPTS)
         self.configuration = EmulatedConfiguration()
         self.accepted: dict[JobId, AcceptedJob] = {}
@@ -104,7 +107,8 @@
             rack=RackId(f"r{number % 2}"),
             born_ms=int(self.now * 1000) + number,
             clock_rate=self.rng.choice([1.0, 0.98]),
-            clock_offset_ms=self.rng.randrange(10**6),
+            clock_offset_ms=FIRST_CLOCK_MS + self.rng.randrange(10**6),
+            clock_rng=random.Random(f"{self.seed}/{name}/clock"),
         )
         worker.on_start = self.oracle.check_start
         worker.on_end = self.oracle.record_end
@@ -124,6 +128,9 @@
         scheduler.inherited_leases_until = (
             self.now + LEASE_EXTENSION_SECONDS + WORKER_LEASE_SECONDS * 1.03 + 0.5
         )
+        scheduler.inherited_starts_until = late_effects_end(
+            self.now, scheduler.max_lease_seconds
+        )
         scheduler.max_entry_age_seconds = self.max_entry_age_seconds
         for worker in self.workers.values():
             if worker.registered:
@@ -251,7 +258,7 @@
         """Write the worker's entry at its time, unless the store is down."""
         name = worker.worker
         first = self.now + self.rng.uniform(0, self.heartbeat_seconds)
-        if self.now < self.next_heartbeat_at.setdefault(name, first):
+        if self.now < self.next_heartbeat_at.setdefault(name, first) or not worker.up:
             return
         self.next_heartbeat_at[name] += self.heartbeat_seconds
         if not self.store_up:
@@ -268,7 +275,8 @@
             # A worker known only from job records has no address.
             return
         # The first poll on a connection acknowledges nothing and renews no lease.
-        is_connected = self.connected.pop(name, None) == (fake.born_ms, self.token)
+        born_ms, leader_token = self.connected.pop(name, (0, None))
+        is_connected = leader_token == self.token
         lease = None
         if (
             is_connected
@@ -276,24 +284,48 @@
             and self.now - worker.last_response_at < 1.6
         ):
             lease = worker.process.grant_lease(self.now)
-        if not fake.up or fake.partitioned:
+        cursor = worker.process.acknowledged_sequence if is_connected else 0
+        token = worker.process.token
+        # On a connection to a former process, no process answers.
+        is_stale = is_connected and born_ms != fake.born_ms
+        fate = self._draw_fate(fake, self.faults.late_poll_rate, is_stale)
+        if fate.is_late:
+            self._deliver_late(
+                name, lambda: self._deliver_poll(name, token, cursor, lease)
+            )
+        if not fate.arrives:
             if worker.silent_since is None:
                 worker.silent_since = self.now
             return
-        acknowledged_sequence = (
-            worker.process.acknowledged_sequence if is_connected else 0
-        )
-        token = worker.process.token
-        report = fake.poll(token, acknowledged_sequence, lease, self.now)
+        report = self._deliver_poll(name, token, cursor, lease)
         if isinstance(report, OrderFailure):
             self._handle_refused_token(scheduler)
             return
-        self.oracle.record_acknowledgement(fake, fake.acknowledged_sequence)
-        if self.rng.random() < self.faults.lost_answer_rate:
+        if self.rng.random() < self.faults.lost_answer_rate or fate.is_late:
             return
         self.connected[name] = (fake.born_ms, self.token)
         scheduler.handle_report(worker, report, self.now, self.now, self._wall_ms())
 
+    def _deliver_poll(
+        self,
+        name: WorkerId,
+        token: LeaderToken,
+        acknowledged_sequence: int,
+        lease_end_ms: int | None,
+    ) -> WorkerReport | OrderFailure:
+        """Carry out a poll on the process that is up now under a worker's id."""
+        fake = self.workers[name]
+        report = fake.poll(token, acknowledged_sequence, lease_end_ms, self.now)
+        if not isinstance(report, OrderFailure):
+            self.oracle.record_acknowledgement(fake, fake.forgotten_sequence)
+        return report
+
+    def _draw_fate(
+        self, fake: FakeWorker, late_rate: float, is_stale: bool = False
+    ) -> CallFate:
+        reachable = fake.up and not fake.partitioned and not is_stale
+        return self.faults.draw_fate(self.call_rng, reachable, late_rate)
+
     def _commit(self, scheduler: Scheduler) -> None:
         for job in list(scheduler.dirty.values()):
             draw = self.rng.random()
@@ -407,40 +439,48 @@
         action: Callable[[], OrderFailure | None],
         on_result: Callable[[OrderFailure | None], None],
     ) -> None:
-        """Deliver an order at once, late, or with its answer lost."""
-        fake = self.workers[name]
-        if not fake.up or fake.partitioned:
+        """Deliver an order at once, late or twice, or with its answer lost."""
+        fate = self._draw_fate(self.workers[name], self.faults.late_call_rate)
+        if fate.is_late:
+            self._deliver_late(name, action)
+        if not fate.arrives:
             on_result(OrderFailure.UNKNOWN)
             return
         draw = self.rng.random()
         if draw < self.faults.late_order_rate:
-            self._deliver_late(fake, action)
+            self._deliver_late(name, action)
             on_result(OrderFailure.UNKNOWN)
             return
         result = action()
-        if draw < self.faults.late_order_rate + self.faults.lost_answer_rate:
+        lost_rate = self.faults.late_order_rate + self.faults.lost_answer_rate
+        if draw < lost_rate or fate.is_late:
             on_result(OrderFailure.UNKNOWN)
             return
         on_result(result)
 
-    def _deliver_late(
-        self, fake: FakeWorker, action: Callable[[], OrderFailure | None]
-    ) -> None:
-        """Deliver an order 2 to 12 s later, unless the worker has restarted by then."""
-        born = fake.born_ms
+    def _deliver_late(self, name: WorkerId, action: Callable[[], object]) -> None:
+        """Carry out a call 2 to 12 s later, on the process under the id by then."""
 
         def carry_out() -> None:
-            if fake.up and fake.born_ms == born:
+            fake = self.workers.get(name)
+            if fake is not None and fake.up:
                 action()
 
         self.run_later(self.rng.uniform(2, 12), carry_out)
 
     # Faults
 
-    def crash_worker(self, name: WorkerId) -> None:
-        """Crash a worker and remove its entry; its connections break at once."""
+    def crash_worker(self, name: WorkerId, entry_stays: bool = False) -> None:
+        """Crash a worker and remove its entry; its connections break at once.
+
+        ``entry_stays`` leaves the entry in the store, where the platform removes it
+        only after some seconds, and leaves the connections open.
+        """
         self.oracle.record_crash(self.workers[name])
         self.workers[name].crash()
+        if entry_stays:
+            return
+        self.connected.pop(name, None)
         self.next_poll_at[name] = self.now
         self.workers[name].registered = False
 
