Start no task beside an earlier run of it that a worker lists

A next process may carry out a start late whose run had been given up, and list it when the present run is found missing.

--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -340,7 +340,7 @@
                     and run.stop_confirmed_at < sent_at
                 )
                 is_gone = run.inherited or refused or stop_confirmed
-            if is_gone:
+            if is_gone and not self._is_run_beside(run):
                 log_event(
                     Event.RUN_LOST, job=run.task.job, task=short_name(run.task),
                     run=run.number, worker=worker.worker_id, phase=run.phase.value,
@@ -351,6 +351,21 @@
                 self.stop_run(run, StopReason.UNANSWERED, now)
         return missing
 
+    def _is_run_beside(self, run: Run) -> bool:
+        """Return whether a worker lists another run of the task.
+
+        A next process may have carried out an earlier start late. The task must not
+        start again before that run has been stopped.
+        """
+        return any(
+            other.task == run.task
+            and other is not run
+            and other.phase is RunPhase.CONFIRMED
+            for worker_id in self.workers_of_job.get(run.task.job, ())
+            if (worker := self.workers.get(worker_id)) is not None
+            for other in worker.runs.values()
+        )
+
     def _throttle_best_effort_runs(self, worker: Worker, now: float) -> None:
         """Adapt the speed of best-effort runs to the latency of serving tasks."""
         if now - worker.process.throttled_at < MIN_CHANGE_INTERVAL_SECONDS:
