Tell the drain of one worker process from the crash of another

A crash of the next process counted as a drain, and that of a drained process as a crash, when the entry of the other one was there. The state machine of workspaces issues the tokens that the scheduler asks for.

--- a/src/ebonyhub/scheduling/crashes.py
+++ b/src/ebonyhub/scheduling/crashes.py
@@ -84,7 +84,11 @@
     A cordoned VM is no exception: its change is ordered only once it is empty.
     """
     drained = born_ms != 0 and born_ms == worker.draining_born_ms
-    return cause in _CRASHES and not worker.entry.draining and not drained
+    # Another process under the id may have written the entry.
+    drains = worker.entry.draining and (
+        0 in (born_ms, worker.entry.born_ms) or born_ms == worker.entry.born_ms
+    )
+    return cause in _CRASHES and not drains and not drained
 
 
 def suspects_of(lost: Iterable[LostRun]) -> list[LostRun]:
--- a/tests/test_workspace_machine.py
+++ b/tests/test_workspace_machine.py
@@ -13,7 +13,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from ebonyhub.configuration import Workspace
-from ebonyhub.ids import JobId, TaskId, WorkerId, WorkspaceName
+from ebonyhub.ids import JobId, LeaderToken, TaskId, WorkerId, WorkspaceName
 from ebonyhub.jobs.model import AcceptedJob, JobSpec, Resources, StepSpec
 from ebonyhub.scheduling.crashes import CrashEvidence, is_isolating
 from ebonyhub.scheduling.lifecycle import (
@@ -28,7 +28,7 @@
     RunOutcome,
     WorkerReport,
 )
-from ebonyhub.scheduling.orders import StartRun, StopRun
+from ebonyhub.scheduling.orders import RaiseToken, StartRun, StopRun
 from ebonyhub.scheduling.workspaces.shares import dominant_share
 from ebonyhub.scheduling.workspaces.status import Standing
 from standins.emulator import QUEUE, SERVICE
@@ -196,6 +196,11 @@
             order = self.scheduler.outbox.popleft()
             if isinstance(order, StopRun):
                 self.stop(order)
+            if isinstance(order, RaiseToken):
+                token = LeaderToken(
+                    self.scheduler.workers[order.worker].process.token + 1
+                )
+                self.scheduler.set_process_token(order.worker, token, self.driver.now)
             if not isinstance(order, StartRun):
                 continue
             fate = fates.pop() if fates else "ok"
