Name an acknowledgement only until a poll with it was answered

Each poll named the last number, so that a poll without an answer could make the next process forget ends of its own, whose tasks then started again. A number that was answered is not sent again.

--- a/src/ebonyhub/scheduling/worker_link.py
+++ b/src/ebonyhub/scheduling/worker_link.py
@@ -93,10 +93,12 @@
         lease_end_ms = self._next_lease(sent_at)
         self.metrics.worker_orders.labels("hold").inc()
         is_connected = self.client.reaches_process(process.born_ms)
-        acknowledged = process.acknowledged_sequence if is_connected else 0
+        acknowledged = process.acknowledgement() if is_connected else 0
         result = await self.client.poll(token, acknowledged, lease_end_ms, wait_seconds)
-        if result.is_ok() and lease_end_ms is not None:
-            self._check_granted_lease(result.ok, lease_end_ms, sent_at)
+        if result.is_ok():
+            process.answered_sequence = max(process.answered_sequence, acknowledged)
+            if lease_end_ms is not None:
+                self._check_granted_lease(result.ok, lease_end_ms, sent_at)
         if result.is_ok() and result.ok.complete:
             if not self.reachable:
                 self.reachable = True
--- a/src/ebonyhub/scheduling/worker_process.py
+++ b/src/ebonyhub/scheduling/worker_process.py
@@ -83,6 +83,8 @@
     # Sequence numbers of the last run end that was processed and acknowledged.
     last_seen_sequence: int = 0
     acknowledged_sequence: int = 0
+    # Highest sequence number in an acknowledgement that was answered.
+    answered_sequence: int = 0
     # Ends that cannot be acknowledged yet: sequence number, and for each affected job
     # the version of its record that must be stored first.
     unstored_ends: list[tuple[int, dict[JobId, int]]] = field(default_factory=list)
@@ -155,6 +157,15 @@
         self.granted_at = now
         return end_ms
 
+    def acknowledgement(self) -> int:
+        """Return the sequence number that the next poll acknowledges, 0 for none.
+
+        A number is not sent again once it was answered: a poll that the next process
+        carries out late would make it forget ends of its own.
+        """
+        is_new = self.acknowledged_sequence > self.answered_sequence
+        return self.acknowledged_sequence if is_new else 0
+
     def has_clock(self, clock_ms: int, sent_at: float, now: float) -> bool:
         """Return whether a clock in an answer can be that of this process.
 
--- a/tests/test_worker_process_link.py
+++ b/tests/test_worker_process_link.py
@@ -120,6 +120,15 @@
     assert 5_500 < linked.remaining_ms(lease_end_ms) < 6_500
 
 
+async def test_poll_names_an_acknowledgement_only_until_it_is_answered(linked):
+    """The next process could carry out the poll late, and forget ends of its own."""
+    await linked.poll()
+    linked.worker.process.acknowledged_sequence = 3
+    assert [(await linked.poll())[0] for _ in range(3)] == [3, 0, 0]
+    linked.worker.process.acknowledged_sequence = 4
+    assert [(await linked.poll())[0] for _ in range(2)] == [4, 0]
+
+
 @CLOCKS
 async def test_report_beside_the_polls_renews_no_lease(linked, clock_change_ms):
     await linked.poll()
