--- a/src/ebonyhub/cluster/fencing.py
+++ b/src/ebonyhub/cluster/fencing.py
@@ -17,7 +17,7 @@
 FENCE_KEY = "eb/fence"
 
 
-class FencingTokens:
+class TermTokens:
     """Issues tokens of one term; calls that come at the same time share a commit."""
 
     def __init__(self, store: MetadataStore, term: Term) -> None:
--- a/src/ebonyhub/scheduling/process_tokens.py
+++ b/src/ebonyhub/scheduling/process_tokens.py
@@ -6,7 +6,7 @@
 from expression import Error, Result
 
 from ..clock import Clock
-from ..cluster.fencing import FencingTokens
+from ..cluster.fencing import TermTokens
 from ..cluster.leadership import Term
 from ..cluster.metadata_store import MetadataStore, StoreFailure
 from ..events import Event, log_event
@@ -28,7 +28,7 @@
         clock: Clock,
         end_term: Callable[[str], None],
     ) -> None:
-        self.fencing = FencingTokens(store, term)
+        self.fencing = TermTokens(store, term)
         self.term = term
         self.scheduler = scheduler
         self.clock = clock
--- a/tests/test_fencing_tokens.py
+++ b/tests/test_fencing_tokens.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from ebonyhub.cluster.fencing import FENCE_KEY, FencingTokens
+from ebonyhub.cluster.fencing import FENCE_KEY, TermTokens
 from ebonyhub.cluster.leadership import LEADER_KEY, Term
 from ebonyhub.cluster.metadata_store import StoreFailure
 from ebonyhub.ids import LeaderToken, StoreLease
@@ -34,7 +34,7 @@
 
 def tokens_of_leader(core):
     term = Term(LeaderToken(core.revision), StoreLease(1), time.monotonic() + 99)
-    return FencingTokens(RemoteStore(core), term)
+    return TermTokens(RemoteStore(core), term)
 
 
 async def test_each_token_exceeds_the_earlier_ones_and_that_of_the_term(core):
--- a/tests/test_late_calls_of_workers.py
+++ b/tests/test_late_calls_of_workers.py
@@ -13,7 +13,7 @@
 from prometheus_client import CollectorRegistry
 
 from ebonyhub.clock import SystemClock
-from ebonyhub.cluster.fencing import FencingTokens
+from ebonyhub.cluster.fencing import TermTokens
 from ebonyhub.cluster.leadership import Term
 from ebonyhub.fleet.model import Vm, VmState
 from ebonyhub.ids import LeaderToken, PoolName, Revision, WorkerId
@@ -233,7 +233,7 @@
         store = Store()
         term = Term.__new__(Term)
         object.__setattr__(term, "token", LeaderToken(5))
-        tokens = FencingTokens(store, term)
+        tokens = TermTokens(store, term)
         first = asyncio.create_task(tokens.issue())
         await asyncio.sleep(0)
         await asyncio.sleep(0)
