--- a/review/rig.py
+++ b/review/rig.py
@@ -97,6 +97,10 @@
     "base", "drain", "config", "cost", "recover", "sched", "platform", "advice",
     "upkeep", "sharing",
 ]  # fmt: skip
+# Clock of a minion's life when it begins.
+FIRST_CLOCK_MS = 1000
+# Longer than any caller waits, so the answer is lost to it.
+LOST_ANSWER_SECONDS = 8.0
 # Capacity of a minion in thousandths of a core and in MB.
 CAPACITY_CPU = 32000
 CAPACITY_MB = 65536
@@ -190,6 +194,23 @@
                 found.append(job)
         return found
 
+    def overlaps(self, job: str) -> list[tuple[Run, Run, float]]:
+        """Return the pairs of runs of one work item at the same time, and for how long.
+
+        Both runs exist on minions that are up: a crash ends the runs of its minion.
+        """
+        now = time.monotonic()
+        runs = [run for run in self.runs if run.job == job]
+        found = []
+        for index, first in enumerate(runs):
+            for second in runs[index + 1 :]:
+                together = min(first.ended or now, second.ended or now) - max(
+                    first.started, second.started
+                )
+                if first.task == second.task and together > 0:
+                    found.append((first, second, together))
+        return found
+
     def most_used(self, jobs: list[Job], begin: float, end: float) -> int:
         """Return the highest use of the service from begin to end, in milli-cores."""
         cpu = {job.job: job.cpu for job in jobs}
@@ -222,6 +243,9 @@
         # Entries reach the minion through a proxy, which ends or cuts its connections.
         self.proxy = Proxy((listener.address, listener.port))
         self.sequence = 0
+        self.late_starts: list[asyncio.Task[None]] = []
+        # Delay of a start that gets no answer; None to answer.
+        self.late_seconds: float | None = None
         self.fake.capacity = Resources(CAPACITY_CPU, CAPACITY_MB, 0)
         self.fake.rack = RackId(rack)
         self.fake.on_start = self._note_start
@@ -262,6 +286,34 @@
             if self.fake.up:
                 self.register()
 
+    def start_clock(self) -> None:
+        """Let the minion's clock begin anew, as in each life of a minion."""
+        self.fake.clock_offset_ms = FIRST_CLOCK_MS - int(time.monotonic() * 1000)
+
+    async def start(self, data: dict[str, Any]) -> Response:
+        """Start a run, or leave the order unanswered and carry it out late."""
+        late = self.late_seconds
+        if late is None:
+            return await super().start(data)
+        self.late_seconds = None
+        name = f"{data['Task']} run {data['Run']}"
+        self.record.write(f"minion {self.name}: leaves the start of {name} unanswered")
+        self.late_starts.append(asyncio.create_task(self._start_late(late, data)))
+        await asyncio.sleep(LOST_ANSWER_SECONDS)
+        return reply(503, {})
+
+    async def _start_late(self, seconds: float, data: dict[str, Any]) -> None:
+        await asyncio.sleep(seconds)
+        self.record.write(
+            f"minion {self.name}: carries out the start of {data['Task']} "
+            f"run {data['Run']}, {seconds} s late; up: {self.fake.up}"
+        )
+        if self.fake.up:
+            answer = await super().start(data)
+            self.record.write(
+                f"minion {self.name}: would have answered {answer.status}"
+            )
+
     async def open(self, address: str) -> None:
         """Listen on the address that the entry of the minion gives."""
         self.advertised = f"{address}:{MINION_PORT}"
@@ -286,6 +338,7 @@
             self.core.delete(f"servers/{self.name}")
             await asyncio.sleep(seconds - lapse)
         self.fake.restart(int(time.time() * 1000))
+        self.start_clock()
         if silent:
             self.proxy.reset()
             self.proxy.set_mode(LinkMode.PASS)
@@ -294,6 +347,16 @@
         self.register()
         self.record.write(f"minion {self.name}: is up again")
 
+    async def crash_behind_cut(self, seconds: float) -> None:
+        """Crash while the minion is cut off, and start again under the same id."""
+        self.record.write(f"minion {self.name}: crashes behind the cut")
+        self.crash()
+        await asyncio.sleep(seconds)
+        self.fake.restart(int(time.time() * 1000))
+        self.start_clock()
+        self.register()
+        self.record.write(f"minion {self.name}: is up again behind the cut")
+
     def cut(self) -> None:
         """Cut the minion off from all entries; it runs on."""
         self.record.write(f"minion {self.name}: is cut off from the entries")
@@ -422,6 +485,7 @@
             while not all(server.started for server in servers):
                 await asyncio.sleep(0.01)
         for number, minion in enumerate(self.minions, start=1):
+            minion.start_clock()
             await minion.open(self.network.address(3, number))
             minion.register()
             self.tasks.append(asyncio.create_task(minion.advance_clock()))
@@ -473,6 +537,16 @@
         """Return the log of an entry."""
         return (Path(self.directory.name) / f"{name}.log").read_text(errors="replace")
 
+    def leader(self) -> str:
+        """Return the entry that has logged the highest token of a leader."""
+        newest = (0, self.names[0])
+        for name in self.names:
+            for line in self.log_of(name).splitlines():
+                if "E2001" in line:
+                    token = int(line.rpartition("token=")[2].split()[0])
+                    newest = max(newest, (token, name))
+        return newest[1]
+
     def note_events(self, *codes: str) -> None:
         """Copy log lines of the entries into the record, for the reader only."""
         for name in self.names:
