--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,41 +1,53 @@
-"""A minion is lost for good; jobs whose start orders it left unanswered do not run."""
+"""A start whose stop was confirmed is carried out late by the minion's next life."""
 
 import asyncio
 import time
 from pathlib import Path
 
-from review.rig import Job, Record, Rig, has_trouble, job_id, main, step
+from review.rig import Record, Rig, has_trouble, job_id, main, step
 
-JOBS = 12
-JOB_INTERVAL_SECONDS = 0.05
-# Longer than the script runs.
-GONE_SECONDS = 600.0
+ITEM = job_id(0x7)
+# Leaves the first minion as the fullest one, then makes another one the fullest.
+BESIDE, LARGE = job_id(0x71), job_id(0x72)
+# From the start order on: the cut, the crash behind it, and the late start.
+CUT_AFTER_SECONDS = 1.0
+CUT_SECONDS = 5.5
+CRASH_AFTER_SECONDS = 0.2
+DOWN_SECONDS = 1.0
+LATE_SECONDS = 4.0
+WATCH_SECONDS = 12.0
 
 
 async def case(rig: Rig, record: Record) -> str:
-    """Lose the minion on which work is placed, and submit jobs just after that."""
-    first = await rig.submit(job_id(99), step(1, 30_000, 1800, 3300))
+    """Leave a start unanswered, cut its minion off and crash it behind the cut."""
+    await rig.submit(BESIDE, step(1, 60_000, 12_000, 1000))
     while not record.runs:
-        await asyncio.sleep(0.05)
-    lost: asyncio.Task[None] | None = None
+        await asyncio.sleep(0.02)
+    name = record.runs[0].minion
+    minion = next(minion for minion in rig.minions if minion.name == name)
+    if has_trouble():
+        minion.late_seconds = LATE_SECONDS
+    await rig.submit(ITEM, step(1, 25_000, 1000, 1000))
+    ordered = time.monotonic()
+    await rig.submit(LARGE, step(1, 60_000, 19_500, 1000))
     if has_trouble():
-        name = record.runs[0].minion
-        minion = next(minion for minion in rig.minions if minion.name == name)
-        lost = asyncio.create_task(minion.end(GONE_SECONDS, silent=True))
-    accepted: list[Job] = [first] if first is not None else []
-    for number in range(1, JOBS + 1):
-        job = await rig.submit(job_id(number), step(1, 800, 1800, 3300))
-        if job is not None:
-            accepted.append(job)
-        await asyncio.sleep(JOB_INTERVAL_SECONDS)
-    end_of_traffic = time.monotonic()
-    found = await rig.check_lost(accepted, end_of_traffic)
-    # When they start after all.
-    while found and time.monotonic() < end_of_traffic + 30.0:
-        await asyncio.sleep(0.1)
-    if lost is not None:
-        lost.cancel()
-    rig.note_events("E2206", "E2304")
+        await asyncio.sleep(CUT_AFTER_SECONDS)
+        minion.cut()
+        await asyncio.sleep(CRASH_AFTER_SECONDS)
+        crash = asyncio.create_task(minion.crash_behind_cut(DOWN_SECONDS))
+        await asyncio.sleep(CUT_SECONDS - CRASH_AFTER_SECONDS)
+        minion.heal()
+        await crash
+    while time.monotonic() < ordered + WATCH_SECONDS:
+        await asyncio.sleep(0.05)
+    rig.note_events("E2204", "E2205", "E2206", "E2208", "E2304")
+    found = ""
+    for first, second, seconds in record.overlaps(ITEM):
+        found = (
+            f"TWICE: {first.task} ran {seconds:.2f} s on {first.minion} (run "
+            f"{first.number}) and {second.minion} (run {second.number}) together"
+        )
+        record.write(found)
     return found
 
 
