Bind a task to its worker while a start without an answer may come late

A stop that one process confirmed, or a token that it refused, was taken as proof for the next one, and the task started elsewhere.

Change: LateStarts keeps each start without an answer until no process carries it out. It is sent again to the same process, which answers the repetition also if it has the run (PROTOCOL.md), so that nothing is stopped. If the repetition is refused, the run is stopped and the task may start again on that worker only. The record names the worker of a waiting task and which starts were answered, so a successor binds the tasks of unanswered starts, too, also on a VM that is listed as down. A run of a former process is no longer judged stuck by answers of the next one; that had been hidden, as its task started elsewhere.

--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -193,6 +193,15 @@
         "run without progress for longer than allowed; it is stopped",
         "Check the worker; if the task is sound, its estimate is too low.",
     )
+    RUN_START_REPEATED = EventSpec(
+        2215, _I, "start without an answer sent again to the same process", "None."
+    )
+    TASK_BOUND = EventSpec(
+        2216,
+        _I,
+        "task waits for the worker that may still carry out an earlier start of it",
+        "None; it may start on other workers within 23 s.",
+    )
     WORKER_DISCOVERED = EventSpec(2301, _I, "worker discovered in the store", "None.")
     WORKER_DRAINING = EventSpec(2302, _I, "worker is draining", "None.")
     WORKER_ENTRY_REMOVED = EventSpec(2303, _I, "worker's store entry removed", "None.")
--- a/src/ebonyhub/jobs/records.py
+++ b/src/ebonyhub/jobs/records.py
@@ -44,6 +44,8 @@
     checkpoint: str = ""
     # VM of the worker; empty in records of earlier versions.
     vm: VmId = VmId("")
+    # Whether the start order was answered, so that no process carries it out late.
+    answered: bool = False
 
 
 class StepProgress(msgspec.Struct, array_like=True):
@@ -62,6 +64,9 @@
     # just after its start, and the number of later ones that nothing explains.
     crash_evidence: dict[int, int] = msgspec.field(default_factory=dict)
     late_crashes: dict[int, int] = msgspec.field(default_factory=dict)
+    # Worker of each waiting task of which a start had no answer: a process under that
+    # id may still carry it out, see scheduling/late_starts.py.
+    unanswered_starts: dict[int, WorkerId] = msgspec.field(default_factory=dict)
 
 
 class LeftRun(msgspec.Struct, array_like=True):
--- a/src/ebonyhub/jobs/validation.py
+++ b/src/ebonyhub/jobs/validation.py
@@ -67,7 +67,10 @@
         progress.failures, progress.last_run_numbers, progress.crash_evidence,
         progress.late_crashes,
     )  # fmt: skip
-    by_position = (progress.done, progress.runs, progress.checkpoints, *counts)
+    by_position = (
+        progress.done, progress.runs, progress.checkpoints,
+        progress.unanswered_starts, *counts,
+    )  # fmt: skip
     runs = progress.runs.values()
     return (
         all(_within(positions, step.count - 1) for positions in by_position)
--- a/src/ebonyhub/scheduling/assignment.py
+++ b/src/ebonyhub/scheduling/assignment.py
@@ -1,8 +1,11 @@
 """Assigns a task to a worker: the run, its reservation and its record."""
 
+from collections.abc import Container, Iterable
+
 from ..ids import TaskId, WorkerId
 from . import lifecycle
 from .crashes import probation_seconds
+from .late_starts import bound_positions
 from .placement import StepRequirements
 from .runs import Job, Run, RunPhase, Worker
 from .state import SchedulerState
@@ -32,6 +35,34 @@
             tickets = advice.tickets
         return StepRequirements(job.job_id, occurrence, number, step, tickets)
 
+    def bound_positions(
+        self, requirements: StepRequirements, positions: Iterable[int]
+    ) -> dict[int, WorkerId]:
+        """Return the worker of each position that a late start binds to it."""
+        starts = self.late_starts.of_job(requirements.job)
+        return bound_positions(
+            starts, requirements.occurrence, requirements.step_number, positions
+        )
+
+    def workers_for(
+        self, task: TaskId, workers: list[Worker], avoid: Container[WorkerId]
+    ) -> list[Worker]:
+        """Return the workers on which a task may start, if a late start binds it.
+
+        A worker that lists a late run of the task has to end that first. Where the task
+        has failed before, it waits until it may start elsewhere.
+        """
+        start = self.late_starts.get(task)
+        if start is None:
+            return workers
+        return [
+            worker
+            for worker in workers
+            if worker.worker_id == start.worker
+            and worker.worker_id not in avoid
+            and not worker.has_run_of(task)
+        ]
+
     def assign(
         self,
         job: Job,
@@ -54,6 +85,9 @@
             RunPhase.PLANNED, planned_at=now, checkpoint=checkpoint,
             probation_seconds=probation_seconds(step_progress, task.position),
         )  # fmt: skip
+        late_start = self.late_starts.get(task)
+        if late_start is not None:
+            run.unanswered_at = late_start.unanswered_at
         self.reserve_for_run(run, worker)
         lifecycle.record_start(job, run, worker.entry.vm)
         run.job_version = job.version
--- a/src/ebonyhub/scheduling/crash_attribution.py
+++ b/src/ebonyhub/scheduling/crash_attribution.py
@@ -44,6 +44,7 @@
         lost = [LostRun(run, run_age(run, worker, now)) for run in started_runs(worker)]
         for run in list(worker.runs.values()):
             if run not in kept:
+                self.late_starts.remove_from(worker.worker_id, run.task)
                 self.discard_run(run, worker)
         if is_crash(cause, worker, worker.born_ms):
             for run in kept:
@@ -82,6 +83,7 @@
                 Event.RUN_LOST, job=run.task.job, task=short_name(run.task),
                 run=run.number, worker=worker.worker_id, phase=run.phase.value,
             )  # fmt: skip
+            self.late_starts.remove_from(worker.worker_id, run.task)
             self.discard_run(run, worker)
 
     def attribute_crash(
--- a/src/ebonyhub/scheduling/intake.py
+++ b/src/ebonyhub/scheduling/intake.py
@@ -2,7 +2,7 @@
 
 from ..events import Event, log_event
 from ..fleet.demand import ArrivalMeter
-from ..ids import JobId, ServiceName, VmId
+from ..ids import JobId, ServiceName, TaskId, VmId
 from ..jobs.model import AcceptedJob, Resources
 from ..jobs.records import JobState, ProgressRecord
 from . import lifecycle
@@ -59,6 +59,7 @@
                     s.crash_evidence or s.late_crashes for s in steps
                 )
                 lifecycle.refresh_pending(job, number)
+        self._adopt_late_starts(job, now)
         self._adopt_runs(job, now)
         lifecycle.start_due_occurrences(job, wall_ms)
         if not accepted.spec.long_running:
@@ -106,9 +107,24 @@
                 step, RunPhase.UNCERTAIN, inherited=True, planned_at=now,
                 checkpoint=record.checkpoint, probation_seconds=probation,
             )  # fmt: skip
+            if not record.answered and not step.allows_duplicates:
+                run.unanswered_at = now
+                if lifecycle.is_current(job, task, record.number):
+                    self.late_starts.add(task, record.worker, now)
             worker = self._worker_of_record(run, record.vm, job, now)
             self.reserve_for_run(run, worker)
 
+    def _adopt_late_starts(self, job: Job, now: float) -> None:
+        """Bind waiting tasks to the workers that may still carry out a start of theirs.
+
+        An earlier leader sent the orders, the latest of them just before this term.
+        """
+        for occurrence, steps in job.progress.occurrences.items():
+            for number, step in enumerate(steps):
+                for position, worker_id in step.unanswered_starts.items():
+                    task = TaskId(job.job_id, occurrence, number, position)
+                    self.late_starts.add(task, worker_id, now)
+
     def _worker_of_record(self, run: Run, vm: VmId, job: Job, now: float) -> Worker:
         """Return the worker of an inherited run; a placeholder if its entry is gone."""
         worker = self.workers.get(run.worker)
@@ -152,6 +168,7 @@
     def close_job(self, job: Job, now: float, reason: StopReason) -> None:
         """Stop the runs of a job with a final state, and drop its scheduling state."""
         self.active.pop(job.job_id, None)
+        self.late_starts.remove_job(job.job_id)
         self.workspaces.job_closed(job.accepted)
         holders = [
             worker
--- a/src/ebonyhub/scheduling/isolation.py
+++ b/src/ebonyhub/scheduling/isolation.py
@@ -188,16 +188,20 @@
             worker for worker in quiet if meets_constraints(requirements, worker)
         ]
         if requirements.step.gang:
-            chosen = choose_gang_workers(requirements, allowed, tasks.positions)
+            chosen = choose_gang_workers(
+                requirements, allowed, tasks.positions,
+                self.bound_positions(requirements, tasks.positions),
+            )  # fmt: skip
             if chosen is not None:
                 self.assign_gang(tasks.job, requirements, chosen, now)
             return chosen is not None
-        free = [worker for worker in allowed if has_capacity(requirements, worker)]
-        if not free:
-            return False
         (position,) = tasks.positions
         task = requirements.task(position)
         avoid = tasks.job.workers_to_avoid.get(task, set())
+        allowed = self.workers_for(task, allowed, avoid)
+        free = [worker for worker in allowed if has_capacity(requirements, worker)]
+        if not free:
+            return False
         rack = requirements.step.data_rack
         worker = min(
             free,
--- /dev/null
+++ b/src/ebonyhub/scheduling/late_starts.py
@@ -0,0 +1,119 @@
+"""Starts without an answer that a process of their worker may still carry out.
+
+A start order without an answer may be carried out up to LATE_CALL_SECONDS after it was
+sent, by any process under the worker's id. What one process proves about it (a
+confirmed stop, a refused token, a report without the run) does not bind the next one.
+Until that time has passed, the task runs on the same worker only: a later process that
+carries out the start ends with it what the task had running there.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+from ..ids import JobId, TaskId, WorkerId
+from .worker_process import LATE_CALL_SECONDS
+
+
+@dataclass(frozen=True, slots=True)
+class LateStart:
+    """A start order without an answer; ``unanswered_at`` is in monotonic seconds."""
+
+    worker: WorkerId
+    # The order was sent before this time.
+    unanswered_at: float
+
+
+_NONE: Mapping[TaskId, LateStart] = {}
+
+
+class LateStarts:
+    """The latest start without an answer of each task, until it cannot come any more.
+
+    All such starts of a task went to the same worker, since the task is bound to it.
+    """
+
+    def __init__(self) -> None:
+        # In the order of ``unanswered_at``.
+        self.by_task: dict[TaskId, LateStart] = {}
+        self.by_job: dict[JobId, dict[TaskId, LateStart]] = {}
+
+    def add(self, task: TaskId, worker: WorkerId, now: float) -> None:
+        """Note a start without an answer, in place of an earlier one of the task."""
+        self.by_task.pop(task, None)
+        start = LateStart(worker, now)
+        self.by_task[task] = start
+        self.by_job.setdefault(task.job, {})[task] = start
+
+    def get(self, task: TaskId) -> LateStart | None:
+        """Return the start of a task that may still be carried out, if there is one."""
+        return self.by_task.get(task)
+
+    def of_job(self, job_id: JobId) -> Mapping[TaskId, LateStart]:
+        """Return the starts of a job's tasks that may still be carried out."""
+        return self.by_job.get(job_id, _NONE)
+
+    def remove_from(self, worker: WorkerId, task: TaskId) -> None:
+        """Forget the start of a task if it was sent to this worker."""
+        start = self.by_task.get(task)
+        if start is not None and start.worker == worker:
+            self.remove(task)
+
+    def remove(self, task: TaskId) -> None:
+        """Forget the start of a task, if there is one."""
+        if self.by_task.pop(task, None) is None:
+            return
+        starts = self.by_job[task.job]
+        del starts[task]
+        if not starts:
+            del self.by_job[task.job]
+
+    def remove_job(self, job_id: JobId) -> None:
+        """Forget the starts of a job that needs no further runs."""
+        for task in self.by_job.pop(job_id, _NONE):
+            del self.by_task[task]
+
+    def remove_of(self, worker: WorkerId) -> list[TaskId]:
+        """Forget the starts of a worker whose id has ended; return their tasks."""
+        tasks = [task for task, s in self.by_task.items() if s.worker == worker]
+        for task in tasks:
+            self.remove(task)
+        return tasks
+
+    def remove_ended(
+        self, now: float, has_ended: Callable[[TaskId, LateStart], bool]
+    ) -> list[TaskId]:
+        """Forget the starts that no process carries out any more; return their tasks.
+
+        ``has_ended`` is asked about those that were sent long enough ago.
+        """
+        tasks: list[TaskId] = []
+        for task, start in self.by_task.items():
+            if now <= start.unanswered_at + LATE_CALL_SECONDS:
+                break
+            if has_ended(task, start):
+                tasks.append(task)
+        for task in tasks:
+            self.remove(task)
+        return tasks
+
+    @property
+    def workers(self) -> set[WorkerId]:
+        """Return the workers to which one of the starts was sent."""
+        return {start.worker for start in self.by_task.values()}
+
+
+def bound_positions(
+    starts: Mapping[TaskId, LateStart],
+    occurrence: int,
+    step: int,
+    positions: Iterable[int],
+) -> dict[int, WorkerId]:
+    """Return which of a step's ``positions`` are bound to a worker, with the worker."""
+    waiting = set(positions) if starts else set()
+    return {
+        task.position: start.worker
+        for task, start in starts.items()
+        if task.occurrence == occurrence
+        and task.step == step
+        and task.position in waiting
+    }
--- a/src/ebonyhub/scheduling/lifecycle.py
+++ b/src/ebonyhub/scheduling/lifecycle.py
@@ -3,7 +3,7 @@
 Each transition of the progress record increments ``Job.version``.
 """
 
-from ..ids import TaskId, VmId
+from ..ids import TaskId, VmId, WorkerId
 from ..jobs.model import StepSpec
 from ..jobs.records import JobState, ProgressRecord, RunRecord, StepProgress
 from .crashes import CrashEvidence, is_suspected
@@ -90,6 +90,8 @@
     step_progress.runs[position] = RunRecord(
         run.number, run.worker, run.born_ms, run.checkpoint, vm
     )
+    # The record of the run names the same worker.
+    step_progress.unanswered_starts.pop(position, None)
     key = (run.task.occurrence, run.task.step)
     waiting = job.pending.get(key)
     if waiting is not None:
@@ -101,6 +103,27 @@
     job.version += 1
 
 
+def record_answer(job: Job, run: Run) -> None:
+    """Record that the start of the task's present run was answered."""
+    record = current_run(job, run.task)
+    if record is not None and record.number == run.number:
+        record.answered = True
+
+
+def record_unanswered_start(job: Job, task: TaskId, worker: WorkerId) -> None:
+    """Record the worker of a start without an answer, for a task without a run."""
+    step_progress = step_progress_of(job, task)
+    if step_progress is not None:
+        step_progress.unanswered_starts[task.position] = worker
+
+
+def drop_unanswered_start(job: Job, task: TaskId) -> None:
+    """Drop the record of a start that no process carries out any more."""
+    step_progress = step_progress_of(job, task)
+    if step_progress is not None:
+        step_progress.unanswered_starts.pop(task.position, None)
+
+
 def is_current(job: Job, task: TaskId, number: int) -> bool:
     """Return whether this run is the one that the record has for the task."""
     step_progress = step_progress_of(job, task)
@@ -154,6 +177,7 @@
     step_progress.checkpoints.pop(task.position, None)
     step_progress.crash_evidence.pop(task.position, None)
     step_progress.late_crashes.pop(task.position, None)
+    step_progress.unanswered_starts.pop(task.position, None)
     job.version += 1
     ready = job.pending.get((task.occurrence, task.step), ())
     if len(step_progress.done) >= step.count or task.position in ready:
--- a/src/ebonyhub/scheduling/order_results.py
+++ b/src/ebonyhub/scheduling/order_results.py
@@ -3,8 +3,8 @@
 from ..events import Event, log_event
 from . import lifecycle
 from .model import OrderFailure
-from .orders import FetchReport, StartRun, StopRun
-from .runs import Run, RunPhase
+from .orders import FetchReport, StopRun
+from .runs import Run, RunPhase, StopReason, Worker
 from .state import SchedulerState, short_name
 
 # Seconds of quarantine for a worker that refused a start or could not be reached.
@@ -43,12 +43,7 @@
             if not may_start or worker.is_overcommitted:
                 self.discard_run(run, worker)
                 continue
-            run.phase = RunPhase.ORDERED
-            run.token, run.born_ms = worker.process.token, worker.born_ms
-            key = (run.task.job, run.task.occurrence, run.task.step)
-            advice = self.advice.get(key)
-            ticket = advice.tickets.get(run.worker, "") if advice else ""
-            self.outbox.append(StartRun(run, ticket))
+            self.order_start(run, worker)
         self.planned_runs = waiting
 
     def handle_start_result(
@@ -65,6 +60,7 @@
             run.confirmed_at = run.progress_changed_at = now
             worker.last_response_at = max(worker.last_response_at or now, now)
             worker.expired = False
+            self._record_answer(run)
             log_event(
                 Event.RUN_STARTED,
                 job=run.task.job,
@@ -82,6 +78,8 @@
             run.phase = RunPhase.UNCERTAIN
             run.unanswered_at = now
             run.report_requested = True
+            if not run.step.allows_duplicates:
+                self.late_starts.add(run.task, run.worker, now)
             self.outbox.append(FetchReport(run.worker))
             return
         if failure is OrderFailure.TICKET:
@@ -91,8 +89,38 @@
             worker.process.health.quarantine(now, REFUSAL_QUARANTINE_SECONDS)
         if failure is OrderFailure.LATE:
             self.outbox.append(FetchReport(run.worker))
+        if run.report_requested:
+            self._handle_refused_repetition(run, worker, failure, now)
+            return
         self.discard_run(run, worker)
 
+    def _record_answer(self, run: Run) -> None:
+        """Record that a start was answered, unless an earlier one was not.
+
+        The record is written with the job's next change. Tasks of long-running steps
+        may have none for long, and must be able to start elsewhere at once.
+        """
+        job = self.active.get(run.task.job)
+        if job is None or run.unanswered_at is not None:
+            return
+        lifecycle.record_answer(job, run)
+        if run.step.long_running:
+            self.mark_dirty(job)
+
+    def _handle_refused_repetition(
+        self, run: Run, worker: Worker, failure: OrderFailure, now: float
+    ) -> None:
+        """Apply the refusal of a start that was sent again.
+
+        The order that had no answer may still be carried out, or has been by now, so
+        the run is stopped before it is discarded.
+        """
+        run.phase = RunPhase.UNCERTAIN
+        if failure is OrderFailure.NOT_SENT:
+            self.outbox.append(FetchReport(worker.worker_id))
+        else:
+            self.stop_run(run, StopReason.UNANSWERED, now)
+
     def handle_stop_result(
         self, order: StopRun, failure: OrderFailure | None, now: float
     ) -> None:
--- a/src/ebonyhub/scheduling/placement.py
+++ b/src/ebonyhub/scheduling/placement.py
@@ -1,12 +1,14 @@
 """Choice of workers for tasks: constraints, capacity and placement cost."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from ..ids import JobId, TaskId, WorkerId
 from ..jobs.model import StepSpec
 from .runs import Worker
 
+NOT_BOUND: Mapping[int, WorkerId] = {}
+
 
 @dataclass(frozen=True, slots=True)
 class StepRequirements:
@@ -113,11 +115,15 @@
 
 
 def choose_gang_workers(
-    requirements: StepRequirements, workers: Sequence[Worker], positions: Sequence[int]
+    requirements: StepRequirements,
+    workers: Sequence[Worker],
+    positions: Sequence[int],
+    bound: Mapping[int, WorkerId] = NOT_BOUND,
 ) -> dict[int, Worker] | None:
     """Return a worker for each task position of a gang, None if not all fit.
 
-    Tries each rack on its own first if the step prefers a single rack.
+    Tries each rack on its own first if the step prefers a single rack. ``bound`` names
+    the only worker of some positions.
     """
     groups: list[Sequence[Worker]] = [workers]
     if requirements.step.same_rack:
@@ -125,14 +131,17 @@
         by_rack = [[w for w in workers if w.entry.rack == rack] for rack in racks]
         groups = [*by_rack, workers]
     for group in groups:
-        chosen = _place_gang(requirements, group, positions)
+        chosen = _place_gang(requirements, group, positions, bound)
         if chosen is not None:
             return chosen
     return None
 
 
 def _place_gang(
-    requirements: StepRequirements, workers: Sequence[Worker], positions: Sequence[int]
+    requirements: StepRequirements,
+    workers: Sequence[Worker],
+    positions: Sequence[int],
+    bound: Mapping[int, WorkerId],
 ) -> dict[int, Worker] | None:
     free = {worker.worker_id: worker.free for worker in workers}
     running_here = {
@@ -144,8 +153,11 @@
     limit = requirements.step.max_per_worker or len(positions)
     chosen: dict[int, Worker] = {}
     workers_by_cost = sorted(workers, key=lambda w: placement_cost(requirements, w, ()))
-    for position in positions:
+    # Bound positions have no choice, so they come first.
+    for position in sorted(positions, key=lambda position: position not in bound):
         for worker in workers_by_cost:
+            if bound.get(position, worker.worker_id) != worker.worker_id:
+                continue
             fits = requirements.step.reserved.fits_into(free[worker.worker_id])
             if fits and running_here[worker.worker_id] < limit:
                 break
--- a/src/ebonyhub/scheduling/planning.py
+++ b/src/ebonyhub/scheduling/planning.py
@@ -138,13 +138,37 @@
                 worker for worker in workers if meets_constraints(requirements, worker)
             ]
             if step.gang:
-                chosen = choose_gang_workers(requirements, allowed, sorted(waiting))
+                chosen = choose_gang_workers(
+                    requirements, allowed, sorted(waiting),
+                    self.bound_positions(requirements, waiting),
+                )  # fmt: skip
                 if chosen is not None:
                     self.assign_gang(job, requirements, chosen, now)
                 continue
-            positions = sorted(waiting - suspects)[:allowed_tasks]
+            bound = self.bound_positions(requirements, waiting)
+            for position in sorted(bound.keys() - suspects)[:allowed_tasks]:
+                allowed_tasks -= self._plan_bound(
+                    job, requirements, allowed, position, now
+                )
+            positions = sorted(waiting - suspects - bound.keys())[:allowed_tasks]
             self._plan_tasks(job, requirements, allowed, positions, now)
 
+    def _plan_bound(
+        self,
+        job: Job,
+        requirements: StepRequirements,
+        workers: list[Worker],
+        position: int,
+        now: float,
+    ) -> bool:
+        """Assign a task that is bound to a worker; return whether it has room."""
+        task = requirements.task(position)
+        avoid = job.workers_to_avoid.get(task, ())
+        worker = choose_worker(requirements, self.workers_for(task, workers, avoid))
+        if worker is not None:
+            self.assign(job, task, worker, now)
+        return worker is not None
+
     def _plan_tasks(
         self,
         job: Job,
--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -163,6 +163,8 @@
             return
         step = lifecycle.step_of(job, end.task)
         self._update_health(worker, end, run, step, now)
+        if end.outcome is not RunOutcome.DONE or step.long_running:
+            self.record_late_start(job, end.task)
         if end.outcome is RunOutcome.DONE and not step.long_running:
             lifecycle.record_done(job, end.task, wall_ms)
         elif end.outcome is RunOutcome.FAILED and not step.long_running:
@@ -348,9 +350,33 @@
                 missing.append(run)
                 self.discard_run(run, worker)
             elif run.phase is RunPhase.UNCERTAIN and run.report_requested:
-                self.stop_run(run, StopReason.UNANSWERED, now)
+                if self._may_repeat_start(run, worker, now):
+                    log_event(
+                        Event.RUN_START_REPEATED, job=run.task.job,
+                        task=short_name(run.task), run=run.number,
+                        worker=worker.worker_id,
+                    )  # fmt: skip
+                    self.order_start(run, worker)
+                else:
+                    self.stop_run(run, StopReason.UNANSWERED, now)
         return missing
 
+    def _may_repeat_start(self, run: Run, worker: Worker, now: float) -> bool:
+        """Return whether a start without an answer is sent to its process again.
+
+        The process answers the repetition even if it has carried out the start by then,
+        so nothing needs to be stopped, and no other worker starts the task.
+        """
+        return (
+            run.stop_reason is None
+            and run.token == worker.process.token
+            and run.task.job in self.active
+            and lifecycle.is_current(self.active[run.task.job], run.task, run.number)
+            and self.is_eligible(worker, now)
+            and not worker.is_overcommitted
+            and self.workspaces.may_order(run)
+        )
+
     def _is_run_beside(self, run: Run) -> bool:
         """Return whether a worker lists another run of the task.
 
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -58,7 +58,8 @@
     inherited: bool = False
     # Fencing token of the start order.
     token: LeaderToken = NO_TOKEN
-    # When it was found that the start order got no answer; None if it got one.
+    # When it was found that this start order, or an earlier one of the task, got no
+    # answer; None if each got one.
     unanswered_at: float | None = None
     planned_at: float = 0.0
     confirmed_at: float = 0.0
@@ -92,7 +93,8 @@
         """Return whether the next process under the worker's id may still run it.
 
         Its start order has no answer yet, or got none, so it may be carried out when
-        the present process has ended, even if that has listed the run.
+        the present process has ended, even if that has listed the run. So may that of
+        an earlier run of the task.
         """
         if self.phase is RunPhase.ORDERED:
             return True
@@ -206,6 +208,10 @@
         self.used = used
         self.free = self.entry.capacity - used
 
+    def has_run_of(self, task: TaskId) -> bool:
+        """Return whether the worker may have a run of the task."""
+        return any(other == task for other, _ in self.runs)
+
     def count_runs_of_step(self, job: JobId, occurrence: int, step: int) -> int:
         """Return the number of the step's runs on this worker."""
         return sum(
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -29,9 +29,10 @@
 from .crashes import Crash
 from .health import FLEET_AVERAGE_WEIGHT, SlowdownAverage
 from .kept_workers import KeptWorkers
+from .late_starts import LateStarts
 from .left_runs import update_left_runs
 from .losses import LossCause
-from .orders import FetchReport, Order, RaiseToken, StopRun
+from .orders import FetchReport, Order, RaiseToken, StartRun, StopRun
 from .priority import Urgency, urgency
 from .runs import Job, Run, RunPhase, StopReason, Worker
 from .worker_process import NO_TOKEN, FormerWorkers, WorkerProcess
@@ -138,6 +139,8 @@
         self.inherited_leases_until = 0.0
         # The same for starts of earlier leaders that a next process carries out late.
         self.inherited_starts_until = 0.0
+        # Tasks that may not run elsewhere, since a start of theirs had no answer.
+        self.late_starts = LateStarts()
         # Advice by step, and the queues of steps that need new advice.
         self.advice: dict[StepKey, Advice] = {}
         self.steps_without_advice: dict[StepKey, QueueName] = {}
@@ -357,9 +360,38 @@
         job = self.jobs.get(run.task.job)
         if job is None or not lifecycle.is_current(job, run.task, run.number):
             return
+        self.record_late_start(job, run.task)
         lifecycle.clear_run(job, run.task, run.checkpoint)
         self.mark_dirty(job)
 
+    def record_late_start(self, job: Job, task: TaskId) -> None:
+        """Record the worker to which a task is bound that is about to lose its run."""
+        start = self.late_starts.get(task)
+        if start is not None:
+            lifecycle.record_unanswered_start(job, task, start.worker)
+            log_event(
+                Event.TASK_BOUND, job=job.job_id, task=short_name(task),
+                worker=start.worker,
+            )  # fmt: skip
+
+    def end_late_starts(self, tasks: Iterable[TaskId]) -> None:
+        """Let tasks start on any worker, since their late starts cannot come."""
+        for task in tasks:
+            self.late_starts.remove(task)
+            job = self.active.get(task.job)
+            if job is not None:
+                lifecycle.drop_unanswered_start(job, task)
+                self.services_to_plan.add(self.service_of(job))
+
+    def order_start(self, run: Run, worker: Worker) -> None:
+        """Order the start of a run whose record is stored."""
+        run.phase = RunPhase.ORDERED
+        run.token, run.born_ms = worker.process.token, worker.born_ms
+        key = (run.task.job, run.task.occurrence, run.task.step)
+        advice = self.advice.get(key)
+        ticket = advice.tickets.get(run.worker, "") if advice else ""
+        self.outbox.append(StartRun(run, ticket))
+
     def stop_run(self, run: Run, reason: StopReason, now: float) -> None:
         """Order a stop; call repeatedly, since an unconfirmed order is sent again."""
         if run.stop_reason is None:
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -103,7 +103,12 @@
         """
         by_id = {vm.vm_id: vm for vm in vms}
         asked_at = now if requested_at is None else requested_at
-        expired = [w for w in self.workers.values() if w.expired and w.runs]
+        bound = self.late_starts.workers
+        expired = [
+            worker
+            for worker in self.workers.values()
+            if worker.expired and (worker.runs or worker.worker_id in bound)
+        ]
         for worker in [*self.unresponsive_workers(now), *expired]:
             if not worker.entry.vm or not _can_list_show(worker, asked_at):
                 continue
@@ -112,15 +117,18 @@
                 continue
             if worker.expired:
                 self.discard_kept_runs(worker, cause, now)
-            else:
+            elif worker.runs:
                 self.expire_worker(worker, cause, now, wall_ms)
+            if not cause.id_may_return:
+                self.end_late_starts(self.late_starts.remove_of(worker.worker_id))
 
     def unresponsive_workers(self, now: float) -> list[Worker]:
-        """Return the workers with runs that do not respond."""
+        """Return the workers with runs or late starts that do not respond."""
+        bound = self.late_starts.workers
         return [
             worker
             for worker in self.workers.values()
-            if worker.runs
+            if (worker.runs or worker.worker_id in bound)
             and not worker.expired
             and worker.entry.vm
             and (worker.poll_failed or self._is_overdue(worker, now))
@@ -237,6 +245,7 @@
         """Stop a stuck task and quarantine its worker.
 
         Time since the worker's last response does not count as time without progress.
+        The next process under the worker's id says nothing about a run of a former one.
         """
         responded_at = worker.last_response_at
         job = self.jobs.get(run.task.job)
@@ -244,6 +253,7 @@
             responded_at is None
             or job is None
             or run.phase is not RunPhase.CONFIRMED
+            or run.born_ms != worker.born_ms
             or run.speed_percent < 100
         ):
             return
--- a/tests/test_worker_process_state.py
+++ b/tests/test_worker_process_state.py
@@ -230,6 +230,15 @@
     assert evidence(job) == {0: 1}
 
 
+def refuse_repetition(driver):
+    """Refuse a start that was sent again; return the stop that follows."""
+    (repeated,) = driver.orders(StartRun)
+    failure = OrderFailure.NO_CAPACITY
+    driver.scheduler.handle_start_result(repeated.run, failure, driver.now)
+    (stop,) = driver.orders(StopRun)
+    return stop
+
+
 def test_run_planned_before_a_restart_is_one_of_the_next_process():
     """Its task was suspected of the crash of a process on which it never was."""
     driver = Driver(("w1",))
@@ -243,7 +252,7 @@
     driver.scheduler.handle_start_result(order.run, OrderFailure.UNKNOWN, driver.now)
     driver.wait(0.1)
     driver.report("w1", born=2)
-    (stop,) = driver.orders(StopRun)
+    stop = refuse_repetition(driver)
     driver.scheduler.handle_stop_result(stop, None, driver.now)
     driver.wait(0.1)
     driver.report("w1", born=2)
@@ -259,7 +268,7 @@
     run = unanswered(driver)
     driver.wait(0.1)
     driver.report("w1")
-    (stop,) = driver.orders(StopRun)
+    stop = refuse_repetition(driver)
     driver.wait(0.1)
     if answered == "before the restart":
         driver.scheduler.handle_stop_result(stop, None, driver.now)
