--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -225,6 +225,8 @@
         its jobs are unknown. The lease is renewed between two jobs.
         """
         for job_id in list(self.mirror.jobs):
+            self.loader.decode(job_id)
+            await asyncio.sleep(0)
             self.handle_job_change(job_id)
             await asyncio.sleep(0)
         self.scheduler.records_loaded = self.mirror.listing_complete
--- a/src/ebonyhub/scheduling/job_loading.py
+++ b/src/ebonyhub/scheduling/job_loading.py
@@ -1,9 +1,13 @@
 """Loads jobs from the mirror of their records into the scheduler."""
 
+import contextlib
+
 from ..cluster.mirror import JobMirror, MirroredJob
+from ..decoding import DECODE_ERRORS
 from ..events import Event, log_event
-from ..ids import JobId
+from ..ids import JobId, Revision
 from ..jobs.model import AcceptedJob
+from ..jobs.records import ProgressRecord
 from .committer import Committer
 from .scheduler import Scheduler
 from .state import UnreadableJob
@@ -18,6 +22,29 @@
         self.mirror = mirror
         self.scheduler = scheduler
         self.committer = committer
+        # Progress that was decoded in advance, with the revision of its head.
+        self.decoded: dict[JobId, tuple[Revision, ProgressRecord | None]] = {}
+
+    def decode(self, job_id: JobId) -> None:
+        """Decode the progress of a job that is about to be loaded.
+
+        With many tasks this takes as long as loading them, so a new leader does one
+        after the other. A record that cannot be used is left to ``handle_change``.
+        """
+        mirrored = self.mirror.jobs.get(job_id)
+        if mirrored is None or mirrored.accepted is None or not mirrored.parts:
+            return
+        with contextlib.suppress(*DECODE_ERRORS):
+            decoded = mirrored.decode_progress()
+            self.decoded[job_id] = (mirrored.progress_revision, decoded)
+
+    def _progress_of(
+        self, job_id: JobId, mirrored: MirroredJob
+    ) -> ProgressRecord | None:
+        revision, decoded = self.decoded.pop(job_id, (None, None))
+        if revision == mirrored.progress_revision:
+            return decoded
+        return mirrored.decode_progress()
 
     def handle_change(self, job_id: JobId, now: float, wall_ms: int) -> bool:
         """Load a job that is new in the mirror, or cancel a known one.
@@ -40,7 +67,7 @@
         if known and not mirrored.cancelled:
             return False
         try:
-            progress = None if known else mirrored.decode_progress()
+            progress = None if known else self._progress_of(job_id, mirrored)
             if not known:
                 self._adopt_revisions(job_id, mirrored)
             self.scheduler.load_job(
