--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -237,14 +237,12 @@
 
     def _run_leader(self, scheduler: Scheduler) -> None:
         for name, worker in self.workers.items():
+            known = scheduler.workers.get(name)
             if not worker.registered:
                 scheduler.handle_worker_entry_removed(name)
             elif self.heartbeat_seconds:
                 self._beat(scheduler, worker)
-            elif name not in scheduler.workers or (
-                scheduler.workers[name].entry != worker.entry
-                or scheduler.workers[name].deregistered
-            ):
+            elif known is None or known.deregistered or known.entry != worker.entry:
                 scheduler.handle_worker_entry(worker.entry, self.now)
             if self.now >= self.next_poll_at.get(name, 0.0):
                 self._poll(scheduler, name)
