--- a/src/ebonyhub/scheduling/late_starts.py
+++ b/src/ebonyhub/scheduling/late_starts.py
@@ -3,8 +3,8 @@
 A start order without an answer may be carried out up to LATE_CALL_SECONDS after it was
 sent, by any process under the worker's id. What one process proves about it (a
 confirmed stop, a refused token, a report without the run) does not bind the next one.
-Until that time has passed, the task runs on the same worker only: a later process that
-carries out the start ends with it what the task had running there.
+Until that time has passed, the task runs on the same worker only. If a later process
+carries out the start, the process of the task's other run has ended, and the run, too.
 """
 
 from collections.abc import Callable, Container, Mapping
