Log long-running tasks without a run, with what keeps them from workers

The lines told whether a task is bound or suspected, but not which workers have room for it nor which rule keeps it off them, so two hypotheses of the incident looked alike in the log.

--- a/src/ebonyhub/events.py
+++ b/src/ebonyhub/events.py
@@ -202,6 +202,12 @@
         "task waits for the worker that may still carry out an earlier start of it",
         "None; it may start on other workers within 23 s.",
     )
+    LONG_RUNNING_TASK_WAITS = EventSpec(
+        2217,
+        _W,
+        "long-running task has no run; what keeps it from the workers of its service",
+        "None if no worker has room; else it should start within seconds.",
+    )
     WORKER_DISCOVERED = EventSpec(2301, _I, "worker discovered in the store", "None.")
     WORKER_DRAINING = EventSpec(2302, _I, "worker is draining", "None.")
     WORKER_ENTRY_REMOVED = EventSpec(2303, _I, "worker's store entry removed", "None.")
--- a/src/ebonyhub/scheduling/controller.py
+++ b/src/ebonyhub/scheduling/controller.py
@@ -24,6 +24,7 @@
 from .advice_requests import AdviceRequests
 from .committer import Committer
 from .job_loading import JobLoader
+from .long_waits import LongWaits
 from .losses import LossCause
 from .model import OrderFailure, WorkerReport
 from .order_queue import OrderQueue, WorkerOrder
@@ -108,6 +109,7 @@
         self.next_wait_check = 0.0
         # What the ready tasks of each service waited for when last logged.
         self.wait_causes: dict[ServiceName, WaitCause] = {}
+        self.long_waits = LongWaits()
         self.advice = (
             AdviceRequests(advisor, self.scheduler, clock, self._track_order)
             if advisor is not None
@@ -290,6 +292,7 @@
         if now < self.next_wait_check:
             return
         self.next_wait_check = now + WAIT_CHECK_INTERVAL_SECONDS
+        self.long_waits.check(self.scheduler, now)
         can_start = self.term.is_valid(now) and self.committer.healthy
         on_way = self.fleet.planner.vms_on_way() if self.fleet is not None else {}
         vms_on_way = {ServiceName(pool): count for pool, count in on_way.items()}
