--- a/standins/oracle.py
+++ b/standins/oracle.py
@@ -21,6 +21,9 @@
 # Time after a job was shown as completed from which none of its tasks may start.
 SHOWN_COMPLETED_SECONDS = 1.0
 
+# Shortest run of a long-running task that fails.
+MIN_LONG_RUN_MS = 300
+
 # Worker process, and sequence number of an end on it.
 EndKey = tuple[str, int]
 
@@ -62,6 +65,8 @@
     # Share of runs that end as failed.
     failure_rate: float = 0.0
     always_failing_jobs: set[JobId] = field(default_factory=set)
+    # Mean time in seconds after which the runs of long-running tasks fail; 0 for never.
+    long_running_seconds: float = 0.0
     # Tasks that crash each worker that starts them.
     crashing_tasks: set[TaskId] = field(default_factory=set)
     # Capacities that a worker had, each with the time until which it had it.
@@ -129,8 +134,11 @@
     ) -> tuple[int | None, RunOutcome]:
         """Return the duration of a run in ms (None: until stopped) and its outcome."""
         step = self.specs[task.job].steps[task.step]
-        if step.long_running:
+        if step.long_running and not self.long_running_seconds:
             return None, RunOutcome.FAILED
+        if step.long_running:
+            seconds = rng.expovariate(1 / self.long_running_seconds)
+            return MIN_LONG_RUN_MS + int(seconds * 1000), RunOutcome.FAILED
         duration = int(step.estimate_ms * rng.uniform(0.5, 2.0))
         fails = task.job in self.always_failing_jobs or rng.random() < self.failure_rate
         return duration, RunOutcome.FAILED if fails else RunOutcome.DONE
