Restart long-running tasks that a late start binds to a worker

Callers saw long-running tasks without a run for 12 s, or 23 s, though workers had room. A start without an answer binds its task to the worker until no process there can carry it out. The task waited if it had failed on that worker, which is a last resort otherwise, and if the worker drained, was cordoned or had a VM that is down.

A long-running task now starts again on a worker on which it has failed: its failures have no limit. It is not bound to a worker that leaves as planned, since its fenced process refuses the start and has no successor under its id, nor to one whose VM is down, as its runs were not before. Batch tasks wait as they did.

--- a/src/ebonyhub/scheduling/assignment.py
+++ b/src/ebonyhub/scheduling/assignment.py
@@ -50,11 +50,14 @@
         """Return the workers on which a task may start, if a late start binds it.
 
         A worker that lists a late run of the task has to end that first. Where the task
-        has failed before, it waits until it may start elsewhere.
+        has failed before, it waits until it may start elsewhere. A long-running task
+        does not wait, since its failures have no limit.
         """
         start = self.late_starts.get(task)
         if start is None:
             return workers
+        if start.long_running:
+            avoid = ()
         return [
             worker
             for worker in workers
--- a/src/ebonyhub/scheduling/intake.py
+++ b/src/ebonyhub/scheduling/intake.py
@@ -117,7 +117,9 @@
             if not record.answered and not step.allows_duplicates:
                 run.unanswered_at = now
                 if lifecycle.is_current(job, task, record.number):
-                    self.late_starts.add(task, record.worker, record.vm, now)
+                    self.late_starts.add(
+                        task, record.worker, record.vm, now, step.long_running
+                    )
             worker = self._worker_of_record(run, record.vm, job, now)
             self.reserve_for_run(run, worker)
 
@@ -126,11 +128,14 @@
 
         An earlier leader sent the orders, the latest of them just before this term.
         """
+        specs = job.accepted.spec.steps
         for occurrence, steps in job.progress.occurrences.items():
             for number, step in enumerate(steps):
                 for position, start in step.unanswered_starts.items():
                     task = TaskId(job.job_id, occurrence, number, position)
-                    self.late_starts.add(task, start.worker, start.vm, now)
+                    self.late_starts.add(
+                        task, start.worker, start.vm, now, specs[number].long_running
+                    )
 
     def _worker_of_record(self, run: Run, vm: VmId, job: Job, now: float) -> Worker:
         """Return the worker of an inherited run; a placeholder if its entry is gone."""
--- a/src/ebonyhub/scheduling/late_starts.py
+++ b/src/ebonyhub/scheduling/late_starts.py
@@ -23,17 +23,22 @@
     vm: VmId
     # The order was sent before this time.
     unanswered_at: float
+    # The task is to run until its job is cancelled.
+    long_running: bool = False
 
 
 def has_left_vm(start: LateStart, vm: Vm | None) -> bool:
     """Return whether the VM of a start shows that no process of its worker comes back.
 
-    ``vm`` is the VM as listed after the start was sent, None if it is not listed.
+    ``vm`` is the VM as listed after the start was sent, None if it is not listed. A
+    long-running task does not wait for the process of a VM that is down.
     """
     if vm is None:
         return True
     if vm.state is VmState.UP:
         return vm.worker != start.worker
+    if vm.state is VmState.DOWN:
+        return start.long_running
     return vm.state in (VmState.MOVING, VmState.MAINTENANCE)
 
 
@@ -50,13 +55,24 @@
         # In the order of ``unanswered_at``.
         self.by_task: dict[TaskId, LateStart] = {}
         self.by_job: dict[JobId, dict[TaskId, LateStart]] = {}
-
-    def add(self, task: TaskId, worker: WorkerId, vm: VmId, now: float) -> None:
+        # Those of long-running tasks.
+        self.long_running: dict[TaskId, LateStart] = {}
+
+    def add(
+        self,
+        task: TaskId,
+        worker: WorkerId,
+        vm: VmId,
+        now: float,
+        long_running: bool = False,
+    ) -> None:
         """Note a start without an answer, in place of an earlier one of the task."""
         self.by_task.pop(task, None)
-        start = LateStart(worker, vm, now)
+        start = LateStart(worker, vm, now, long_running)
         self.by_task[task] = start
         self.by_job.setdefault(task.job, {})[task] = start
+        if long_running:
+            self.long_running[task] = start
 
     def get(self, task: TaskId) -> LateStart | None:
         """Return the start of a task that may still be carried out, if there is one."""
@@ -76,6 +92,7 @@
         """Forget the start of a task, if there is one."""
         if self.by_task.pop(task, None) is None:
             return
+        self.long_running.pop(task, None)
         starts = self.by_job[task.job]
         del starts[task]
         if not starts:
@@ -85,6 +102,7 @@
         """Forget the starts of a job that needs no further runs."""
         for task in self.by_job.pop(job_id, _NONE):
             del self.by_task[task]
+            self.long_running.pop(task, None)
 
     def remove_of(self, worker: WorkerId) -> list[TaskId]:
         """Forget the starts of a worker; return their tasks."""
--- a/src/ebonyhub/scheduling/order_results.py
+++ b/src/ebonyhub/scheduling/order_results.py
@@ -80,7 +80,9 @@
             run.unanswered_at = now
             run.report_requested = True
             if not run.step.allows_duplicates:
-                self.late_starts.add(run.task, run.worker, worker.entry.vm, now)
+                self.late_starts.add(
+                    run.task, run.worker, worker.entry.vm, now, run.step.long_running
+                )
             self.outbox.append(FetchReport(run.worker))
             return
         if failure is OrderFailure.TICKET:
--- a/src/ebonyhub/scheduling/scheduler.py
+++ b/src/ebonyhub/scheduling/scheduler.py
@@ -25,6 +25,7 @@
         for worker in list(self.workers.values()):
             self._check_worker(worker, now, wall_ms)
         self.check_runs_in_turn(now)
+        self.end_late_starts_of_leaving_workers()
         # No event tells when a quarantine ends or a worker responds again.
         self.services_to_plan.update(queue.service for queue in self.queues.values())
         self.services_to_plan.update(job.service for job in self.active.values())
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -4,7 +4,8 @@
 
 from ..events import Event, log_event
 from ..fleet.model import Vm
-from ..ids import VmId, WorkerId
+from ..ids import TaskId, VmId, WorkerId
+from . import lifecycle
 from .crash_attribution import CrashAttribution
 from .health import (
     OLD_RUN_FACTOR,
@@ -123,10 +124,42 @@
                 self.discard_kept_runs(worker, cause, now)
             elif worker.runs:
                 self.expire_worker(worker, cause, now, wall_ms)
-            if not cause.id_may_return:
-                self.end_late_starts(self.late_starts.remove_of(worker.worker_id))
+            self._end_late_starts_of_lost_worker(worker.worker_id, cause)
         self._end_late_starts_without_vm(by_id, asked_at)
 
+    def _end_late_starts_of_lost_worker(
+        self, worker_id: WorkerId, cause: LossCause
+    ) -> None:
+        """End the late starts that need not wait for a process of a lost worker."""
+        if not cause.id_may_return:
+            self.end_late_starts(self.late_starts.remove_of(worker_id))
+        elif cause is LossCause.VM_DOWN:
+            starts = self.late_starts.long_running.items()
+            self.end_late_starts(
+                [task for task, start in starts if start.worker == worker_id]
+            )
+
+    def end_late_starts_of_leaving_workers(self) -> None:
+        """Let long-running tasks start elsewhere whose worker is about to leave.
+
+        Its process takes no tasks any more. It refuses their late starts, and no other
+        process comes under its id after a planned end.
+        """
+        ended: list[TaskId] = []
+        for task, start in self.late_starts.long_running.items():
+            worker = self.workers.get(start.worker)
+            job = self.active.get(task.job)
+            if (
+                worker is not None
+                and job is not None
+                and (worker.entry.draining or worker.cordoned)
+                and worker.process.is_fenced
+                and not worker.has_run_of(task)
+                and lifecycle.current_run(job, task) is None
+            ):
+                ended.append(task)
+        self.end_late_starts(ended)
+
     def _end_late_starts_without_vm(
         self, vms: Mapping[VmId, Vm], asked_at: float
     ) -> None:
