Start long-running tasks before workers are kept for suspects

Callers saw long-running tasks without a run while workers had room. Tasks that may have crashed their worker start alone, one at a time on up to half of the workers, and nothing else starts there. While others fill the rest, a long-running task waited until the last suspect was cleared, as did one that is a suspect itself and came behind the others, or that a late start binds to a worker which is never held for it.

While a service isolates tasks, its long-running tasks are now assigned first, on any worker that isolates none at that moment; each suspect does so for half a second. Suspected ones come before other suspects, and a worker is held for each before others may start. A task that is bound to a worker keeps its place there among the tasks of its step.

--- a/src/ebonyhub/scheduling/isolation.py
+++ b/src/ebonyhub/scheduling/isolation.py
@@ -17,6 +17,7 @@
     StepRequirements,
     choose_gang_workers,
     has_capacity,
+    has_place,
     meets_constraints,
 )
 from .runs import Job, Worker
@@ -128,9 +129,14 @@
         limit: int,
         now: float,
     ) -> list[SuspectedTasks]:
-        """Assign tasks until ``limit`` workers isolate one; return those that wait."""
+        """Assign tasks until ``limit`` workers isolate one; return those that wait.
+
+        Long-running tasks that wait take up these workers before others, so that one
+        can be held for each: others would use them for as long as there are any.
+        """
         quiet = [worker for worker in workers if not _count_on_probation(worker, now)]
         count = len(quiet)
+        reserved = 0
         waiting: list[SuspectedTasks] = []
         for tasks in suspected:
             wanted = len(tasks.positions)
@@ -138,13 +144,15 @@
             if not self.workspaces.tasks_allowed(tasks.job, step, wanted):
                 # Reserving a worker for it would only block other tasks.
                 continue
-            assigned = count - len(quiet) < limit and self._assign_alone(
+            usable = limit if step.long_running else limit - reserved
+            assigned = count - len(quiet) < usable and self._assign_alone(
                 tasks, quiet, now
             )
             if assigned:
                 quiet = [w for w in quiet if not _count_on_probation(w, now)]
             else:
                 waiting.append(tasks)
+                reserved += step.long_running and _can_be_held_for(tasks, workers)
         return waiting
 
     def _suspected_tasks(
@@ -153,9 +161,10 @@
         """Return the waiting suspected tasks, by the age of their runs at the crash.
 
         Once the cause of a crash is found, the other suspects need not start alone.
+        Long-running tasks come first, since seconds without one are an outage.
         """
         ranks = suspect_ranks(self.crashes)
-        found: list[tuple[int, SuspectedTasks]] = []
+        found: list[tuple[bool, int, SuspectedTasks]] = []
         for job in [job for job in jobs if job.has_suspects]:
             for (occurrence, number), waiting in list(job.pending.items()):
                 suspects = lifecycle.suspects_among(job, occurrence, number, waiting)
@@ -171,16 +180,27 @@
                     for position in sorted(suspects)
                 }
                 bound = self.bound_positions(requirements, waiting)
+                beside_bound = requirements.beside(bound)
                 if requirements.step.gang:
                     gang = SuspectedTasks(job, requirements, sorted(waiting), bound)
-                    found.append((min(rank_of.values()), gang))
+                    found.append((True, min(rank_of.values()), gang))
                     continue
+                is_batch = not requirements.step.long_running
                 found += [
-                    (rank, SuspectedTasks(job, requirements, [position], bound))
+                    (
+                        is_batch,
+                        rank,
+                        SuspectedTasks(
+                            job,
+                            requirements if position in bound else beside_bound,
+                            [position],
+                            bound,
+                        ),
+                    )
                     for position, rank in rank_of.items()
                 ]
-        found.sort(key=lambda pair: pair[0])
-        return [tasks for _, tasks in found]
+        found.sort(key=lambda item: item[:2])
+        return [tasks for _, _, tasks in found]
 
     def _assign_alone(
         self, tasks: SuspectedTasks, quiet: list[Worker], now: float
@@ -260,13 +280,27 @@
     return held
 
 
+def _can_be_held_for(tasks: SuspectedTasks, workers: list[Worker]) -> bool:
+    """Return whether each task fits on a worker that is held until others end."""
+    return all(
+        any(
+            tasks.bound.get(position, worker.worker_id) == worker.worker_id
+            and _can_ever_fit(tasks.requirements, worker)
+            for worker in workers
+        )
+        for position in tasks.positions
+    )
+
+
 def _can_ever_fit(requirements: StepRequirements, worker: Worker) -> bool:
     """Return whether a task fits once all but the long-running runs have ended."""
     kept = Resources()
     for run in worker.runs.values():
         if run.step.long_running:
             kept = kept + run.reserved
+    step = requirements.step
+    if step.long_running and not has_place(requirements, worker):
+        # The tasks of the step that take the places do not end.
+        return False
     room = worker.entry.capacity - kept
-    return meets_constraints(
-        requirements, worker
-    ) and requirements.step.reserved.fits_into(room)
+    return meets_constraints(requirements, worker) and step.reserved.fits_into(room)
--- a/src/ebonyhub/scheduling/placement.py
+++ b/src/ebonyhub/scheduling/placement.py
@@ -1,7 +1,8 @@
 """Choice of workers for tasks: constraints, capacity and placement cost."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 
 from ..ids import JobId, TaskId, WorkerId
 from ..jobs.model import StepSpec
@@ -23,6 +24,12 @@
     step: StepSpec
     # Tickets by worker that the placement advisor allows; None without an advisor.
     tickets: dict[WorkerId, str] | None = None
+    # Tasks of the step that are yet to start on a worker, since they are bound to it.
+    bound_tasks: Mapping[WorkerId, int] = field(default_factory=dict)
+
+    def beside(self, bound: Mapping[int, WorkerId]) -> "StepRequirements":
+        """Return the requirements of tasks that are not among the ``bound`` ones."""
+        return replace(self, bound_tasks=Counter(bound.values())) if bound else self
 
     def task(self, position: int) -> TaskId:
         """Return the id of one of the step's tasks."""
@@ -48,13 +55,18 @@
         return False
     if len(worker.runs) >= MAX_RUNS_PER_WORKER:
         return False
+    return has_place(requirements, worker)
+
+
+def has_place(requirements: StepRequirements, worker: Worker) -> bool:
+    """Return whether one more task of the step may run on the worker beside others."""
     limit = requirements.step.max_per_worker
     if not limit:
         return True
     running_here = worker.count_runs_of_step(
         requirements.job, requirements.occurrence, requirements.step_number
     )
-    return running_here < limit
+    return running_here + requirements.bound_tasks.get(worker.worker_id, 0) < limit
 
 
 def placement_cost(
--- a/src/ebonyhub/scheduling/planning.py
+++ b/src/ebonyhub/scheduling/planning.py
@@ -6,6 +6,7 @@
 from ..events import log_event
 from ..ids import ServiceName
 from . import lifecycle
+from .crashes import is_isolating
 from .kept_workers import OpenWorkers
 from .placement import (
     StepRequirements,
@@ -91,27 +92,13 @@
             oversubscribed = False
         else:
             oversubscribed = is_oversubscribed(jobs, cores)
+        if self._isolates_tasks(jobs, workers):
+            self._plan_long_running(service, jobs, workers, oversubscribed, now)
         later_suspects = self.later_suspects(service, jobs) if has_workspaces else []
         everywhere = OpenWorkers(
             self.plan_first_suspects(service, jobs, later_suspects, workers, now)
         )
-        max_free = everywhere.max_free(len(self.planned_runs))
-        candidates = [job for job in jobs if job.min_pending_cpu <= max_free]
-        smallest = min((job.min_pending_cpu for job in candidates), default=0)
-        ordered: Iterable[tuple[Job, OpenWorkers]]
-        if has_workspaces:
-            ordered = self.in_order_of_shares(
-                service, jobs, candidates, everywhere, now
-            )
-        else:
-            in_order = self._in_order(candidates, oversubscribed, now)
-            ordered = ((job, everywhere) for job in in_order)
-        for job, allowed in ordered:
-            starts = len(self.planned_runs)
-            if smallest > everywhere.max_free(starts):
-                break
-            if job.min_pending_cpu <= allowed.max_free(starts):
-                self._plan_job(job, allowed.workers, now)
+        self._plan_jobs(service, jobs, jobs, everywhere, oversubscribed, now)
         if self.starts_left <= 0:
             self.services_to_plan.add(service)
             self.plan_again = True
@@ -122,6 +109,62 @@
             kept = self.kept_from_suspects(service, jobs, workers, now)
             self.plan_later_suspects(service, later_suspects, workers, kept, now)
 
+    def _isolates_tasks(self, jobs: list[Job], workers: list[Worker]) -> bool:
+        """Return whether workers may be kept for tasks that have to start alone."""
+        return any(job.has_suspects for job in jobs) or any(
+            worker.isolated_runs for worker in workers
+        )
+
+    def _plan_long_running(
+        self,
+        service: ServiceName,
+        jobs: list[Job],
+        workers: list[Worker],
+        oversubscribed: bool,
+        now: float,
+    ) -> None:
+        """Assign long-running tasks before workers are kept for suspected tasks.
+
+        Suspects would keep up to half of the workers for as long as any wait, while
+        others fill the rest; seconds without a long-running task are an outage.
+        """
+        long_running = [job for job in jobs if job.long_running]
+        if long_running:
+            open_workers = [w for w in workers if not is_isolating(w, now)]
+            self._plan_jobs(
+                service, jobs, long_running, OpenWorkers(open_workers), oversubscribed,
+                now,
+            )  # fmt: skip
+
+    def _plan_jobs(
+        self,
+        service: ServiceName,
+        jobs: list[Job],
+        chosen: list[Job],
+        workers: OpenWorkers,
+        oversubscribed: bool,
+        now: float,
+    ) -> None:
+        """Assign the tasks of the ``chosen`` jobs of a service, in their order.
+
+        ``jobs`` are all jobs of the service with ready tasks.
+        """
+        max_free = workers.max_free(len(self.planned_runs))
+        candidates = [job for job in chosen if job.min_pending_cpu <= max_free]
+        smallest = min((job.min_pending_cpu for job in candidates), default=0)
+        ordered: Iterable[tuple[Job, OpenWorkers]]
+        if self.workspaces.is_active:
+            ordered = self.in_order_of_shares(service, jobs, candidates, workers, now)
+        else:
+            in_order = self._in_order(candidates, oversubscribed, now)
+            ordered = ((job, workers) for job in in_order)
+        for job, allowed in ordered:
+            starts = len(self.planned_runs)
+            if smallest > workers.max_free(starts):
+                break
+            if job.min_pending_cpu <= allowed.max_free(starts):
+                self._plan_job(job, allowed.workers, now)
+
     def _in_order(
         self, candidates: list[Job], oversubscribed: bool, now: float
     ) -> list[Job]:
@@ -170,6 +213,9 @@
                 allowed_tasks -= self._plan_bound(
                     job, requirements, allowed, position, now
                 )
+            # Those that still wait keep their places on their workers.
+            bound = {n: name for n, name in bound.items() if n in waiting}
+            requirements = requirements.beside(bound)
             open_positions = (
                 position
                 for position in waiting
--- a/src/ebonyhub/scheduling/priority.py
+++ b/src/ebonyhub/scheduling/priority.py
@@ -136,7 +136,7 @@
     ``oversubscribed`` tells whether not all jobs of the service can be on time.
     """
     priority = queue.priority if queue else 0
-    if job.accepted.spec.long_running:
+    if job.long_running:
         return Urgency(Rank.LONG_RUNNING, priority, False, job.arrived_at - now)
     objective = 0.0
     if queue is not None:
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -281,6 +281,13 @@
     # the remaining work in core-seconds.
     remaining_estimate: tuple[int, float, float] | None = None
 
+    # The job runs until it is cancelled.
+    long_running: bool = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Look at the steps once; a job may have very many."""
+        self.long_running = self.accepted.spec.long_running
+
     @property
     def job_id(self) -> JobId:
         """Return the id under which the job was accepted."""
--- a/src/ebonyhub/scheduling/share_order.py
+++ b/src/ebonyhub/scheduling/share_order.py
@@ -66,7 +66,7 @@
     def _comes_first(self, job: Job, service: ServiceName) -> bool:
         """Return whether a job comes before lent work and work over the rate."""
         return (
-            job.accepted.spec.long_running
+            job.long_running
             or self.workspaces.standing(job, service) is Standing.WITHIN_SHARE
         )
 
@@ -180,7 +180,7 @@
         within_rate: list[Job] = []
         over_rate: list[Job] = []
         for job in candidates:
-            is_last = is_over(job.job_id) and not job.accepted.spec.long_running
+            is_last = is_over(job.job_id) and not job.long_running
             (over_rate if is_last else within_rate).append(job)
         yield from self._by_share(service, jobs, within_rate, workers, now)
         starts = len(self.planned_runs)
--- a/src/ebonyhub/scheduling/state.py
+++ b/src/ebonyhub/scheduling/state.py
@@ -305,7 +305,7 @@
         """
         claims = self.workspaces.waiting_claims()
         for job in self.active.values():
-            if job.accepted.spec.long_running:
+            if job.long_running:
                 continue
             room = claims.room(job.accepted.workspace)
             allowed = None if room is None else tasks_within_limit(job, room)
