Store the answer of a long-running task's start

The record says whether a start was answered; a successor binds the task of any other to its worker for 12 s. The answer did not count as a change of the record, so if a commit was under way when it arrived, the end of that commit took the job for stored, and the answer never was: the tasks of a job that start within the same milliseconds lose it regularly.

The answer of a long-running task is now a change of its own. Three of the four rows of test_answer_during_a_commit_is_stored failed before.

--- a/src/ebonyhub/scheduling/order_results.py
+++ b/src/ebonyhub/scheduling/order_results.py
@@ -101,13 +101,15 @@
         """Record that a start was answered, unless an earlier one was not.
 
         The record is written with the job's next change. Tasks of long-running steps
-        may have none for long, and must be able to start elsewhere at once.
+        may have none for long, and must be able to start elsewhere at once, so that the
+        answer is a change of its own: a commit under way does not contain it.
         """
         job = self.active.get(run.task.job)
         if job is None or run.unanswered_at is not None:
             return
         lifecycle.record_answer(job, run)
         if run.step.long_running:
+            job.version += 1
             self.mark_dirty(job)
 
     def _handle_refused_repetition(
--- a/tests/test_long_running_restarts.py
+++ b/tests/test_long_running_restarts.py
@@ -6,11 +6,13 @@
 
 from dataclasses import dataclass, replace
 
+import msgspec
 import pytest
 
 from ebonyhub.fleet.model import Vm, VmState
 from ebonyhub.ids import PoolName, RackId, TaskId, VmId, WorkerId
 from ebonyhub.jobs.model import JobSpec, Resources, StepSpec
+from ebonyhub.jobs.records import ProgressRecord
 from ebonyhub.scheduling.model import EndedTask, OrderFailure, RunOutcome
 from ebonyhub.scheduling.orders import StartRun
 from ebonyhub.scheduling.state import RESPONSE_MAX_AGE_SECONDS
@@ -91,6 +93,10 @@
 ]
 
 
+def replace_count(spec, count):
+    return JobSpec("t", (msgspec.structs.replace(spec.steps[0], count=count),))
+
+
 def take_start(driver, failure):
     """Return the next ordered run, after its start got this result."""
     scheduler = driver.scheduler
@@ -168,6 +174,27 @@
     assert start_again(successor) == row.expected
 
 
+@pytest.mark.parametrize("answered_during_commit", [0, 1, 2, 5])
+def test_answer_during_a_commit_is_stored(answered_during_commit):
+    """A successor bound the task, since the record did not tell of the answer."""
+    driver = Driver()
+    job = driver.submit(replace_count(SERVING, 5))
+    plan_and_store(driver)
+    starts = [o for o in driver.scheduler.outbox if isinstance(o, StartRun)]
+    during = len(starts) - answered_during_commit
+    for order in starts[:during]:
+        driver.scheduler.handle_start_result(order.run, None, driver.now)
+    version, stored = job.version, msgspec.msgpack.encode(job.progress)
+    for order in starts[during:]:
+        driver.scheduler.handle_start_result(order.run, None, driver.now)
+    driver.scheduler.mark_stored(job, version)
+    if job.job_id in driver.scheduler.dirty:
+        stored = msgspec.msgpack.encode(job.progress)
+    record = msgspec.msgpack.decode(stored, type=ProgressRecord)
+    runs = record.occurrences[0][0].runs.values()
+    assert [run.answered for run in runs] == [True] * 5
+
+
 @pytest.mark.parametrize("change", [drain, cordon])
 def test_task_waits_while_the_leaving_worker_may_run_it(change):
     """A late run that the worker lists has to end before another one starts."""
