Store the records after the starts in the scheduler tests' driver

The answer of a long-running task's start is a change of its record since the last commit, which the controller stores before it acknowledges an end. The driver stored nothing after the starts, so test_task_that_a_job_does_not_have_is_stopped saw no acknowledgement. Its assertions are unchanged.

--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -66,11 +66,14 @@
         self.scheduler.load_job(accepted, None, False, self.now, int(self.now * 1000))
         return self.scheduler.jobs[job]
 
-    def start_all(self):
-        """Plan, store the records and confirm the starts; return the runs."""
-        self.scheduler.plan(self.now)
+    def store_all(self):
         for job in list(self.scheduler.dirty.values()):
             self.scheduler.mark_stored(job, job.version)
+
+    def start_all(self):
+        """Plan and confirm the starts, store the records each time; return the runs."""
+        self.scheduler.plan(self.now)
+        self.store_all()
         self.scheduler.release_starts(self.now)
         runs = []
         while self.scheduler.outbox:
@@ -78,6 +81,7 @@
             if isinstance(order, StartRun):
                 self.scheduler.handle_start_result(order.run, None, self.now)
                 runs.append(order.run)
+        self.store_all()
         return runs
 
     def wait(self, seconds):
