Decline to take over from a leader soon after an own term

Two leaders then order the maintenance of the same VM in turn within the platform's LeaseMs.

A campaign for a key that is gone is not changed.

--- a/src/ebonyhub/entry/handover.py
+++ b/src/ebonyhub/entry/handover.py
@@ -10,6 +10,8 @@
 # A leader with too few cores hands over to a peer with at least this multiple of its
 # own.
 HANDOVER_CORE_RATIO = 1.5
+# Peers that are asked one after the other if each declines.
+MAX_ASKED_PEERS = 3
 # Method of a call between entries: become leader in place of the caller.
 TAKE_OVER_METHOD = "take_over"
 
@@ -33,17 +35,21 @@
         )
 
     async def request(self, term: Term) -> bool:
-        """Ask the best-ranked peer to take over; return whether it now leads.
+        """Ask the best-ranked peer to take over; return whether one now leads.
 
         Among peers with enough cores, the one that started last is preferred: in a
-        rolling restart it is the last to be stopped again.
+        rolling restart it is the last to be stopped again. If a peer declines, the next
+        one is asked. One that does not answer may have taken over.
         """
         streams = [stream for stream in self.peer_server.streams if stream.is_open]
-        if not streams:
-            return False
-        chosen = max(streams, key=_takeover_rank)
-        answer = await chosen.call(TAKE_OVER_METHOD, int(term.token))
-        return answer.is_ok() and answer.ok[0] == 0
+        ranked = sorted(streams, key=_takeover_rank, reverse=True)
+        for stream in ranked[:MAX_ASKED_PEERS]:
+            answer = await stream.call(TAKE_OVER_METHOD, int(term.token))
+            if answer.is_error():
+                return False
+            if answer.ok[0] == 0:
+                return True
+        return False
 
 
 def _takeover_rank(stream: PeerStream) -> tuple[float, int]:
--- a/src/ebonyhub/entry/leadership_manager.py
+++ b/src/ebonyhub/entry/leadership_manager.py
@@ -348,7 +348,7 @@
         current_revision = self.leader.revision if self.leader else ABSENT
         if self.store.failing or self.stopping or current_revision != expected_revision:
             return 1, None
-        if self.backoff.remaining_seconds() > 0.0:
+        if not self.backoff.may_take_over():
             return 1, None
         result = await self.begin_term(expected_revision)
         return (1 if result.is_error() else 0), None
