Bound the cost of watching long-running tasks

The check of tasks without a run went through the ready steps of all jobs, and that of late starts through all of long-running tasks at each tick. Now only long-running jobs are watched, 500 tasks at a time, and late starts only while a worker drains or is cordoned.

--- a/src/ebonyhub/scheduling/long_waits.py
+++ b/src/ebonyhub/scheduling/long_waits.py
@@ -5,8 +5,10 @@
 """
 
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import islice
 
 from ..events import Event, log_event
 from ..ids import TaskId
@@ -19,6 +21,8 @@
 
 # Seconds without a run after which a task is logged, once for each wait.
 LOGGED_AFTER_SECONDS = 3.0
+# Tasks that are watched at a time: a check must not keep the event loop.
+MAX_WATCHED_TASKS = 500
 # Tasks that one check logs at most; others follow with the next one.
 MAX_LOGGED_TASKS = 16
 
@@ -46,7 +50,7 @@
 
     def check(self, scheduler: Scheduler, now: float) -> None:
         """Log each task that has waited for LOGGED_AFTER_SECONDS."""
-        waiting = set(_waiting_tasks(scheduler))
+        waiting = set(islice(_waiting_tasks(scheduler), MAX_WATCHED_TASKS))
         for task in self.waiting_since.keys() - waiting:
             del self.waiting_since[task]
             self.logged.discard(task)
@@ -62,15 +66,14 @@
             _log_wait(scheduler, task, now - self.waiting_since[task], now)
 
 
-def _waiting_tasks(scheduler: Scheduler) -> list[TaskId]:
-    return [
-        TaskId(job.job_id, occurrence, number, position)
-        for job in scheduler.active.values()
-        if job.pending
-        for (occurrence, number), positions in job.pending.items()
-        if job.accepted.spec.steps[number].long_running
-        for position in positions
-    ]
+def _waiting_tasks(scheduler: Scheduler) -> Iterator[TaskId]:
+    for job in scheduler.active.values():
+        if not job.long_running:
+            continue
+        for (occurrence, number), positions in job.pending.items():
+            if job.accepted.spec.steps[number].long_running:
+                for position in positions:
+                    yield TaskId(job.job_id, occurrence, number, position)
 
 
 def _log_wait(scheduler: Scheduler, task: TaskId, seconds: float, now: float) -> None:
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -145,17 +145,22 @@
         Its process takes no tasks any more. It refuses their late starts, and no other
         process comes under its id after a planned end.
         """
+        leaving = {
+            worker_id: worker
+            for worker_id, worker in self.workers.items()
+            if (worker.entry.draining or worker.cordoned) and worker.process.is_fenced
+        }
+        if not leaving:
+            return
         ended: list[TaskId] = []
         for task, start in self.late_starts.long_running.items():
-            worker = self.workers.get(start.worker)
+            worker = leaving.get(start.worker)
             job = self.active.get(task.job)
             if (
                 worker is not None
                 and job is not None
-                and (worker.entry.draining or worker.cordoned)
-                and worker.process.is_fenced
-                and not worker.has_run_of(task)
                 and lifecycle.current_run(job, task) is None
+                and not worker.has_run_of(task)
             ):
                 ended.append(task)
         self.end_late_starts(ended)
