--- a/src/ebonyhub/scheduling/isolation.py
+++ b/src/ebonyhub/scheduling/isolation.py
@@ -180,25 +180,17 @@
                     for position in sorted(suspects)
                 }
                 bound = self.bound_positions(requirements, waiting)
-                beside_bound = requirements.beside(bound)
                 if requirements.step.gang:
                     gang = SuspectedTasks(job, requirements, sorted(waiting), bound)
                     found.append((True, min(rank_of.values()), gang))
                     continue
+                # Those that are bound keep their places on their workers.
+                unbound = requirements.beside(bound)
                 is_batch = not requirements.step.long_running
-                found += [
-                    (
-                        is_batch,
-                        rank,
-                        SuspectedTasks(
-                            job,
-                            requirements if position in bound else beside_bound,
-                            [position],
-                            bound,
-                        ),
-                    )
-                    for position, rank in rank_of.items()
-                ]
+                for position, rank in rank_of.items():
+                    own = requirements if position in bound else unbound
+                    task = SuspectedTasks(job, own, [position], bound)
+                    found.append((is_batch, rank, task))
         found.sort(key=lambda item: item[:2])
         return [tasks for _, _, tasks in found]
 
--- a/src/ebonyhub/scheduling/long_waits.py
+++ b/src/ebonyhub/scheduling/long_waits.py
@@ -14,7 +14,8 @@
 from ..ids import TaskId
 from . import lifecycle
 from .crashes import is_isolating, is_suspected
-from .placement import StepRequirements, has_capacity, meets_constraints
+from .explain import known_requirements
+from .placement import has_capacity, meets_constraints
 from .runs import Worker
 from .scheduler import Scheduler
 from .state import short_name
@@ -31,7 +32,9 @@
     """What keeps a task from a worker of its service."""
 
     NOT_ELIGIBLE = "not_eligible"
+    # Its label, or placement advice, rules it out.
     CONSTRAINTS = "constraints"
+    # Capacity, starts under way, or the limit of the step's tasks on one worker.
     NO_ROOM = "no_room"
     # The worker is kept for suspected tasks, or runs one alone.
     KEPT_FOR_SUSPECTS = "kept_for_suspects"
@@ -100,8 +103,7 @@
 ) -> Obstacle:
     """Return the first obstacle between a waiting task and a worker."""
     job = scheduler.active[task.job]
-    step = lifecycle.step_of(job, task)
-    requirements = StepRequirements(job.job_id, task.occurrence, task.step, step)
+    requirements = known_requirements(scheduler, job, task.occurrence, task.step)
     if not scheduler.is_eligible(worker, now):
         return Obstacle.NOT_ELIGIBLE
     if not meets_constraints(requirements, worker):
--- a/src/ebonyhub/scheduling/planning.py
+++ b/src/ebonyhub/scheduling/planning.py
@@ -98,7 +98,7 @@
         everywhere = OpenWorkers(
             self.plan_first_suspects(service, jobs, later_suspects, workers, now)
         )
-        self._plan_jobs(service, jobs, jobs, everywhere, oversubscribed, now)
+        self._plan_in_order(service, jobs, jobs, everywhere, oversubscribed, now)
         if self.starts_left <= 0:
             self.services_to_plan.add(service)
             self.plan_again = True
@@ -131,12 +131,12 @@
         long_running = [job for job in jobs if job.long_running]
         if long_running:
             open_workers = [w for w in workers if not is_isolating(w, now)]
-            self._plan_jobs(
+            self._plan_in_order(
                 service, jobs, long_running, OpenWorkers(open_workers), oversubscribed,
                 now,
             )  # fmt: skip
 
-    def _plan_jobs(
+    def _plan_in_order(
         self,
         service: ServiceName,
         jobs: list[Job],
@@ -145,7 +145,7 @@
         oversubscribed: bool,
         now: float,
     ) -> None:
-        """Assign the tasks of the ``chosen`` jobs of a service, in their order.
+        """Assign the tasks of the ``chosen`` jobs of a service, the most urgent first.
 
         ``jobs`` are all jobs of the service with ready tasks.
         """
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -145,6 +145,8 @@
         Its process takes no tasks any more. It refuses their late starts, and no other
         process comes under its id after a planned end.
         """
+        if not self.late_starts.long_running:
+            return
         leaving = {
             worker_id: worker
             for worker_id, worker in self.workers.items()
--- a/standins/oracle.py
+++ b/standins/oracle.py
@@ -134,9 +134,9 @@
     ) -> tuple[int | None, RunOutcome]:
         """Return the duration of a run in ms (None: until stopped) and its outcome."""
         step = self.specs[task.job].steps[task.step]
-        if step.long_running and not self.long_running_seconds:
-            return None, RunOutcome.FAILED
         if step.long_running:
+            if not self.long_running_seconds:
+                return None, RunOutcome.FAILED
             seconds = rng.expovariate(1 / self.long_running_seconds)
             return MIN_LONG_RUN_MS + int(seconds * 1000), RunOutcome.FAILED
         duration = int(step.estimate_ms * rng.uniform(0.5, 2.0))
--- a/tests/test_long_running_beside_suspects.py
+++ b/tests/test_long_running_beside_suspects.py
@@ -49,8 +49,8 @@
     label: str
     spec: JobSpec = SERVING
     workers: int = 2
-    # Large tasks, each of which fills a worker.
-    large: int = 1
+    # Workers that a large task fills.
+    full_workers: int = 1
     is_suspected: bool = False
     bound_to: str | None = None
     # Short tasks arrive all the time.
@@ -60,15 +60,15 @@
 
 ROWS = [
     Row("room beside a suspect"),
-    Row("room beside two suspects", workers=4, large=2),
+    Row("room beside two suspects", workers=4, full_workers=2),
     Row("suspected", is_suspected=True),
-    Row("suspected, room beside two", workers=4, large=2, is_suspected=True),
+    Row("suspected, room beside two", workers=4, full_workers=2, is_suspected=True),
     Row("bound", bound_to="w1"),
-    Row("bound, suspected, busy", workers=3, large=0, is_suspected=True,
+    Row("bound, suspected, busy", workers=3, full_workers=0, is_suspected=True,
         bound_to="w1", is_busy=True, started_by=4.0),
-    Row("bound, one on each worker, busy", spec=SPREAD, workers=3, large=0,
+    Row("bound, one on each worker, busy", spec=SPREAD, workers=3, full_workers=0,
         bound_to="w1", is_busy=True, started_by=4.0),
-    Row("bound, one on each worker, suspected", spec=SPREAD, workers=3, large=0,
+    Row("bound, one on each worker, suspected", spec=SPREAD, workers=3, full_workers=0,
         bound_to="w1", is_suspected=True, started_by=4.0),
 ]  # fmt: skip
 
@@ -84,7 +84,7 @@
 @pytest.mark.parametrize("row", ROWS, ids=lambda row: row.label)
 def test_long_running_tasks_start_beside_suspects(row):
     emulator = Emulator(1, worker_count=row.workers)
-    for _ in range(row.large):
+    for _ in range(row.full_workers):
         emulator.submit(LARGE)
     run_for(emulator, 1.0, row.is_busy)
     suspect(emulator, emulator.submit(SUSPECTS))
@@ -110,7 +110,6 @@
     for _ in range(3):
         emulator.submit(SERVING)
     emulator.run(60.0)
-    started = {
-        t for t in emulator.oracle.tasks_of(suspects) if t in emulator.oracle.tasks
-    }
+    tasks = emulator.oracle.tasks_of(suspects)
+    started = [task for task in tasks if task in emulator.oracle.tasks]
     assert len(started) >= SUSPECTS.steps[0].count / 2
--- a/tests/test_long_running_fuzz.py
+++ b/tests/test_long_running_fuzz.py
@@ -100,7 +100,7 @@
         emulator.crash_worker(name, entry_stays=rng.random() < 0.7)
         self.run(0.3)
 
-    def heal(self) -> None:
+    def end_faults(self) -> None:
         """End all faults; a worker that drains goes on to do so."""
         workers = self.emulator.workers.values()
         draining = [worker for worker in workers if worker.draining]
@@ -129,7 +129,7 @@
             play.disturb()
             watch.disturb()
             play.run(rng.uniform(0.2, 2.0))
-        play.heal()
+        play.end_faults()
         watch.disturb()
         play.run(CALM_SECONDS)
         for name in emulator.workers:
--- a/tests/test_long_running_restarts.py
+++ b/tests/test_long_running_restarts.py
@@ -93,10 +93,6 @@
 ]
 
 
-def replace_count(spec, count):
-    return JobSpec("t", (msgspec.structs.replace(spec.steps[0], count=count),))
-
-
 def take_start(driver, failure):
     """Return the next ordered run, after its start got this result."""
     scheduler = driver.scheduler
@@ -109,8 +105,7 @@
 
 def plan_and_store(driver):
     driver.scheduler.plan(driver.now)
-    for job in list(driver.scheduler.dirty.values()):
-        driver.scheduler.mark_stored(job, job.version)
+    driver.store_all()
     driver.scheduler.release_starts(driver.now)
 
 
@@ -178,7 +173,8 @@
 def test_answer_during_a_commit_is_stored(answered_during_commit):
     """A successor bound the task, since the record did not tell of the answer."""
     driver = Driver()
-    job = driver.submit(replace_count(SERVING, 5))
+    step = msgspec.structs.replace(SERVING.steps[0], count=5)
+    job = driver.submit(JobSpec("t", (step,)))
     plan_and_store(driver)
     starts = [o for o in driver.scheduler.outbox if isinstance(o, StartRun)]
     during = len(starts) - answered_during_commit
