Let a worker whose VM has changed take tasks only once it responds

A move takes 1.5 s and a worker counts as responsive for 1.6 s. When the VM's new worker registered, the cordon ended, and the worker that the move had ended seemed responsive and empty for 0.1 s. The task was evicted from a VM due for maintenance since that worker had room, and then no worker had any.

The cordon of a worker that was there before the change now ends with its next response, which is requested at once; a worker discovered during the change is not affected. test_worker_whose_vm_has_changed_gets_no_tasks_ until_it_responds[False] failed before. test_runs_of_an_earlier_leader_ count_as_serving set the flag of the workers alone, which a report now clears; it cordons their VMs, with the same assertions.

--- a/src/ebonyhub/scheduling/reports.py
+++ b/src/ebonyhub/scheduling/reports.py
@@ -66,6 +66,7 @@
             self.services_to_plan.add(worker.entry.service)
         worker.last_response_at = now
         worker.silent_since = None
+        self.end_cordon(worker)
         worker.successor_service = None
         worker.process.read_clock(report.clock_ms, sent_at, now)
         worker.expired = False
--- a/src/ebonyhub/scheduling/runs.py
+++ b/src/ebonyhub/scheduling/runs.py
@@ -121,8 +121,11 @@
     successor_service: ServiceName | None = None
     # The worker's entry has disappeared from the store.
     deregistered: bool = False
-    # Its VM is about to be moved or put into maintenance, so it gets no new tasks.
+    # Its VM is about to be moved or put into maintenance, so it gets no new tasks. A
+    # change that has ended may have replaced the worker, until it responds again.
     cordoned: bool = False
+    # It was discovered during such a change, so the change has not replaced it.
+    discovered_cordoned: bool = False
     runs: dict[tuple[TaskId, int], Run] = field(default_factory=dict)
     # Those of ``runs`` that have a probation.
     isolated_runs: dict[tuple[TaskId, int], Run] = field(default_factory=dict)
--- a/src/ebonyhub/scheduling/worker_monitor.py
+++ b/src/ebonyhub/scheduling/worker_monitor.py
@@ -40,7 +40,7 @@
         if worker is None:
             worker = Worker(
                 entry, self.new_process(entry.worker, entry.born_ms, now),
-                discovered_at=now,
+                discovered_at=now, discovered_cordoned=entry.vm in self.cordoned_vms,
             )  # fmt: skip
             self.workers[entry.worker] = worker
             log_event(
@@ -67,7 +67,7 @@
             # The process has most likely restarted, which only its report proves.
             self.outbox.append(FetchReport(entry.worker))
         worker.deregistered = False
-        worker.cordoned = entry.vm in self.cordoned_vms
+        worker.cordoned |= entry.vm in self.cordoned_vms
 
     def mark_predecessors(self, successor: Worker) -> None:
         """Note on earlier workers of the VM that their process has ended.
@@ -201,10 +201,26 @@
         )
 
     def set_cordoned(self, vms: set[VmId]) -> None:
-        """Cordon the workers on exactly these VMs."""
+        """Cordon the workers on exactly these VMs.
+
+        The cordon of a worker ends with its next response: the change of its VM may
+        have replaced it a moment ago, so that it seems to respond and to be empty.
+        """
+        ended = self.cordoned_vms - vms
         self.cordoned_vms = vms
         for worker in self.workers.values():
-            worker.cordoned = worker.entry.vm in vms
+            if worker.entry.vm in vms:
+                worker.cordoned = True
+            elif worker.entry.vm in ended and worker.discovered_cordoned:
+                worker.cordoned = worker.discovered_cordoned = False
+            elif worker.entry.vm in ended:
+                self.outbox.append(FetchReport(worker.worker_id))
+
+    def end_cordon(self, worker: Worker) -> None:
+        """Let a worker that has responded take tasks if its VM is not cordoned."""
+        if worker.cordoned and worker.entry.vm not in self.cordoned_vms:
+            worker.cordoned = False
+            self.services_to_plan.add(worker.entry.service)
 
     def _check_worker(self, worker: Worker, now: float, wall_ms: int) -> None:
         unresponsive = not self.is_responsive(worker, now)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -242,7 +242,7 @@
     for run in runs:
         run.inherited = True
         driver.report(run.worker, running=[listed(run)])
-        driver.worker(run.worker).cordoned = True
+    driver.scheduler.set_cordoned({VmId(f"vm-{run.worker}") for run in runs})
     driver.tick()
     assert driver.orders(StopRun) == []
     driver.wait(STOP_SETTLE_SECONDS + 0.1)
@@ -253,6 +253,35 @@
     assert len(driver.orders(StopRun)) == 1
 
 
+@pytest.mark.parametrize("responds", [False, True])
+def test_worker_whose_vm_has_changed_gets_no_tasks_until_it_responds(responds):
+    """A task was evicted since the worker of a VM that had just moved seemed empty."""
+    driver = Driver(("w1", "w2"))
+    driver.submit(JobSpec("t", (StepSpec(1, Resources(8000, 1), long_running=True),)))
+    (run,) = driver.start_all()
+    other = "w2" if run.worker == "w1" else "w1"
+    driver.report(run.worker, running=[listed(run)])
+    driver.scheduler.set_cordoned({VmId(f"vm-{other}")})
+    driver.report(other)
+    driver.scheduler.set_cordoned({VmId(f"vm-{run.worker}")})
+    assert [order.worker for order in driver.orders(FetchReport)] == [other]
+    if responds:
+        driver.report(other)
+    assert driver.scheduler.is_eligible(driver.worker(other), driver.now) == responds
+    driver.tick()
+    assert len(driver.orders(StopRun)) == responds
+
+
+def test_worker_discovered_during_a_change_gets_tasks_when_that_ends():
+    driver = Driver(())
+    driver.scheduler.set_cordoned({VmId("vm-w1")})
+    driver.scheduler.handle_worker_entry(entry("w1"), driver.now)
+    driver.report("w1")
+    driver.scheduler.set_cordoned(set())
+    driver.scheduler.handle_worker_entry(entry("w1"), driver.now)
+    assert driver.scheduler.is_eligible(driver.worker("w1"), driver.now)
+
+
 def test_worker_discovered_on_a_cordoned_vm_gets_no_tasks():
     """Tasks were started on a VM shortly before the cloud moved it."""
     driver = Driver(())
