--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,44 +1,64 @@
-"""Two minions crash just after a work item that lasts has begun on them."""
+"""A start without an answer is carried out late, beside a later run of its item."""
 
 import asyncio
 import os
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 from review.standins3.platform import Platform, configuration, route
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PREFIX = "/puxa400/"
 JOB = "5c0e7a21d94b36f8"
-ITEMS, MAY_MISS = 5, 1
-DOWN_S = 4.5
-# A work item is younger than this when its minion crashes.
-AGE_S = 0.3
+TASK = f"{JOB}.0.0.0"
+# When the unanswered start is carried out, and how long the minion is cut off.
+LATE_S = 6.0
+CUT_S = 5.5
+# From the beginning of the cut to the crash behind it, and until the next life.
+CRASH_AFTER_S, AWAY_S = 1.0, 1.0
 
 
-async def crash_under(platform: Platform, item: str) -> bool:
-    """Crash the minion of a work item soon after it has begun; tell if it has."""
-    end = time.monotonic() + 20.0
-    while time.monotonic() < end:
-        for machine in platform.machines.values():
-            minion = machine.minion
-            if minion is not None and item in minion.runs:
-                await asyncio.sleep(AGE_S)
-                if item in minion.runs:
-                    platform.crash_for(machine, DOWN_S)
-                    return True
-        await asyncio.sleep(0.01)
-    return False
+async def cut_and_restart(platform: Platform, name: str) -> None:
+    """Cut a minion off; behind the cut it crashes and starts under its id again."""
+    machine = platform.machines[name]
+    minion = machine.minion
+    assert minion is not None and machine.server is not None
+    platform.note("TROUBLE: minion is cut off", minion=minion.ident, seconds=CUT_S)
+    minion.cut = True
+    await asyncio.sleep(CRASH_AFTER_S)
+    platform.note("TROUBLE: it crashes behind the cut", minion=minion.ident)
+    minion.crash()
+    machine.state = "down"
+    await asyncio.sleep(AWAY_S)
+    machine.server.stop()
+    reborn = await platform.boot(machine, minion.ident)
+    reborn.clock_at_start_ms = 1_000
+    reborn.cut = True
+    platform.note("it is back under its id", minion=reborn.ident, born=reborn.born)
+    await asyncio.sleep(CUT_S - CRASH_AFTER_S - AWAY_S)
+    reborn.cut = False
+    platform.note("the cut has healed", minion=reborn.ident)
 
 
 async def play(platform: Platform) -> int:
     """Play the case; return the exit code."""
-    stops: list[dict[str, object]] = []
+    running: set[tuple[str, int]] = set()
+    together: list[float] = []
+    held: list[tuple[str, float, dict[str, Any]]] = []
 
-    def observe(what: str, _: float, **details: object) -> None:
-        if what == "minion: stop ordered":
-            stops.append(details)
+    def observe(what: str, now: float, **details: Any) -> None:
+        if details.get("task") != TASK:
+            return
+        run = (str(details["minion"]), int(details["run"]))
+        if what == "minion: start":
+            running.add(run)
+            if len(running) > 1:
+                together.append(now)
+                platform.note("two runs at the same time", runs=sorted(running))
+        if what in ("minion: end", "minion: lost"):
+            running.discard(run)
 
     platform.observers.append(observe)
     routes = [route("r-old", PREFIX, "quotes")]
@@ -46,37 +66,43 @@
     if not await platform.wait_ready():
         return 2
     await asyncio.sleep(3.0)
+    for machine in platform.machines.values():
+        assert machine.minion is not None
+
+        def hold(body: dict[str, Any], name: str = machine.name) -> bool:
+            if not TROUBLE or held:
+                return False
+            held.append((name, time.monotonic(), body))
+            return True
+
+        machine.minion.hold_start = hold
     step = {
-        "Count": ITEMS, "Cpu": 2700, "MemMb": 4800, "EstimatedMs": 900,
-        "LongRunning": True, "AntiAffinity": 1, "MayMiss": MAY_MISS,
+        "Count": 1, "Cpu": 1000, "MemMb": 512, "EstimatedMs": 900, "LongRunning": True
     }  # fmt: skip
     body = {"Spec": "lasts", "Steps": [step]}
     answer = await platform.request(platform.nodes[0], "POST", PREFIX + JOB, body)
     if answer is None or answer[0] != 200:
         return 2
-    item = f"{JOB}.0.0.0"
+    await asyncio.sleep(2.0)
+    if not running or (TROUBLE and not held):
+        return 2
     if TROUBLE:
-        for _ in range(2):
-            if not await crash_under(platform, item):
-                return 2
-            await asyncio.sleep(0.05)
-    await asyncio.sleep(8.0)
-    state = ""
-    answer = await platform.request(platform.nodes[0], "GET", PREFIX + JOB)
-    if answer is not None and answer[0] == 200:
-        state = str(answer[1]["State"])
-    # Stops of items that were at work; nobody has cancelled the job.
-    ended = [stop for stop in stops if stop["percent"] == 100]
-    platform.note(
-        "RESULT", state=state, items_at_work_that_were_stopped=len(ended),
-        may_miss=MAY_MISS,
-    )  # fmt: skip
-    return 1 if len(ended) > MAY_MISS else 0
+        name, sent_at, start = held[0]
+        cut = asyncio.create_task(cut_and_restart(platform, name))
+        await asyncio.sleep(max(0.0, sent_at + LATE_S - time.monotonic()))
+        minion = platform.machines[name].minion
+        if minion is None:
+            return 2
+        minion.start_late(start)
+        await cut
+    await asyncio.sleep(3.0)
+    platform.note("RESULT", times_that_two_ran=len(together))
+    return 1 if together else 0
 
 
 async def main() -> int:
     """Run the case."""
-    platform = Platform(Path(__file__).parent, {"quotes": 8}, 3)
+    platform = Platform(Path(__file__).parent, {"quotes": 6}, 3)
     try:
         return await play(platform)
     finally:
--- a/review/standins3/http.py
+++ b/review/standins3/http.py
@@ -35,6 +35,7 @@
 
     handler: Handler
     channels: set[asyncio.StreamWriter] = field(default_factory=set)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
     listener: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -49,10 +50,15 @@
             self.listener.close()
         for writer in list(self.channels):
             writer.transport.abort()
+        for task in list(self.tasks):
+            task.cancel()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
         self.channels.add(writer)
         try:
             while True:
@@ -79,6 +85,7 @@
             return
         finally:
             self.channels.discard(writer)
+            self.tasks.discard(task)
             writer.transport.abort()
 
 
--- a/review/standins3/minion.py
+++ b/review/standins3/minion.py
@@ -58,6 +58,8 @@
     origin: float = field(default_factory=time.monotonic)
     up: bool = True
     draining: bool = False
+    # The minion's clock at its start; each life has another one.
+    clock_at_start_ms: int = 480_000
     token: int = 0
     lease_end_ms: int = 0
     runs: dict[str, Run] = field(default_factory=dict)
@@ -65,11 +67,14 @@
     ends: list[list[Any]] = field(default_factory=list)
     sequence: int = 0
     ended: asyncio.Event = field(default_factory=asyncio.Event)
-    starts_held: bool = False
+    # Its channels are cut: calls get no answer and are not carried out.
+    cut: bool = False
+    # Gets the body of each start that is left unanswered, to be carried out late.
+    hold_start: Callable[[dict[str, Any]], bool] = lambda _: False
 
     def clock_ms(self) -> int:
         """Return the minion's own steady clock."""
-        return 480_000 + int((time.monotonic() - self.origin) * 1000)
+        return self.clock_at_start_ms + int((time.monotonic() - self.origin) * 1000)
 
     def entry(self) -> dict[str, Any]:
         """Return the minion's entry in the store."""
@@ -132,14 +137,18 @@
 
     async def handle(self, request: Request) -> Answer:
         """Answer one call."""
-        if not self.up:
+        if not self.up or self.cut:
             return None
         if request.headers.get("x-expected-instance") != self.ident:
             return 421, {}
         body, clock = request.body, self.clock_ms()
         if body.get("FencingToken", 0) < self.token:
             return 409, {"ClockMs": clock, "Reason": "fence"}
-        if request.path == "/run-start" and self.starts_held:
+        if request.path == "/run-start" and self.hold_start(body):
+            self.record(
+                "start order left unanswered", minion=self.ident, task=body["Task"],
+                run=body["Run"], token=body.get("FencingToken", 0),
+            )  # fmt: skip
             return None
         self.token = body.get("FencingToken", 0)
         if request.path == "/run-start":
@@ -150,6 +159,18 @@
             return await self._hold(body, clock)
         return 200, {"ClockMs": clock}
 
+    def start_late(self, body: dict[str, Any]) -> None:
+        """Carry out a start that was left unanswered, seconds later."""
+        clock, token = self.clock_ms(), body.get("FencingToken", 0)
+        answer: Answer = (409, {"Reason": "fence"})
+        if token >= self.token:
+            self.token = token
+            answer = self._start(body, clock)
+        self.record(
+            "start order carried out late", minion=self.ident, born=self.born,
+            task=body["Task"], run=body["Run"], answer=answer,
+        )  # fmt: skip
+
     def _extend(self, deadline_ms: int, clock: int) -> None:
         self.lease_end_ms = max(
             self.lease_end_ms, min(deadline_ms, clock + MAX_HOLD_MS)
@@ -189,11 +210,17 @@
         if "DeadlineMs" in body:
             self._extend(body["DeadlineMs"], clock)
         cursor = body.get("AckCursor", 0)
+        for end in self.ends:
+            if end[0] <= cursor:
+                self.record(
+                    "end taken note of", minion=self.ident, task=end[1], run=end[2],
+                    how=end[3],
+                )  # fmt: skip
         self.ends = [end for end in self.ends if end[0] > cursor]
         deadline = time.monotonic() + body.get("WaitMs", 0) / 1000
         while self.up and not self.ends and time.monotonic() < deadline:
             await asyncio.sleep(STEP_SECONDS)
-        if not self.up:
+        if not self.up or self.cut:
             return None
         running = []
         for task, run in self.runs.items():
--- a/review/standins3/platform.py
+++ b/review/standins3/platform.py
@@ -283,10 +283,10 @@
 
     # Minions and machines
 
-    async def boot(self, machine: Machine) -> Minion:
-        """Start a new minion on a machine and register it."""
+    async def boot(self, machine: Machine, ident: str = "") -> Minion:
+        """Start a minion on a machine and register it, under ``ident`` if given."""
         self.counter += 1
-        ident = f"i-{self.counter:04d}{self.rng.randrange(16**4):04x}"
+        ident = ident or f"i-{self.counter:04d}{self.rng.randrange(16**4):04x}"
         machine.minion = minion = Minion(
             ident, machine.pool, machine.name, machine.rack, machine.zone,
             machine.address, self._note_run, dict(CAPACITY),
