--- a/review/standins3/minion.py
+++ b/review/standins3/minion.py
@@ -69,6 +69,8 @@
     ended: asyncio.Event = field(default_factory=asyncio.Event)
     # Its channels are cut: calls get no answer and are not carried out.
     cut: bool = False
+    # Tells whether a start carries the ticket that its step demands.
+    has_ticket: Callable[["Minion", dict[str, Any]], bool] = lambda *_: True
     # Gets the body of each start that is left unanswered, to be carried out late.
     hold_start: Callable[[dict[str, Any]], bool] = lambda _: False
 
@@ -186,6 +188,12 @@
             return 409, {"ClockMs": clock, "Reason": "old"}
         if body["DeadlineMs"] <= clock:
             return 409, {"ClockMs": clock, "Reason": "late"}
+        if not self.has_ticket(self, body):
+            self.record(
+                "start rejected (ticket)", minion=self.ident, task=task, run=number,
+                ticket=body.get("Ticket", ""),
+            )  # fmt: skip
+            return 409, {"ClockMs": clock, "Reason": "ticket"}
         self._extend(body["DeadlineMs"], clock)
         length_ms, fails = work_of(body["Spec"])
         self.runs[task] = Run(number, clock, length_ms, fails)
--- a/review/standins3/platform.py
+++ b/review/standins3/platform.py
@@ -26,10 +26,13 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 FRONT_PORT, READY_PORT, CONTROL_PORT = 8624, 8622, 8623
-STORE_PORT, CLOUD_PORT, MINION_PORT = 8621, 8620, 8700
+STORE_PORT, CLOUD_PORT, ADVISOR_PORT, MINION_PORT = 8621, 8620, 8619, 8700
 HEARTBEAT_SECONDS = 1.5
 MOVE_SECONDS, UPKEEP_SECONDS = 1.5, 2.0
 CAPACITY = {"Cpu": 32000, "MemMb": 65536, "Gpu": 0}
+# Rejected starts that have a line of their own; the result tells their number.
+MAX_REJECTED_LINES = 30
+DECISION_MS, PER_ITEM_MS, VALIDITY_MS = 50, 1, 3000
 ZONES = ("ke-central-a", "ke-central-b", "ke-central-c")
 
 SETTINGS = """Node: "{name}"
@@ -77,7 +80,7 @@
   MaintenanceS: 2, RequireFencing: true, LeaseMs: 3000, ThawSlackMs: 300,
   PaceMs: 100, HarmMs: 4000}}
 Orders: "call"
-PlacementAdvisor: null
+PlacementAdvisor: "{advisor}"
 platform:
   Address: "{store}"
   form: "kv"
@@ -127,12 +130,19 @@
     def __init__(self, case: Path, pools: dict[str, int], nodes: int) -> None:
         self.case = case
         self.lines: list[str] = []
+        # How often each event was noted.
+        self.seen: dict[str, int] = {}
         self.began = time.monotonic()
         self.folder = tempfile.TemporaryDirectory()
         self.network, self.lock = _claim_network()
         self.store = Store()
         self.store_server = Server(self.store.handle)
         self.cloud_server = Server(self.cloud)
+        self.advisor_server = Server(self.advise)
+        # Prefixes of the paths whose steps need a ticket, and the tickets given: step
+        # and minion, with the end of the ticket's validity.
+        self.advised_jobs: set[str] = set()
+        self.tickets: dict[str, tuple[str, str, float]] = {}
         self.machines: dict[str, Machine] = {}
         self.tasks: list[asyncio.Task[None]] = []
         self.observers: list[Callable[..., None]] = []
@@ -164,7 +174,9 @@
         """Add a line to the record and tell the observers."""
         now = time.monotonic() - self.began
         text = " ".join(f"{key}={value}" for key, value in details.items())
-        self.lines.append(f"{now:8.3f} s  {what}  {text}".rstrip())
+        self.seen[what] = self.seen.get(what, 0) + 1
+        if "rejected" not in what or self.seen[what] <= MAX_REJECTED_LINES:
+            self.lines.append(f"{now:8.3f} s  {what}  {text}".rstrip())
         for observer in self.observers:
             observer(what, now, **details)
 
@@ -179,6 +191,7 @@
         """Start the platform and the minions, write ``config``, start the nodes."""
         await self.store_server.start(self.ip(0, 1), STORE_PORT)
         await self.cloud_server.start(self.ip(0, 1), CLOUD_PORT)
+        await self.advisor_server.start(self.ip(0, 1), ADVISOR_PORT)
         for machine in self.machines.values():
             await self.boot(machine)
         self.tasks.append(asyncio.create_task(self._heartbeats()))
@@ -193,6 +206,7 @@
             text = SETTINGS.format(
                 name=node.name, ip=node.ip, zone=ZONES[number % 3], store=store,
                 cloud=f"{self.ip(0, 1)}:{CLOUD_PORT}",
+                advisor=f"{self.ip(0, 1)}:{ADVISOR_PORT}",
             )  # fmt: skip
             node.settings.write_text(text)
             self.start_node(node)
@@ -253,6 +267,7 @@
             task.cancel()
         self.store_server.stop()
         self.cloud_server.stop()
+        self.advisor_server.stop()
         for machine in self.machines.values():
             if machine.server is not None:
                 machine.server.stop()
@@ -291,6 +306,7 @@
             ident, machine.pool, machine.name, machine.rack, machine.zone,
             machine.address, self._note_run, dict(CAPACITY),
         )  # fmt: skip
+        minion.has_ticket = self.has_ticket
         machine.server = Server(minion.handle)
         host, _, port = machine.address.rpartition(":")
         await machine.server.start(host, int(port))
@@ -412,6 +428,33 @@
             "Capacity": dict(CAPACITY), "Id": minion.ident if minion else "",
         }  # fmt: skip
 
+    # Advisor
+
+    async def advise(self, request: Request) -> Answer:
+        """Answer a call for advice: each minion that is named may run the step."""
+        step, names = request.body["Step"], request.body["Workers"]
+        await asyncio.sleep((DECISION_MS + PER_ITEM_MS * len(names)) / 1000)
+        rows = []
+        for name in names:
+            ticket = f"{step}-{name}-{len(self.tickets)}"
+            end = time.monotonic() + VALIDITY_MS / 1000
+            self.tickets[ticket] = (step, name, end)
+            rows.append([name, ticket])
+        self.note("advisor: asked", step=step, minions=len(names))
+        return 200, {"Good": rows, "ValidityMs": VALIDITY_MS}
+
+    def has_ticket(self, minion: Minion, body: dict[str, Any]) -> bool:
+        """Return whether a start carries a valid ticket, if its step demands one."""
+        step = body["Task"].rpartition(".")[0]
+        if step.partition(".")[0] not in self.advised_jobs:
+            return True
+        known = self.tickets.get(body.get("Ticket", ""))
+        return (
+            known is not None
+            and known[:2] == (step, minion.ident)
+            and time.monotonic() < known[2]
+        )
+
     # Requesters
 
     async def request(
