--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""A start without an answer is carried out late, beside a later run of its item."""
+"""A start without an answer is carried out after its work item has ended done."""
 
 import asyncio
 import os
@@ -44,21 +44,17 @@
 
 async def play(platform: Platform) -> int:
     """Play the case; return the exit code."""
-    running: set[tuple[str, int]] = set()
-    together: list[float] = []
+    noted: list[float] = []
+    starts: list[float] = []
     held: list[tuple[str, float, dict[str, Any]]] = []
 
     def observe(what: str, now: float, **details: Any) -> None:
         if details.get("task") != TASK:
             return
-        run = (str(details["minion"]), int(details["run"]))
+        if what == "minion: end taken note of" and details["how"] == "done":
+            noted.append(now)
         if what == "minion: start":
-            running.add(run)
-            if len(running) > 1:
-                together.append(now)
-                platform.note("two runs at the same time", runs=sorted(running))
-        if what in ("minion: end", "minion: lost"):
-            running.discard(run)
+            starts.append(now)
 
     platform.observers.append(observe)
     routes = [route("r-old", PREFIX, "quotes")]
@@ -76,16 +72,15 @@
             return True
 
         machine.minion.hold_start = hold
-    step = {
-        "Count": 1, "Cpu": 1000, "MemMb": 512, "EstimatedMs": 900, "LongRunning": True
-    }  # fmt: skip
-    body = {"Spec": "lasts", "Steps": [step]}
+    step = {"Count": 1, "Cpu": 1000, "MemMb": 512, "EstimatedMs": 300}
+    body = {"Spec": "ms=300", "Steps": [step]}
     answer = await platform.request(platform.nodes[0], "POST", PREFIX + JOB, body)
     if answer is None or answer[0] != 200:
         return 2
     await asyncio.sleep(2.0)
-    if not running or (TROUBLE and not held):
+    if not noted or (TROUBLE and not held):
         return 2
+    await platform.request(platform.nodes[0], "GET", PREFIX + JOB)
     if TROUBLE:
         name, sent_at, start = held[0]
         cut = asyncio.create_task(cut_and_restart(platform, name))
@@ -96,8 +91,9 @@
         minion.start_late(start)
         await cut
     await asyncio.sleep(3.0)
-    platform.note("RESULT", times_that_two_ran=len(together))
-    return 1 if together else 0
+    again = [at for at in starts if at > noted[0]]
+    platform.note("RESULT", starts=len(starts), starts_after_noted_end=len(again))
+    return 1 if again else 0
 
 
 async def main() -> int:
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""Two minions crash just after a work item that lasts has begun on them."""
+"""Store channels of one node go silent just before a configuration is acknowledged."""
 
 import asyncio
 import os
@@ -9,74 +9,90 @@
 from review.standins3.platform import Platform, configuration, route
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-PREFIX = "/puxa400/"
-JOB = "5c0e7a21d94b36f8"
-ITEMS, MAY_MISS = 5, 1
-DOWN_S = 4.5
-# A work item is younger than this when its minion crashes.
-AGE_S = 0.3
+CONTACT_S, CONFIG_APPLY_S = 3.0, 2.0
+MARGIN_S = 0.05
+SURGE = 12
+WATCHED_S = 12.0
+OLD = "/puxa400/"
+NEW = "/tije37/"
+DROPPED = "/kafi706/"
 
 
-async def crash_under(platform: Platform, item: str) -> bool:
-    """Crash the minion of a work item soon after it has begun; tell if it has."""
-    end = time.monotonic() + 20.0
-    while time.monotonic() < end:
-        for machine in platform.machines.values():
-            minion = machine.minion
-            if minion is not None and item in minion.runs:
-                await asyncio.sleep(AGE_S)
-                if item in minion.runs:
-                    platform.crash_for(machine, DOWN_S)
-                    return True
-        await asyncio.sleep(0.01)
-    return False
+def job() -> dict[str, object]:
+    """Return a small job."""
+    step = {"Count": 2, "Cpu": 500, "MemMb": 256, "EstimatedMs": 300}
+    return {"Spec": "ms=300", "Steps": [step]}
 
 
-async def play(platform: Platform) -> int:
-    """Play the case; return the exit code."""
-    stops: list[dict[str, object]] = []
+async def surge(platform: Platform) -> None:
+    """Hand in jobs at all nodes at the same time, as at the onset of a surge."""
+    calls = []
+    for number, node in enumerate(platform.nodes):
+        for index in range(SURGE):
+            ident = f"{number:08x}{index:08x}"
+            calls.append(platform.request(node, "POST", OLD + ident, job()))
+    answers = await asyncio.gather(*calls)
+    accepted = sum(answer is not None and answer[0] == 200 for answer in answers)
+    platform.note("surge accepted", jobs=accepted)
 
-    def observe(what: str, _: float, **details: object) -> None:
-        if what == "minion: stop ordered":
-            stops.append(details)
 
-    platform.observers.append(observe)
-    routes = [route("r-old", PREFIX, "quotes")]
-    await platform.start(configuration(1, routes, ["quotes"]))
+async def play(platform: Platform) -> int:
+    """Play the case; return the exit code."""
+    routes = [route("r-old", OLD, "quotes"), route("r-gone", DROPPED, "quotes")]
+    await platform.start(configuration(1, routes, ["quotes"]), proxied=True)
     if not await platform.wait_ready():
         return 2
     await asyncio.sleep(3.0)
-    step = {
-        "Count": ITEMS, "Cpu": 2700, "MemMb": 4800, "EstimatedMs": 900,
-        "LongRunning": True, "AntiAffinity": 1, "MayMiss": MAY_MISS,
-    }  # fmt: skip
-    body = {"Spec": "lasts", "Steps": [step]}
-    answer = await platform.request(platform.nodes[0], "POST", PREFIX + JOB, body)
-    if answer is None or answer[0] != 200:
+    await surge(platform)
+    await asyncio.sleep(1.0)
+    leader = platform.leader()
+    followers = [node for node in platform.nodes if node.name != leader]
+    if not leader or len(followers) != len(platform.nodes) - 1:
         return 2
-    item = f"{JOB}.0.0.0"
+    node = followers[0]
+    assert node.proxy is not None
+    silenced_at = time.monotonic()
     if TROUBLE:
-        for _ in range(2):
-            if not await crash_under(platform, item):
-                return 2
-            await asyncio.sleep(0.05)
-    await asyncio.sleep(8.0)
-    state = ""
-    answer = await platform.request(platform.nodes[0], "GET", PREFIX + JOB)
-    if answer is not None and answer[0] == 200:
-        state = str(answer[1]["State"])
-    # Stops of items that were at work; nobody has cancelled the job.
-    ended = [stop for stop in stops if stop["percent"] == 100]
+        channels = node.proxy.silence()
+        platform.note(
+            "TROUBLE: open channels to the store go silent", node=node.name,
+            channels=channels, leader=leader,
+        )  # fmt: skip
+    await asyncio.sleep(1.0)
+    routes = [route("r-old", OLD, "quotes"), route("r-new", NEW, "quotes")]
+    platform.configure(configuration(2, routes, ["quotes"]))
+    acknowledged_at = time.monotonic()
+    judged_from = MARGIN_S + max(
+        silenced_at + CONTACT_S, acknowledged_at + CONFIG_APPLY_S
+    )
+    late, last, seen, dropped_run = 0, 0.0, 0, False
+    while time.monotonic() < silenced_at + WATCHED_S:
+        sent_at = time.monotonic()
+        answer = await platform.request(node, "GET", NEW)
+        seen += answer is not None
+        if answer is not None and answer[0] == 404 and sent_at > judged_from:
+            late += 1
+            last = sent_at - acknowledged_at
+        if sent_at > judged_from + 0.5 and not dropped_run:
+            path = f"{DROPPED}{int(sent_at * 1000):016x}"
+            answer = await platform.request(node, "POST", path, job())
+            dropped_run = answer is not None and answer[0] == 200
+            if answer is not None and answer[0] == 404:
+                break
+        await asyncio.sleep(0.1)
+    if not seen:
+        return 2
+    await asyncio.sleep(2.0)
     platform.note(
-        "RESULT", state=state, items_at_work_that_were_stopped=len(ended),
-        may_miss=MAY_MISS,
+        "RESULT", answers_404_too_late=late, last_after_ack=f"{last:.2f}",
+        accepted_on_dropped_route=dropped_run,
     )  # fmt: skip
-    return 1 if len(ended) > MAY_MISS else 0
+    return 1 if late or dropped_run else 0
 
 
 async def main() -> int:
     """Run the case."""
-    platform = Platform(Path(__file__).parent, {"quotes": 8}, 3)
+    platform = Platform(Path(__file__).parent, {"quotes": 6}, 3)
     try:
         return await play(platform)
     finally:
