--- a/review/11/case.py
+++ b/review/11/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from review.standins3.platform import Platform, configuration, route
+from review.standins3.platform import Platform, configuration, route, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PREFIX = "/puxa400/"
@@ -110,4 +110,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(main))
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-from review.standins3.platform import Platform, configuration, route
+from review.standins3.platform import Platform, configuration, route, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CONTACT_S, CONFIG_APPLY_S = 3.0, 2.0
@@ -100,4 +100,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(main))
--- a/review/standins3/platform.py
+++ b/review/standins3/platform.py
@@ -14,7 +14,8 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Callable
+import traceback
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -503,6 +504,15 @@
     return {"Version": version, "Routes": routes, "Services": rows, "Limits": limits}
 
 
+def run_case(main: Callable[[], Coroutine[Any, Any, int]]) -> int:
+    """Run a case; return its exit code, 2 if it ended by an error of its own."""
+    try:
+        return asyncio.run(main())
+    except (Exception, KeyboardInterrupt):
+        traceback.print_exc()
+        return 2
+
+
 def _claim_network() -> tuple[int, socket.socket]:
     """Claim a loopback network 127.N that no other run uses."""
     numbers = list(range(20, 250))
